--- /dev/null
+++ b/src/cyclamenspool/agent/agentnode.cpp
@@ -0,0 +1,280 @@
+#include <cyclamenspool/agent/agentnode.h>
+
+#include <cyclamenspool/http/refusal.h>
+#include <cyclamenspool/telemetry/log.h>
+
+#include <random>
+
+namespace cyclamenspool::agent {
+
+namespace internal {
+
+AgentOptions optionsOf(const config::Settings &settings)
+{
+    AgentOptions options;
+    options.vm = settings.vm;
+    options.zone = settings.zone;
+    options.server = settings.server;
+    options.group = settings.group;
+    options.viewLease = settings.viewLease;
+    options.clockBound = settings.clockBound;
+    options.takeOver = settings.takeOver;
+    options.exchangePeriod = settings.exchangePeriod;
+    options.weightStoreRate = settings.weightStoreRate;
+    return options;
+}
+
+/** @brief Parses a peer's message and passes it on; a malformed one is dropped and logged. */
+template<typename Message, typename Use>
+void withMessage(const std::string &bytes, const char *what, const Use &use)
+{
+    Message message;
+    if (message.ParseFromString(bytes)) {
+        use(message);
+    } else {
+        telemetry::logEvent("malformed_message", what);
+    }
+}
+
+} // namespace internal
+
+AgentNode::AgentNode(node::Node &node)
+    : node_(node)
+    , core_(internal::optionsOf(node.settings()), std::random_device{}(), core::Now::read())
+    , backend_(node.context(), node.settings().backendAddress, backendEvents())
+{
+}
+
+BackendEvents AgentNode::backendEvents()
+{
+    BackendEvents events;
+    events.mayStart = [this](std::uint64_t run) {
+        return core_.mayStart(run, core::Now::read());
+    };
+    events.onBegin = [this](std::uint64_t run, const BackendBegin &begin) {
+        carryOut(core_.onBackendBegin(run, begin, core::Now::read()));
+    };
+    events.onChunk = [this](std::uint64_t run, const std::string &data) {
+        carryOut(core_.onBackendChunk(run, data, core::Now::read()));
+    };
+    events.onEnd = [this](std::uint64_t run) {
+        carryOut(core_.onBackendEnd(run, core::Now::read()));
+    };
+    events.onLost = [this](std::uint64_t run, bool sent, const std::string &reason) {
+        carryOut(core_.onBackendLost(run, sent, reason, core::Now::read()));
+    };
+    events.onState = [this](const std::optional<EngineState> &state) {
+        carryOut(core_.onEngineState(state, core::Now::read()));
+    };
+    return events;
+}
+
+void AgentNode::onView(std::shared_ptr<const member::FleetView> view)
+{
+    carryOut(core_.onView(std::move(view), core::Now::read()));
+    if (!started_) {
+        started_ = true;
+        backend_.start();
+    }
+}
+
+void AgentNode::onTick()
+{
+    carryOut(core_.onTick(core::Now::read()));
+}
+
+void AgentNode::beginShutdown()
+{
+    core_.beginShutdown();
+}
+
+std::size_t AgentNode::openRequests() const
+{
+    return core_.load(core::Now::read()).runs;
+}
+
+boost::asio::awaitable<void> AgentNode::onHttp(const http::Request &request, http::Responder &responder)
+{
+    const std::string detail = "an agent has no path " + std::string(request.target());
+    co_await http::refuseUnread(core::ErrorKind::UnknownPath, detail, responder);
+}
+
+void AgentNode::onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, std::string message)
+{
+    if (path == "/submit") {
+        onSubmit(stream, message);
+    } else if (path == "/exchange") {
+        internal::withMessage<wire::Exchange>(message, "exchange", [&](const wire::Exchange &request) {
+            const auto reply = core_.onExchange(request, core::Now::read()).SerializeAsString();
+            exchangeBytes_ += message.size() + reply.size();
+            stream->send(reply, true);
+        });
+    } else if (path == "/placed") {
+        internal::withMessage<wire::Placed>(message, "placed", [this](const wire::Placed &placed) {
+            core_.onPlaced(placed, core::Now::read());
+        });
+        stream->send("", true);
+    } else if (path == "/handover") {
+        internal::withMessage<wire::HandOverRequest>(message, "handover", [&](const wire::HandOverRequest &request) {
+            stream->send(core_.onHandOverRequest(request, core::Now::read()).SerializeAsString(), true);
+        });
+    } else {
+        telemetry::logEvent("unknown_message", path);
+        stream->send("", true);
+    }
+}
+
+void AgentNode::onSubmit(const std::shared_ptr<wire::ServerStream> &stream, const std::string &message)
+{
+    const auto id = nextStream_++;
+    {
+        const std::lock_guard lock(mutex_);
+        streams_[id] = stream;
+    }
+    stream->onClosed([this, id] {
+        {
+            const std::lock_guard lock(mutex_);
+            streams_.erase(id);
+        }
+        carryOut(core_.onStreamClosed(id, core::Now::read()));
+    });
+    internal::withMessage<wire::Submit>(message, "submit", [this, id](const wire::Submit &request) {
+        carryOut(core_.onSubmit(id, request, core::Now::read()));
+    });
+}
+
+void AgentNode::carryOut(const Actions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *decision = std::get_if<core::Decision>(&action)) {
+            telemetry::logDecision(*decision);
+        } else if (const auto *answer = std::get_if<SendReply>(&action)) {
+            reply(*answer);
+        } else if (const auto *start = std::get_if<StartRun>(&action)) {
+            backend_.run(*start);
+        } else if (const auto *resumed = std::get_if<ResumeRun>(&action)) {
+            backend_.resume(*resumed);
+        } else if (const auto *cancelled = std::get_if<CancelRun>(&action)) {
+            backend_.cancel(*cancelled);
+        } else if (const auto *load = std::get_if<SendExchange>(&action)) {
+            exchange(*load);
+        } else if (const auto *question = std::get_if<SendHandOver>(&action)) {
+            handOver(*question);
+        } else if (const auto *place = std::get_if<SendPlaced>(&action)) {
+            placed(*place);
+        } else if (const auto *order = std::get_if<OrderModel>(&action)) {
+            backend_.order(*order);
+        } else if (std::holds_alternative<RefreshView>(action)) {
+            refresh();
+        }
+    }
+}
+
+void AgentNode::reply(const SendReply &action)
+{
+    std::shared_ptr<wire::ServerStream> stream;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = streams_.find(action.stream);
+        if (found == streams_.end()) {
+            return;
+        }
+        stream = found->second;
+    }
+    stream->send(action.message.SerializeAsString(), action.last);
+}
+
+void AgentNode::exchange(const SendExchange &action)
+{
+    wire::StreamEvents events;
+    events.onMessage = [this](const std::string &message) {
+        exchangeBytes_ += message.size();
+        internal::withMessage<wire::Exchange>(message, "exchange reply", [this](const wire::Exchange &reply) {
+            core_.onExchangeReply(reply, core::Now::read());
+        });
+    };
+    events.onEnd = [](const wire::StreamEnd &) {};
+    auto message = action.message.SerializeAsString();
+    exchangeBytes_ += message.size();
+    node_.peers().submit(action.address, "/exchange", std::move(message), std::move(events));
+}
+
+void AgentNode::handOver(const SendHandOver &action)
+{
+    wire::StreamEvents events;
+    events.onMessage = [this, server = action.server](const std::string &message) {
+        internal::withMessage<wire::HandOverReply>(message, "handover reply", [&](const wire::HandOverReply &reply) {
+            core_.onHandOverReply(server, reply, core::Now::read());
+        });
+    };
+    events.onEnd = [](const wire::StreamEnd &) {};
+    node_.peers().submit(action.address, "/handover", action.message.SerializeAsString(), std::move(events));
+}
+
+void AgentNode::placed(const SendPlaced &action)
+{
+    wire::StreamEvents events;
+    events.onMessage = [](const std::string &) {};
+    events.onEnd = [](const wire::StreamEnd &) {};
+    node_.peers().submit(action.address, "/placed", action.message.SerializeAsString(), std::move(events));
+}
+
+void AgentNode::refresh()
+{
+    if (refreshing_.exchange(true)) {
+        return;
+    }
+    node_.refresh([this] {
+        core_.confirmView(core::Now::read());
+        refreshing_ = false;
+    });
+}
+
+void AgentNode::addStatus(boost::json::object &status) const
+{
+    const auto load = core_.load(core::Now::read());
+    const auto counts = core_.counts();
+    status["role"] = "agent";
+    status["server"] = node_.settings().server;
+    status["load_tokens"] = load.tokens;
+    status["load_limit_tokens"] = load.limit;
+    status["pool_mean_tokens"] = load.poolMean.value_or(-1.0);
+    status["runs"] = load.runs;
+    status["is_leaving"] = load.leaving;
+    status["cold"] = load.cold;
+    status["admitted"] = counts.admitted;
+    status["whole_answers"] = counts.whole;
+    status["stored_answers"] = counts.storedAnswers;
+    status["cold_starts"] = counts.coldStarts;
+    status["warm_tokens"] = counts.warmTokens;
+    status["prompt_tokens"] = counts.promptTokens;
+    boost::json::object refusals;
+    for (const auto &[kind, count] : counts.refusals) {
+        refusals[std::string(core::ruleOf(kind).name)] = count;
+    }
+    status["refusals"] = std::move(refusals);
+}
+
+void AgentNode::addMetrics(telemetry::Metrics &metrics) const
+{
+    const auto load = core_.load(core::Now::read());
+    const auto counts = core_.counts();
+    metrics.set("cyclamenspool_agent_load_tokens", load.tokens);
+    metrics.set("cyclamenspool_agent_load_limit_tokens", load.limit);
+    metrics.set("cyclamenspool_agent_pool_mean_tokens", load.poolMean.value_or(-1.0));
+    metrics.set("cyclamenspool_agent_runs", static_cast<double>(load.runs));
+    metrics.set("cyclamenspool_agent_admitted_total", static_cast<double>(counts.admitted));
+    metrics.set("cyclamenspool_agent_whole_answers_total", static_cast<double>(counts.whole));
+    metrics.set("cyclamenspool_agent_stored_answers_total", static_cast<double>(counts.storedAnswers));
+    metrics.set("cyclamenspool_agent_dropped_answers_total", static_cast<double>(counts.droppedAnswers));
+    metrics.set("cyclamenspool_agent_cold_starts_total", static_cast<double>(counts.coldStarts));
+    metrics.set("cyclamenspool_agent_orders_total", static_cast<double>(counts.orders));
+    metrics.set("cyclamenspool_agent_warm_tokens_total", static_cast<double>(counts.warmTokens));
+    metrics.set("cyclamenspool_agent_prompt_tokens_total", static_cast<double>(counts.promptTokens));
+    metrics.set("cyclamenspool_agent_exchange_bytes_total", static_cast<double>(exchangeBytes_));
+    for (const auto &[kind, count] : counts.refusals) {
+        metrics.set("cyclamenspool_agent_refusals_total{kind=\"" + std::string(core::ruleOf(kind).name) + "\"}", static_cast<double>(count));
+    }
+}
+
+} // namespace cyclamenspool::agent
--- /dev/null
+++ b/src/cyclamenspool/agent/agentnode.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cyclamenspool/agent/backendlink.h>
+#include <cyclamenspool/agent/core/agentcore.h>
+#include <cyclamenspool/node/node.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace cyclamenspool::agent {
+
+/** @brief The role of the process beside a backend server: admits requests and relays answers. */
+class AgentNode final : public node::Role
+{
+public:
+    /** @brief Creates an agent. @param node Node that carries it. */
+    explicit AgentNode(node::Node &node);
+
+    void onView(std::shared_ptr<const member::FleetView> view) override;
+    void onTick() override;
+    void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, std::string message) override;
+    boost::asio::awaitable<void> onHttp(const http::Request &request, http::Responder &responder) override;
+    void beginShutdown() override;
+    [[nodiscard]] std::size_t openRequests() const override;
+    void addStatus(boost::json::object &status) const override;
+    void addMetrics(telemetry::Metrics &metrics) const override;
+
+private:
+    [[nodiscard]] BackendEvents backendEvents();
+    void onSubmit(const std::shared_ptr<wire::ServerStream> &stream, const std::string &message);
+    void carryOut(const Actions &actions);
+    void reply(const SendReply &action);
+    void exchange(const SendExchange &action);
+    void handOver(const SendHandOver &action);
+    void placed(const SendPlaced &action);
+    void refresh();
+
+    node::Node &node_;
+    AgentCore core_;
+    BackendLink backend_;
+    bool started_ = false;
+    std::atomic<bool> refreshing_{false};
+    std::atomic<std::uint64_t> nextStream_{1};
+    std::atomic<std::uint64_t> exchangeBytes_{0};
+    mutable std::mutex mutex_; /* guards the streams; innermost */
+    std::map<std::uint64_t, std::shared_ptr<wire::ServerStream>> streams_;
+};
+
+} // namespace cyclamenspool::agent
--- /dev/null
+++ b/src/cyclamenspool/config/fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace cyclamenspool::config {
+struct Diagnostic;
+class InvalidInput;
+struct Settings;
+class Table;
+struct Row;
+struct Delta;
+class Document;
+class DocumentStore;
+} // namespace cyclamenspool::config
--- /dev/null
+++ b/src/cyclamenspool/config/settings.cpp
@@ -0,0 +1,96 @@
+#include <cyclamenspool/config/fieldreader.h>
+#include <cyclamenspool/config/settings.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace cyclamenspool::config {
+
+namespace internal {
+
+constexpr Range period{1, 3600000};
+
+const std::vector<Field<Settings>> &settingsFields()
+{
+    using S = Settings;
+    static const std::vector<Field<Settings>> fields{
+        {"vm", &S::vm, true},
+        {"zone", &S::zone, true},
+        {"peer_address", &S::peerAddress, true},
+        {"http_address", &S::httpAddress, true},
+        {"configuration_service", &S::configurationService, true},
+        {"vm_list", &S::vmList, true},
+        {"server", &S::server},
+        {"group", &S::group},
+        {"backend_address", &S::backendAddress},
+        {"documents", &S::documents},
+        {"log_file", &S::logFile},
+        {"workers", &S::workers, false, {1, 64}},
+        {"max_body_bytes", &S::maxBodyBytes, false, {1024, 64.0 * 1024 * 1024}},
+        {"max_header_bytes", &S::maxHeaderBytes, false, {1024, 1024.0 * 1024}},
+        {"max_open_requests", &S::maxOpenRequests, false, {1, 1000000}},
+        {"caller_timeout_ms", &S::callerTimeout, false, period},
+        {"default_deadline_ms", &S::defaultDeadline, false, period},
+        {"unready_period_ms", &S::unreadyPeriod, false, {0, 3600000}},
+        {"shutdown_limit_ms", &S::shutdownLimit, false, period},
+        {"exchange_period_ms", &S::exchangePeriod, false, period},
+        {"anti_entropy_period_ms", &S::antiEntropyPeriod, false, period},
+        {"view_lease_ms", &S::viewLease, false, period},
+        {"take_over_ms", &S::takeOver, false, {1000, 3600000}},
+        {"weight_store_rate", &S::weightStoreRate, false, {0.001, 100000}},
+        {"clock_bound_ms", &S::clockBound, false, {0, 3600000}},
+    };
+    return fields;
+}
+
+void checkAddress(const YAML::Node &root, const char *key, const std::string &address, Diagnostics &diagnostics)
+{
+    if (address.empty()) {
+        return;
+    }
+    try {
+        static_cast<void>(splitAddress(address));
+    } catch (const std::invalid_argument &error) {
+        diagnostics.add(root[key], std::string("'") + key + "' " + error.what());
+    }
+}
+
+} // namespace internal
+
+std::pair<std::string, unsigned short> splitAddress(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos || colon == 0) {
+        throw std::invalid_argument("must be an IP number and a port");
+    }
+    unsigned short port = 0;
+    const char *end = address.data() + address.size();
+    const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        throw std::invalid_argument("has no valid port");
+    }
+    const auto host = address.substr(0, colon);
+    if (host.find_first_not_of("0123456789.abcdefABCDEF:[]") != std::string::npos) {
+        throw std::invalid_argument("must start with an IP number");
+    }
+    return {host, port};
+}
+
+Settings Settings::parse(const std::string &text, const std::string &file)
+{
+    Diagnostics diagnostics(file);
+    const auto root = diagnostics.parse(text);
+    Settings settings;
+    readRecord(root, internal::settingsFields(), settings, diagnostics);
+    if (root.IsMap()) {
+        internal::checkAddress(root, "peer_address", settings.peerAddress, diagnostics);
+        internal::checkAddress(root, "http_address", settings.httpAddress, diagnostics);
+        internal::checkAddress(root, "configuration_service", settings.configurationService, diagnostics);
+        internal::checkAddress(root, "vm_list", settings.vmList, diagnostics);
+        internal::checkAddress(root, "backend_address", settings.backendAddress, diagnostics);
+    }
+    diagnostics.raise();
+    return settings;
+}
+
+} // namespace cyclamenspool::config
--- /dev/null
+++ b/src/cyclamenspool/core/errorkind.cpp
@@ -0,0 +1,70 @@
+#include <cyclamenspool/core/errorkind.h>
+
+#include <array>
+#include <cstddef>
+
+namespace cyclamenspool::core {
+
+namespace internal {
+
+using namespace std::chrono_literals;
+using Kind = ErrorKind;
+using Run = RunState;
+
+constexpr std::size_t kindCount = static_cast<std::size_t>(Kind::Count);
+
+constexpr std::array<ErrorRule, kindCount> rules{{
+    {Kind::BadRequest, "bad_request", 400, Run::NotRun, 0ms, "The request cannot be read."},
+    {Kind::BadKey, "bad_key", 400, Run::NotRun, 0ms, "The idempotency key cannot be accepted."},
+    {Kind::BodyTooLarge, "body_too_large", 413, Run::NotRun, 0ms, "The body is over the size limit."},
+    {Kind::HeadersTooLarge, "headers_too_large", 431, Run::NotRun, 0ms, "The headers are over the size limit."},
+    {Kind::SlowCaller, "slow_caller", 408, Run::NotRun, 0ms, "The request did not arrive in time."},
+    {Kind::UnknownPath, "unknown_path", 404, Run::NotRun, 0ms, "No such path."},
+    {Kind::UnknownWorkspace, "unknown_workspace", 403, Run::NotRun, 0ms, "The workspace is not in the table."},
+    {Kind::UnknownPool, "unknown_pool", 404, Run::NotRun, 0ms, "The pool is not in the table."},
+    {Kind::WrongMethod, "wrong_method", 405, Run::NotRun, 0ms, "The method is not allowed on this path."},
+    {Kind::WorkspaceLimit, "workspace_limit", 429, Run::NotRun, 1000ms, "The workspace is over its limit."},
+    {Kind::Overloaded, "overloaded", 503, Run::NotRun, 1000ms, "Every backend server that was asked is at its load bound."},
+    {Kind::ColdStart, "cold_start", 503, Run::NotRun, 2000ms, "The backend server is starting cold."},
+    {Kind::Leaving, "leaving", 503, Run::NotRun, 1000ms, "The backend server takes no new work."},
+    {Kind::ShuttingDown, "shutting_down", 503, Run::NotRun, 1000ms, "The process is shutting down."},
+    {Kind::StaleView, "stale_view", 503, Run::NotRun, 1000ms, "The process is refreshing its view of the fleet."},
+    {Kind::NoCandidate, "no_candidate", 503, Run::NotRun, 2000ms, "No backend server of the pool takes work."},
+    {Kind::RetryBudget, "retry_budget", 503, Run::NotRun, 2000ms, "The retry budget is spent."},
+    {Kind::ElsewhereWarm, "elsewhere_warm", 503, Run::NotRun, 0ms, "The chat's history is warm on another backend server."},
+    {Kind::WrongHome, "wrong_home", 503, Run::NotRun, 1000ms, "The key belongs to another backend server."},
+    {Kind::HomeDown, "home_down", 503, Run::NotRun, 5000ms, "The key's backend server is not reachable."},
+    {Kind::HomeMoving, "home_moving", 503, Run::NotRun, 1000ms, "The key's records are moving to another backend server."},
+    {Kind::DeadlineBeforeRun, "deadline_before_run", 504, Run::NotRun, 1000ms, "The deadline passed before the request was run."},
+    {Kind::BackendDown, "backend_down", 503, Run::NotRun, 2000ms, "The backend server does not answer."},
+    {Kind::KeyConflict, "key_conflict", 422, Run::NotRun, 0ms, "The idempotency key was used with another body."},
+    {Kind::AlreadyRun, "already_run", 409, Run::Ran, 0ms, "The request has already run; its answer is no longer kept."},
+    {Kind::MayHaveRun, "may_have_run", 409, Run::Unknown, 0ms, "The request may have run before; it was not run now."},
+    {Kind::OutcomeUnknown, "outcome_unknown", 502, Run::Unknown, 0ms, "The connection was lost after the request was sent."},
+    {Kind::DeadlineAfterSend, "deadline_after_send", 504, Run::Unknown, 0ms, "The deadline passed after the request was sent."},
+    {Kind::AnswerCut, "answer_cut", 502, Run::Unknown, 0ms, "The answer was cut before its end."},
+    {Kind::BackendFailed, "backend_failed", 502, Run::Unknown, 0ms, "The backend server failed during the request."},
+    {Kind::Internal, "internal", 500, Run::Unknown, 0ms, "Internal error."},
+}};
+
+constexpr bool isOrdered()
+{
+    for (std::size_t i = 0; i < kindCount; ++i) {
+        if (static_cast<std::size_t>(rules[i].kind) != i) {
+            return false;
+        }
+    }
+    return true;
+}
+static_assert(isOrdered(), "rules must follow the order of ErrorKind");
+
+} // namespace internal
+
+const ErrorRule &ruleOf(ErrorKind kind) noexcept
+{
+    const auto index = static_cast<std::size_t>(kind);
+    const auto last = internal::kindCount - 1;
+    return internal::rules[index < internal::kindCount ? index : last];
+}
+
+} // namespace cyclamenspool::core
--- /dev/null
+++ b/src/cyclamenspool/http/client.cpp
@@ -0,0 +1,138 @@
+#include <cyclamenspool/http/client.h>
+
+#include <cyclamenspool/config/settings.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace cyclamenspool::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+namespace internal {
+
+constexpr std::size_t readBytes = 16 * 1024;
+
+using Parser = bhttp::response_parser<bhttp::buffer_body>;
+
+bhttp::request<bhttp::string_body> makeRequest(const ClientRequest &request)
+{
+    bhttp::request<bhttp::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(bhttp::field::host, request.address);
+    message.set(bhttp::field::connection, "close");
+    for (const auto &[name, value] : request.headers) {
+        message.set(name, value);
+    }
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+ClientHead headOf(const Parser &parser)
+{
+    ClientHead head;
+    head.status = parser.get().result_int();
+    for (const auto &field : parser.get()) {
+        std::string name(field.name_string());
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) {
+            return static_cast<char>(std::tolower(letter));
+        });
+        head.headers[name] = std::string(field.value());
+    }
+    return head;
+}
+
+asio::awaitable<void> connect(beast::tcp_stream &stream, const ClientRequest &request)
+{
+    const auto [host, port] = config::splitAddress(request.address);
+    boost::system::error_code error;
+    stream.expires_after(request.timeout);
+    co_await stream.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(host), port), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        throw ClientError("cannot connect to " + request.address + ": " + error.message(), false);
+    }
+    stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+}
+
+asio::awaitable<void> readBody(beast::tcp_stream &stream, beast::flat_buffer &buffer, Parser &parser, const ClientRequest &request, const ClientEvents &events)
+{
+    std::array<char, readBytes> bytes{};
+    while (!parser.is_done()) {
+        parser.get().body().data = bytes.data();
+        parser.get().body().size = bytes.size();
+        boost::system::error_code error;
+        stream.expires_after(request.timeout);
+        co_await bhttp::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        const auto count = bytes.size() - parser.get().body().size;
+        if (count > 0 && events.onData) {
+            events.onData(std::string(bytes.data(), count));
+        }
+        if (error && error != bhttp::error::need_buffer) {
+            throw ClientError(request.address + ": " + error.message(), true);
+        }
+    }
+}
+
+} // namespace internal
+
+asio::awaitable<void> stream(ClientRequest request, ClientEvents events)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    co_await internal::connect(stream, request);
+    if (events.beforeSend && !events.beforeSend()) {
+        throw ClientError("stopped before it was sent", false);
+    }
+    const auto message = internal::makeRequest(request);
+    boost::system::error_code error;
+    stream.expires_after(request.timeout);
+    co_await bhttp::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        throw ClientError(request.address + ": " + error.message(), true);
+    }
+    beast::flat_buffer buffer;
+    internal::Parser parser;
+    parser.body_limit(boost::none);
+    stream.expires_after(request.timeout);
+    co_await bhttp::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        throw ClientError(request.address + ": " + error.message(), true);
+    }
+    if (events.onHead) {
+        events.onHead(internal::headOf(parser));
+    }
+    const bool framed = parser.chunked() || parser.content_length().has_value();
+    if (!framed && parser.get().result_int() != static_cast<unsigned>(bhttp::status::no_content)) {
+        throw ClientError(request.address + ": the answer has no length", true);
+    }
+    co_await internal::readBody(stream, buffer, parser, request, events);
+}
+
+asio::awaitable<ClientResponse> fetch(ClientRequest request)
+{
+    ClientResponse response;
+    ClientEvents events;
+    events.onHead = [&response](const ClientHead &head) {
+        response.head = head;
+    };
+    events.onData = [&response](const std::string &data) {
+        response.body += data;
+    };
+    co_await stream(std::move(request), events);
+    co_return response;
+}
+
+} // namespace cyclamenspool::http
--- /dev/null
+++ b/src/cyclamenspool/http/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace cyclamenspool::http {
+class Server;
+class Responder;
+class Client;
+} // namespace cyclamenspool::http
--- /dev/null
+++ b/src/cyclamenspool/http/server.cpp
@@ -0,0 +1,194 @@
+#include <cyclamenspool/http/server.h>
+
+#include <cyclamenspool/config/settings.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace cyclamenspool::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+namespace internal {
+
+constexpr std::size_t firstReadBytes = 4096;
+
+asio::ip::tcp::endpoint endpointOf(const std::string &address)
+{
+    const auto [host, port] = config::splitAddress(address);
+    return {asio::ip::make_address(host), port};
+}
+
+core::ErrorKind kindOf(const boost::system::error_code &error)
+{
+    if (error == bhttp::error::body_limit) {
+        return core::ErrorKind::BodyTooLarge;
+    }
+    if (error == bhttp::error::header_limit) {
+        return core::ErrorKind::HeadersTooLarge;
+    }
+    return error == beast::error::timeout ? core::ErrorKind::SlowCaller : core::ErrorKind::BadRequest;
+}
+
+} // namespace internal
+
+Responder::Responder(beast::tcp_stream &stream, const Request &request, std::chrono::milliseconds timeout)
+    : stream_(stream)
+    , timeout_(timeout)
+    , keepAlive_(request.keep_alive())
+    , isHead_(request.method() == bhttp::verb::head)
+    , chunked_(request.version() >= 11)
+{
+}
+
+void Responder::fill(boost::beast::http::fields &fields, const Headers &headers)
+{
+    for (const auto &[name, value] : headers) {
+        fields.set(name, value);
+    }
+}
+
+asio::awaitable<void> Responder::send(int status, const Headers &headers, const std::string &body)
+{
+    bhttp::response<bhttp::string_body> response(static_cast<bhttp::status>(status), 11);
+    fill(response, headers);
+    response.keep_alive(keepAlive_);
+    response.body() = isHead_ ? std::string() : body;
+    response.prepare_payload();
+    if (isHead_) {
+        response.content_length(body.size());
+    }
+    stream_.expires_after(timeout_);
+    co_await bhttp::async_write(stream_, response, asio::use_awaitable);
+}
+
+asio::awaitable<void> Responder::begin(int status, const Headers &headers)
+{
+    keepAlive_ = keepAlive_ && chunked_;
+    bhttp::response<bhttp::empty_body> response(static_cast<bhttp::status>(status), 11);
+    fill(response, headers);
+    response.keep_alive(keepAlive_);
+    response.chunked(chunked_);
+    bhttp::response_serializer<bhttp::empty_body> serializer(response);
+    stream_.expires_after(timeout_);
+    co_await bhttp::async_write_header(stream_, serializer, asio::use_awaitable);
+}
+
+asio::awaitable<void> Responder::chunk(const std::string &data)
+{
+    if (data.empty() || isHead_) {
+        co_return;
+    }
+    stream_.expires_after(timeout_);
+    if (chunked_) {
+        co_await asio::async_write(stream_, bhttp::make_chunk(asio::buffer(data)), asio::use_awaitable);
+    } else {
+        co_await asio::async_write(stream_, asio::buffer(data), asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> Responder::end()
+{
+    if (chunked_ && !isHead_) {
+        stream_.expires_after(timeout_);
+        co_await asio::async_write(stream_, bhttp::make_chunk_last(), asio::use_awaitable);
+    }
+}
+
+Server::Server(asio::io_context &context, const std::string &address, const ServerLimits &limits, Handler handler, RefusalHandler refuse)
+    : context_(context)
+    , acceptor_(asio::make_strand(context), internal::endpointOf(address))
+    , limits_(limits)
+    , handler_(std::move(handler))
+    , refuse_(std::move(refuse))
+{
+    asio::co_spawn(acceptor_.get_executor(), listen(), asio::detached);
+}
+
+asio::awaitable<void> Server::listen()
+{
+    while (!closing_) {
+        boost::system::error_code error;
+        auto socket = co_await acceptor_.async_accept(asio::make_strand(context_), asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            socket.set_option(asio::ip::tcp::no_delay(true), error);
+            auto executor = socket.get_executor();
+            asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> Server::serve(asio::ip::tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    try {
+        while (co_await serveOne(stream, buffer)) { }
+    } catch (const std::exception &) {
+        // The caller is gone; the handler has seen the same exception.
+    }
+    boost::system::error_code ignored;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<bool> Server::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+{
+    bhttp::request_parser<bhttp::string_body> parser;
+    parser.header_limit(limits_.headerBytes);
+    parser.body_limit(limits_.bodyBytes);
+    boost::system::error_code error;
+    if (buffer.size() == 0) {
+        stream.expires_after(limits_.idleTimeout);
+        const auto space = buffer.prepare(internal::firstReadBytes);
+        const auto count = co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return false;
+        }
+        buffer.commit(count);
+    }
+    stream.expires_after(limits_.readTimeout);
+    co_await bhttp::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error == bhttp::error::end_of_stream) {
+        co_return false;
+    }
+    if (error) {
+        stream.expires_never();
+        Request unread;
+        unread.version(11);
+        Responder responder(stream, unread, limits_.writeTimeout);
+        responder.closeAfter();
+        co_await refuse_(internal::kindOf(error), error.message(), responder);
+        co_return false;
+    }
+    const Request request = parser.release();
+    Responder responder(stream, request, limits_.writeTimeout);
+    if (closing_) {
+        responder.closeAfter();
+    }
+    stream.expires_never();
+    co_await handler_(request, responder);
+    co_return responder.keepsAlive() && !closing_;
+}
+
+void Server::close()
+{
+    closing_ = true;
+    asio::post(acceptor_.get_executor(), [this] {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+    });
+}
+
+} // namespace cyclamenspool::http
--- /dev/null
+++ b/src/cyclamenspool/member/fwd.h
@@ -0,0 +1,6 @@
+#pragma once
+
+namespace cyclamenspool::member {
+struct Member;
+class FleetView;
+} // namespace cyclamenspool::member
--- /dev/null
+++ b/src/cyclamenspool/member/watchduty.cpp
@@ -0,0 +1,32 @@
+#include <cyclamenspool/member/watchduty.h>
+
+#include <cyclamenspool/core/hash.h>
+
+#include <algorithm>
+
+namespace cyclamenspool::member {
+
+bool isWatcher(const std::map<std::string, world::Vm> &vms, const std::string &vm, const std::string &zone, const WatchRules &rules)
+{
+    if (vms.count(vm) == 0) {
+        return true;
+    }
+    const auto own = core::hash64(vm);
+    std::size_t lower = 0;
+    for (const auto &[name, other] : vms) {
+        if (other.zone == zone && other.state == "live" && core::hash64(name) < own) {
+            ++lower;
+        }
+    }
+    return lower < rules.watchersPerZone;
+}
+
+core::Milliseconds fallbackPoll(std::size_t fleet, std::size_t documents, const WatchRules &rules)
+{
+    constexpr double millisPerSecond = 1000.0;
+    const double calls = static_cast<double>(fleet) * static_cast<double>(documents);
+    const core::Milliseconds interval(static_cast<long>(calls / rules.callsPerSecond * millisPerSecond));
+    return std::max(interval, rules.shortestPoll);
+}
+
+} // namespace cyclamenspool::member
--- /dev/null
+++ b/src/cyclamenspool/node/documentsync.cpp
@@ -0,0 +1,311 @@
+#include <cyclamenspool/node/documentsync.h>
+
+#include <cyclamenspool/http/client.h>
+#include <cyclamenspool/telemetry/log.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace cyclamenspool::node {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+constexpr std::size_t pushFanOut = 4; /* peers that a change is pushed to */
+constexpr std::size_t startPeers = 3; /* peers asked before a process is ready */
+constexpr core::Milliseconds watchWait{5000}; /* longest wait of one watch call */
+constexpr core::Milliseconds errorPause{500}; /* between two tries at a failing service */
+constexpr core::Milliseconds peerWait{300}; /* for peers to answer a refresh */
+constexpr core::Milliseconds serviceTimeout{1000};
+constexpr const char *vmListName = "vms";
+
+} // namespace internal
+
+DocumentSync::DocumentSync(asio::io_context &context,
+                           const config::Settings &settings,
+                           config::DocumentStore &store,
+                           wire::PeerPool &peers,
+                           std::function<void()> onChange)
+    : context_(context)
+    , settings_(settings)
+    , store_(store)
+    , peers_(peers)
+    , onChange_(std::move(onChange))
+    , random_(std::random_device{}())
+{
+}
+
+std::vector<std::string> DocumentSync::documentNames() const
+{
+    auto names = settings_.documents;
+    names.emplace_back(internal::vmListName);
+    return names;
+}
+
+bool DocumentSync::hasAll() const
+{
+    const auto names = documentNames();
+    return std::all_of(names.begin(), names.end(), [this](const std::string &name) {
+        return store_.revision(name) > 0;
+    });
+}
+
+void DocumentSync::start()
+{
+    asio::co_spawn(asio::make_strand(context_), startUp(), asio::detached);
+}
+
+void DocumentSync::stop()
+{
+    stopped_ = true;
+}
+
+asio::awaitable<void> DocumentSync::pause(core::Milliseconds length)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, length);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> DocumentSync::startUp()
+{
+    while (!stopped_) {
+        co_await askAll();
+        if (hasAll()) {
+            break;
+        }
+        co_await pause(internal::errorPause);
+    }
+    ready_ = true;
+    for (const auto &name : documentNames()) {
+        asio::co_spawn(asio::make_strand(context_), watch(name), asio::detached);
+    }
+    co_await pullForever();
+}
+
+asio::awaitable<void> DocumentSync::askAll()
+{
+    for (const auto &name : documentNames()) {
+        co_await readService(name, core::Milliseconds(0));
+    }
+    for (const auto &address : randomPeers(internal::startPeers)) {
+        pullFrom(address);
+    }
+    co_await pause(internal::peerWait);
+}
+
+void DocumentSync::refresh(std::function<void()> done)
+{
+    const auto work = [this, done = std::move(done)]() -> asio::awaitable<void> {
+        co_await askAll();
+        done();
+    };
+    asio::co_spawn(asio::make_strand(context_), work, asio::detached);
+}
+
+asio::awaitable<bool> DocumentSync::readService(std::string name, core::Milliseconds wait)
+{
+    const bool isList = name == internal::vmListName;
+    http::ClientRequest request;
+    request.address = isList ? settings_.vmList : settings_.configurationService;
+    request.target = "/v1/values/" + name + "?after=" + std::to_string(store_.revision(name)) + "&wait_ms=" + std::to_string(wait.count());
+    request.timeout = wait + internal::serviceTimeout;
+    ++counts_.serviceCalls;
+    try {
+        const auto response = co_await http::fetch(request);
+        const auto status = response.head.status;
+        if (status != 200 && status != 204) {
+            throw http::ClientError("status " + std::to_string(status), true);
+        }
+        noteServiceHeard(core::Milliseconds(0));
+        counts_.controlBytes += response.body.size();
+        if (status == 200) {
+            const auto revision = std::stoull(response.head.header("x-revision"));
+            const auto before = store_.states();
+            std::string errors;
+            const auto verdict = store_.offer(name, revision, response.body, errors);
+            if (verdict == config::Verdict::Refused) {
+                ++counts_.refused;
+                telemetry::logEvent("document_refused", name + " revision " + std::to_string(revision) + ": " + errors);
+                co_await pause(internal::errorPause);
+            }
+            if (verdict == config::Verdict::Accepted) {
+                ++counts_.accepted;
+                onChange_();
+                pushChange(before);
+            }
+        }
+        co_return true;
+    } catch (const std::exception &error) {
+        ++counts_.serviceErrors;
+        telemetry::logEvent("service_unreachable", name + ": " + error.what());
+    }
+    co_return false;
+}
+
+asio::awaitable<void> DocumentSync::watch(std::string name)
+{
+    while (!stopped_) {
+        const auto table = store_.table();
+        const bool watcher = member::isWatcher(table->vms(), settings_.vm, settings_.zone, rules_);
+        if (watcher) {
+            if (!co_await readService(name, internal::watchWait)) {
+                co_await pause(internal::errorPause);
+            }
+            continue;
+        }
+        if (serviceAge() < rules_.silence) {
+            co_await pause(settings_.antiEntropyPeriod);
+            continue;
+        }
+        co_await readService(name, core::Milliseconds(0));
+        co_await pause(member::fallbackPoll(table->vms().size(), documentNames().size(), rules_));
+    }
+}
+
+asio::awaitable<void> DocumentSync::pullForever()
+{
+    while (!stopped_) {
+        co_await pause(settings_.antiEntropyPeriod);
+        for (const auto &address : randomPeers(1)) {
+            pullFrom(address);
+        }
+    }
+}
+
+std::vector<std::string> DocumentSync::randomPeers(std::size_t count)
+{
+    const auto table = store_.table();
+    std::vector<std::string> others;
+    for (const auto &[name, vm] : table->vms()) {
+        if (name != settings_.vm) {
+            others.push_back(vm.address);
+        }
+    }
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string> chosen;
+    while (chosen.size() < count && !others.empty()) {
+        const auto index = random_.index(others.size());
+        chosen.push_back(others[index]);
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    return chosen;
+}
+
+wire::DocumentPull DocumentSync::pullMessage() const
+{
+    wire::DocumentPull pull;
+    const auto age = serviceAge();
+    for (auto &state : store_.states()) {
+        state.set_service_age_ms(age.count());
+        *pull.add_have() = std::move(state);
+    }
+    return pull;
+}
+
+void DocumentSync::pullFrom(const std::string &address)
+{
+    ++counts_.pulls;
+    wire::StreamEvents events;
+    events.onMessage = [this](const std::string &message) {
+        counts_.controlBytes += message.size();
+        wire::DocumentPush push;
+        if (push.ParseFromString(message)) {
+            takeDeltas(push);
+        }
+    };
+    events.onEnd = [](const wire::StreamEnd &) {};
+    auto message = pullMessage().SerializeAsString();
+    counts_.controlBytes += message.size();
+    peers_.submit(address, "/documents", std::move(message), std::move(events));
+}
+
+std::string DocumentSync::answerPull(const std::string &message)
+{
+    wire::DocumentPull pull;
+    wire::DocumentPush push;
+    if (pull.ParseFromString(message)) {
+        const std::vector<wire::DocumentState> have(pull.have().begin(), pull.have().end());
+        for (auto &delta : store_.deltasFor(have)) {
+            *push.add_deltas() = std::move(delta);
+        }
+        for (const auto &state : have) {
+            noteServiceHeard(core::Milliseconds(state.service_age_ms()));
+        }
+    }
+    const auto own = pullMessage();
+    push.mutable_have()->CopyFrom(own.have());
+    counts_.controlBytes += message.size() + push.ByteSizeLong();
+    return push.SerializeAsString();
+}
+
+std::string DocumentSync::takePush(const std::string &message)
+{
+    wire::DocumentPush push;
+    counts_.controlBytes += message.size();
+    if (push.ParseFromString(message)) {
+        takeDeltas(push);
+    }
+    return pullMessage().SerializeAsString();
+}
+
+bool DocumentSync::takeDeltas(const wire::DocumentPush &push)
+{
+    const auto before = store_.states();
+    bool accepted = false;
+    for (const auto &delta : push.deltas()) {
+        const auto verdict = store_.offer(delta);
+        accepted = accepted || verdict == config::Verdict::Accepted;
+        if (verdict == config::Verdict::Refused) {
+            ++counts_.refused;
+        }
+    }
+    for (const auto &state : push.have()) {
+        noteServiceHeard(core::Milliseconds(state.service_age_ms()));
+    }
+    if (accepted) {
+        ++counts_.accepted;
+        onChange_();
+        pushChange(before);
+    }
+    return accepted;
+}
+
+void DocumentSync::pushChange(const std::vector<wire::DocumentState> &before)
+{
+    wire::DocumentPush push;
+    for (auto &delta : store_.deltasFor(before)) {
+        *push.add_deltas() = std::move(delta);
+    }
+    const auto own = pullMessage();
+    push.mutable_have()->CopyFrom(own.have());
+    const auto message = push.SerializeAsString();
+    for (const auto &address : randomPeers(internal::pushFanOut)) {
+        ++counts_.pushes;
+        counts_.controlBytes += message.size();
+        wire::StreamEvents events;
+        events.onMessage = [](const std::string &) {};
+        events.onEnd = [](const wire::StreamEnd &) {};
+        peers_.submit(address, "/push", message, std::move(events));
+    }
+}
+
+void DocumentSync::noteServiceHeard(core::Milliseconds age)
+{
+    const std::lock_guard lock(mutex_);
+    serviceHeard_ = std::max(serviceHeard_, std::chrono::steady_clock::now() - age);
+}
+
+core::Milliseconds DocumentSync::serviceAge() const
+{
+    const std::lock_guard lock(mutex_);
+    return std::chrono::duration_cast<core::Milliseconds>(std::chrono::steady_clock::now() - serviceHeard_);
+}
+
+} // namespace cyclamenspool::node
--- /dev/null
+++ b/src/cyclamenspool/node/fwd.h
@@ -0,0 +1,6 @@
+#pragma once
+
+namespace cyclamenspool::node {
+class DocumentSync;
+class Node;
+} // namespace cyclamenspool::node
--- /dev/null
+++ b/src/cyclamenspool/policy/workspacelimiter.cpp
@@ -0,0 +1,31 @@
+#include <cyclamenspool/policy/workspacelimiter.h>
+
+#include <algorithm>
+
+namespace cyclamenspool::policy {
+
+namespace internal {
+
+constexpr double depthSeconds = 1.0; /* seconds of the rate that may come at once */
+
+} // namespace internal
+
+std::optional<core::Milliseconds> WorkspaceLimiter::check(const world::Workspace &workspace, std::size_t routers, core::MonotonicTime at)
+{
+    if (workspace.requestsPerSecond <= 0.0) {
+        return std::nullopt;
+    }
+    const double rate = workspace.requestsPerSecond / static_cast<double>(routers);
+    const double depth = std::max(1.0, rate * internal::depthSeconds);
+    const auto [entry, added] = buckets_.try_emplace(workspace.name, rate, depth, at);
+    auto &bucket = entry->second;
+    if (!added && bucket.rate() != rate) {
+        bucket.configure(rate, depth, at);
+    }
+    if (bucket.take(at)) {
+        return std::nullopt;
+    }
+    return bucket.wait(at);
+}
+
+} // namespace cyclamenspool::policy
--- /dev/null
+++ b/src/cyclamenspool/router/routernode.cpp
@@ -0,0 +1,287 @@
+#include <cyclamenspool/router/routernode.h>
+
+#include <cyclamenspool/http/refusal.h>
+#include <cyclamenspool/router/requestreader.h>
+#include <cyclamenspool/telemetry/log.h>
+
+#include <boost/asio/this_coro.hpp>
+
+#include <random>
+
+namespace cyclamenspool::router {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+constexpr std::uint64_t answeredStatus = 200;
+
+RouterLimits limitsOf(const config::Settings &settings)
+{
+    RouterLimits limits;
+    limits.openRequests = static_cast<std::size_t>(settings.maxOpenRequests);
+    limits.viewLease = settings.viewLease;
+    return limits;
+}
+
+http::Refusal refusalOf(const AnswerFailure &failure)
+{
+    return {failure.request, failure.kind, failure.detail, failure.retryAfter, failure.runState};
+}
+
+http::Headers headersOf(const CallerRequest &request, const AnswerBegin &begin)
+{
+    http::Headers headers{{"X-Request-Id", request.id}, {"X-Location-Hint", begin.server}};
+    if (!begin.contentType.empty()) {
+        headers.emplace_back("Content-Type", begin.contentType);
+    }
+    return headers;
+}
+
+} // namespace internal
+
+RouterNode::RouterNode(node::Node &node)
+    : node_(node)
+    , core_(node.settings().vm, internal::limitsOf(node.settings()), std::random_device{}())
+{
+}
+
+void RouterNode::onView(std::shared_ptr<const member::FleetView> view)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        view_ = view;
+    }
+    carryOut(core_.onView(std::move(view), core::Now::read()));
+}
+
+void RouterNode::onTick()
+{
+    carryOut(core_.onTick(core::Now::read()));
+}
+
+void RouterNode::onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, std::string message)
+{
+    static_cast<void>(message);
+    telemetry::logEvent("unknown_message", path);
+    stream->send("", true);
+}
+
+void RouterNode::beginShutdown()
+{
+    core_.beginShutdown();
+}
+
+std::size_t RouterNode::openRequests() const
+{
+    const std::lock_guard lock(mutex_);
+    return channels_.size();
+}
+
+void RouterNode::carryOut(const Actions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *decision = std::get_if<core::Decision>(&action)) {
+            telemetry::logDecision(*decision);
+        } else if (const auto *attempt = std::get_if<SendAttempt>(&action)) {
+            send(*attempt);
+        } else if (const auto *cancelled = std::get_if<CancelAttempt>(&action)) {
+            cancel(cancelled->attempt);
+        } else if (const auto *begin = std::get_if<AnswerBegin>(&action)) {
+            answer(begin->request, *begin);
+        } else if (const auto *chunk = std::get_if<AnswerChunk>(&action)) {
+            answer(chunk->request, *chunk);
+        } else if (const auto *end = std::get_if<AnswerEnd>(&action)) {
+            answer(end->request, *end);
+        } else if (const auto *failure = std::get_if<AnswerFailure>(&action)) {
+            answer(failure->request, *failure);
+        } else if (std::holds_alternative<RefreshView>(action) && !refreshing_.exchange(true)) {
+            node_.refresh([this] {
+                core_.confirmView(core::Now::read());
+                refreshing_ = false;
+            });
+        }
+    }
+}
+
+void RouterNode::send(const SendAttempt &action)
+{
+    const auto attempt = action.attempt;
+    wire::StreamEvents events;
+    events.onMessage = [this, attempt](const std::string &message) {
+        wire::Reply reply;
+        if (reply.ParseFromString(message)) {
+            carryOut(core_.onReply(attempt, reply, core::Now::read()));
+        }
+    };
+    events.onEnd = [this, attempt](const wire::StreamEnd &end) {
+        {
+            const std::lock_guard lock(mutex_);
+            streams_.erase(attempt);
+        }
+        carryOut(core_.onAttemptLost(attempt, end.sent, end.reason, core::Now::read()));
+    };
+    auto handle = node_.peers().submit(action.address, "/submit", action.message.SerializeAsString(), std::move(events));
+    const std::lock_guard lock(mutex_);
+    streams_[attempt] = std::move(handle);
+}
+
+void RouterNode::cancel(std::uint64_t attempt)
+{
+    std::shared_ptr<wire::ClientStream> handle;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = streams_.find(attempt);
+        if (found == streams_.end()) {
+            return;
+        }
+        handle = found->second;
+        streams_.erase(found);
+    }
+    handle->cancel();
+}
+
+void RouterNode::answer(const std::string &request, CallerEvent event)
+{
+    std::shared_ptr<CallerChannel> channel;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = channels_.find(request);
+        if (found == channels_.end()) {
+            return;
+        }
+        channel = found->second;
+    }
+    if (!channel->push(std::move(event))) {
+        carryOut(core_.onCallerGone(request, core::Now::read()));
+        channel->push(
+            AnswerFailure{request, core::ErrorKind::SlowCaller, "the caller takes its answer too slowly", core::Milliseconds(0), core::RunState::Unknown});
+    }
+}
+
+asio::awaitable<void> RouterNode::onHttp(const http::Request &request, http::Responder &responder)
+{
+    const auto id = http::makeRequestId();
+    const auto began = std::chrono::steady_clock::now();
+    std::shared_ptr<const member::FleetView> view;
+    {
+        const std::lock_guard lock(mutex_);
+        view = view_;
+    }
+    CallerRequest read;
+    std::optional<http::Refusal> refusal;
+    try {
+        read = readRequest(request, id, node_.settings(), view.get());
+    } catch (const core::Error &error) {
+        refusal = http::makeRefusal(id, error.kind(), error.what());
+    }
+    if (refusal) {
+        co_await http::sendRefusal(*refusal, responder);
+        co_return;
+    }
+    const auto channel = std::make_shared<CallerChannel>(co_await asio::this_coro::executor);
+    {
+        const std::lock_guard lock(mutex_);
+        channels_[id] = channel;
+    }
+    std::exception_ptr gone;
+    try {
+        carryOut(core_.onRequest(read, core::Now::read()));
+        read.body.clear();
+        co_await relay(read, *channel, responder);
+    } catch (const std::exception &) {
+        gone = std::current_exception();
+        carryOut(core_.onCallerGone(id, core::Now::read()));
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        channels_.erase(id);
+    }
+    node_.metrics().observe("cyclamenspool_request_seconds", std::chrono::steady_clock::now() - began);
+    if (gone) {
+        std::rethrow_exception(gone);
+    }
+}
+
+asio::awaitable<void> RouterNode::relay(const CallerRequest &request, CallerChannel &channel, http::Responder &responder)
+{
+    const auto first = co_await channel.next();
+    if (const auto *failure = std::get_if<AnswerFailure>(&first)) {
+        co_await http::sendRefusal(internal::refusalOf(*failure), responder);
+        co_return;
+    }
+    const auto &begin = std::get<AnswerBegin>(first);
+    if (request.stream && begin.status == internal::answeredStatus) {
+        co_await relayStream(request, begin, channel, responder);
+    } else {
+        co_await relayWhole(request, begin, channel, responder);
+    }
+}
+
+asio::awaitable<void> RouterNode::relayStream(const CallerRequest &request, const AnswerBegin &begin, CallerChannel &channel, http::Responder &responder)
+{
+    co_await responder.begin(begin.status, internal::headersOf(request, begin));
+    while (true) {
+        const auto event = co_await channel.next();
+        if (const auto *chunk = std::get_if<AnswerChunk>(&event)) {
+            co_await responder.chunk(chunk->data);
+        } else if (const auto *failure = std::get_if<AnswerFailure>(&event)) {
+            co_await responder.chunk("event: error\ndata: " + internal::refusalOf(*failure).json() + "\n\n");
+            co_await responder.end();
+            co_return;
+        } else if (std::holds_alternative<AnswerEnd>(event)) {
+            co_await responder.end();
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<void> RouterNode::relayWhole(const CallerRequest &request, const AnswerBegin &begin, CallerChannel &channel, http::Responder &responder)
+{
+    std::string body;
+    while (true) {
+        auto event = co_await channel.next();
+        if (auto *chunk = std::get_if<AnswerChunk>(&event)) {
+            body += chunk->data;
+        } else if (const auto *failure = std::get_if<AnswerFailure>(&event)) {
+            co_await http::sendRefusal(internal::refusalOf(*failure), responder);
+            co_return;
+        } else if (std::holds_alternative<AnswerEnd>(event)) {
+            co_await responder.send(begin.status, internal::headersOf(request, begin), body);
+            co_return;
+        }
+    }
+}
+
+void RouterNode::addStatus(boost::json::object &status) const
+{
+    const auto counts = core_.counts();
+    status["role"] = "router";
+    status["requests"] = counts.requests;
+    status["whole_answers"] = counts.whole;
+    status["attempts"] = counts.attempts;
+    status["redirects"] = counts.redirects;
+    status["retries"] = counts.retries;
+    status["dropped_replies"] = counts.droppedReplies;
+    boost::json::object failures;
+    for (const auto &[kind, count] : counts.failures) {
+        failures[std::string(core::ruleOf(kind).name)] = count;
+    }
+    status["failures"] = std::move(failures);
+}
+
+void RouterNode::addMetrics(telemetry::Metrics &metrics) const
+{
+    const auto counts = core_.counts();
+    metrics.set("cyclamenspool_router_requests_total", static_cast<double>(counts.requests));
+    metrics.set("cyclamenspool_router_whole_answers_total", static_cast<double>(counts.whole));
+    metrics.set("cyclamenspool_router_attempts_total", static_cast<double>(counts.attempts));
+    metrics.set("cyclamenspool_router_redirects_total", static_cast<double>(counts.redirects));
+    metrics.set("cyclamenspool_router_retries_total", static_cast<double>(counts.retries));
+    metrics.set("cyclamenspool_router_dropped_replies_total", static_cast<double>(counts.droppedReplies));
+    for (const auto &[kind, count] : counts.failures) {
+        metrics.set("cyclamenspool_router_failures_total{kind=\"" + std::string(core::ruleOf(kind).name) + "\"}", static_cast<double>(count));
+    }
+}
+
+} // namespace cyclamenspool::router
--- /dev/null
+++ b/src/cyclamenspool/telemetry/fwd.h
@@ -0,0 +1,5 @@
+#pragma once
+
+namespace cyclamenspool::telemetry {
+class Metrics;
+} // namespace cyclamenspool::telemetry
--- /dev/null
+++ b/src/cyclamenspool/telemetry/log.cpp
@@ -0,0 +1,95 @@
+#include <cyclamenspool/telemetry/log.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <log4cxx/appenderskeleton.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+#include <chrono>
+
+namespace cyclamenspool::telemetry {
+
+namespace internal {
+
+std::string &vmName()
+{
+    static std::string name;
+    return name;
+}
+
+log4cxx::LoggerPtr logger()
+{
+    static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("cyclamenspool");
+    return instance;
+}
+
+boost::json::object line(const std::string &event)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    boost::json::object object;
+    object["time_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    object["vm"] = vmName();
+    object["event"] = event;
+    return object;
+}
+
+void putIfSet(boost::json::object &object, const char *name, const std::string &value)
+{
+    if (!value.empty()) {
+        object[name] = value;
+    }
+}
+
+} // namespace internal
+
+void openLog(const std::string &file, const std::string &vm)
+{
+    internal::vmName() = vm;
+    const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(LOG4CXX_STR("%m%n")));
+    log4cxx::AppenderPtr appender;
+    if (file == "-") {
+        appender = log4cxx::AppenderPtr(new log4cxx::ConsoleAppender(layout));
+    } else {
+        appender = log4cxx::AppenderPtr(new log4cxx::FileAppender(layout, log4cxx::LogString(file), true));
+    }
+    internal::logger()->removeAllAppenders();
+    internal::logger()->addAppender(appender);
+    internal::logger()->setLevel(log4cxx::Level::getInfo());
+}
+
+void logDecision(const core::Decision &decision)
+{
+    auto object = internal::line(decision.kind);
+    internal::putIfSet(object, "request", decision.request);
+    internal::putIfSet(object, "chat", decision.chat);
+    internal::putIfSet(object, "workspace", decision.workspace);
+    internal::putIfSet(object, "pool", decision.pool);
+    boost::json::array candidates;
+    for (const auto &candidate : decision.candidates) {
+        candidates.emplace_back(candidate);
+    }
+    object["candidates"] = std::move(candidates);
+    internal::putIfSet(object, "choice", decision.choice);
+    internal::putIfSet(object, "reason", decision.reason);
+    object["revision"] = decision.revision;
+    LOG4CXX_INFO(internal::logger(), boost::json::serialize(object));
+}
+
+void logEvent(const std::string &event, const std::string &text)
+{
+    auto object = internal::line(event);
+    object["text"] = text;
+    LOG4CXX_INFO(internal::logger(), boost::json::serialize(object));
+}
+
+void closeLog()
+{
+    log4cxx::LogManager::shutdown();
+}
+
+} // namespace cyclamenspool::telemetry
--- /dev/null
+++ b/src/cyclamenspool/wire/peerserver.cpp
@@ -0,0 +1,69 @@
+#include <cyclamenspool/wire/peerserver.h>
+
+#include <cyclamenspool/config/settings.h>
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace cyclamenspool::wire {
+
+namespace asio = boost::asio;
+
+namespace internal {
+
+asio::ip::tcp::endpoint endpointOf(const std::string &address)
+{
+    const auto [host, port] = config::splitAddress(address);
+    return {asio::ip::make_address(host), port};
+}
+
+} // namespace internal
+
+PeerServer::PeerServer(asio::io_context &context, const std::string &address, const SessionLimits &limits, RequestHandler handler)
+    : context_(context)
+    , limits_(limits)
+    , handler_(std::move(handler))
+    , acceptor_(asio::make_strand(context), internal::endpointOf(address))
+{
+    accept();
+}
+
+void PeerServer::accept()
+{
+    acceptor_.async_accept(asio::make_strand(context_), [this](const boost::system::error_code &error, Session::Socket socket) {
+        if (!acceptor_.is_open()) {
+            return;
+        }
+        if (!error) {
+            remember(Session::serve(std::move(socket), limits_, handler_));
+        }
+        accept();
+    });
+}
+
+void PeerServer::remember(const std::shared_ptr<Session> &session)
+{
+    const std::lock_guard lock(mutex_);
+    const auto gone = std::remove_if(sessions_.begin(), sessions_.end(), [](const std::weak_ptr<Session> &known) {
+        return known.expired();
+    });
+    sessions_.erase(gone, sessions_.end());
+    sessions_.push_back(session);
+}
+
+void PeerServer::close()
+{
+    asio::post(acceptor_.get_executor(), [this] {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+    });
+    const std::lock_guard lock(mutex_);
+    for (const auto &known : sessions_) {
+        if (const auto session = known.lock()) {
+            session->close("shutting down");
+        }
+    }
+}
+
+} // namespace cyclamenspool::wire
--- /dev/null
+++ b/test/harness/localfleet.cpp
@@ -0,0 +1,338 @@
+#include "localfleet.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/parse.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace cyclamenspool::harness {
+
+namespace fs = std::filesystem;
+
+namespace {
+
+constexpr std::chrono::milliseconds pollPeriod{10};
+constexpr std::chrono::seconds stopLimit{20};
+
+std::string program(const char *name)
+{
+    return std::string(CYCLAMENSPOOL_BINARY_DIR) + "/" + name;
+}
+
+} // namespace
+
+LocalFleet::LocalFleet(FleetShape shape)
+    : shape_(std::move(shape))
+{
+    std::string pattern = (fs::temp_directory_path() / "cyclamenspool-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("cannot make a temporary directory");
+    }
+    directory_ = pattern;
+    startPlatform();
+    for (int i = 0; i < shape_.routers; ++i) {
+        addRouter(i);
+    }
+    const auto zones = static_cast<int>(shape_.zones.size());
+    for (int i = 0; i < shape_.enginesPerZone * zones; ++i) {
+        addAgent(engines, "engine", i, shape_.zones[static_cast<std::size_t>(i % zones)]);
+    }
+    for (int i = 0; i < shape_.services; ++i) {
+        addAgent(services, "booking", i, shape_.zones[static_cast<std::size_t>(i % zones)]);
+    }
+    publishTable();
+    publishVms();
+    for (auto &agent : engines) {
+        startBackend(agent);
+        startAgent(agent);
+    }
+    for (auto &agent : services) {
+        startBackend(agent);
+        startAgent(agent);
+    }
+    for (auto &router : routers) {
+        startRouter(router);
+    }
+    bool ready = true;
+    for (const auto &router : routers) {
+        ready = awaitReady(router.httpAddress) && ready;
+    }
+    const auto serves = [this](const AgentProcess &agent) {
+        const auto loads = number(agent.httpAddress, "/status", "cold_starts");
+        return awaitReady(agent.httpAddress) && await([&] {
+                   return loads > 0 || number(agent.httpAddress, "/status", "cold_starts") > 0;
+               });
+    };
+    ready = std::all_of(engines.begin(), engines.end(), serves) && ready;
+    ready = std::all_of(services.begin(), services.end(), serves) && ready;
+    if (!ready) {
+        throw std::runtime_error("the fleet is not ready, logs in " + directory_);
+    }
+}
+
+LocalFleet::~LocalFleet()
+{
+    for (auto &router : routers) {
+        router.router.kill();
+    }
+    for (auto *agents : {&engines, &services}) {
+        for (auto &agent : *agents) {
+            agent.agent.kill();
+            agent.backend.kill();
+        }
+    }
+    configuration_.kill();
+    list_.kill();
+    if (std::getenv("CYCLAMENSPOOL_KEEP_LOGS") == nullptr) {
+        std::error_code ignored;
+        fs::remove_all(directory_, ignored);
+    }
+}
+
+std::string LocalFleet::nextAddress()
+{
+    boost::asio::io_context context;
+    const auto any = boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0);
+    const boost::asio::ip::tcp::acceptor acceptor(context, any);
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+std::string LocalFleet::logOf(const std::string &vm) const
+{
+    return directory_ + "/" + vm + ".log";
+}
+
+std::string LocalFleet::writeSettings(const std::string &vm, const std::map<std::string, std::string> &values)
+{
+    const auto file = directory_ + "/" + vm + ".yaml";
+    std::ofstream out(file);
+    out << "vm: " << vm << "\nconfiguration_service: " << configurationService << "\nvm_list: " << vmList << "\n";
+    for (const auto &[name, value] : values) {
+        out << name << ": " << value << "\n";
+    }
+    for (const auto &[name, value] : shape_.settings) {
+        out << name << ": " << value << "\n";
+    }
+    return file;
+}
+
+void LocalFleet::startPlatform()
+{
+    configurationService = nextAddress();
+    configuration_ = Process(program("test/standin_platform"), {"--listen", configurationService}, logOf("configuration"));
+    vmList = nextAddress();
+    list_ = Process(program("test/standin_platform"), {"--listen", vmList}, logOf("vms"));
+    for (const auto &address : {configurationService, vmList}) {
+        const bool up = await([&address] {
+            return run({address, "GET", "/test/counts"}).status == 200;
+        });
+        if (!up) {
+            throw std::runtime_error("a stand-in did not start");
+        }
+    }
+}
+
+void LocalFleet::addRouter(int index)
+{
+    RouterProcess router;
+    router.vm = "vm-router-" + std::to_string(index);
+    router.zone = shape_.zones[static_cast<std::size_t>(index) % shape_.zones.size()];
+    router.peerAddress = nextAddress();
+    router.httpAddress = nextAddress();
+    router.settingsFile = writeSettings(router.vm, {{"zone", router.zone}, {"peer_address", router.peerAddress}, {"http_address", router.httpAddress}});
+    routers.push_back(std::move(router));
+}
+
+void LocalFleet::addAgent(std::vector<AgentProcess> &agents, const std::string &kind, int index, const std::string &zone)
+{
+    AgentProcess agent;
+    agent.server = kind + "-" + std::to_string(index);
+    agent.vm = "vm-" + agent.server;
+    agent.zone = zone;
+    agent.group = kind + "s-" + zone;
+    agent.peerAddress = nextAddress();
+    agent.httpAddress = nextAddress();
+    agent.backendAddress = nextAddress();
+    agent.settingsFile = writeSettings(agent.vm,
+                                       {{"zone", zone},
+                                        {"peer_address", agent.peerAddress},
+                                        {"http_address", agent.httpAddress},
+                                        {"server", agent.server},
+                                        {"group", agent.group},
+                                        {"backend_address", agent.backendAddress}});
+    agents.push_back(std::move(agent));
+}
+
+void LocalFleet::publish(const std::string &name, const std::string &text)
+{
+    const auto &address = name == "vms" ? vmList : configurationService;
+    const auto revision = std::to_string(++revisions_[name]);
+    const auto answer = run({address, "PUT", "/v1/values/" + name + "?revision=" + revision, {}, text});
+    if (answer.status != 200) {
+        throw std::runtime_error("cannot publish " + name);
+    }
+}
+
+void LocalFleet::publishTable(const std::string &leavingRows)
+{
+    std::string text = "workspaces:\n  - {name: desk}\n  - {name: bench}\n" + shape_.workspaceRows;
+    text += "pools:\n  - {name: notes, kind: model, model: lamp, " + shape_.poolRow + "}\n";
+    text += "  - {name: bookings, kind: service, non_idempotent: [POST], max_tokens: 1000, cold_tokens: 1000}\n";
+    text += "groups:\n";
+    for (const auto &zone : shape_.zones) {
+        text += "  - {name: engines-" + zone + ", pool: notes, zone: " + zone + "}\n";
+        std::string servers;
+        for (const auto &agent : services) {
+            servers += agent.zone == zone ? (servers.empty() ? "" : ", ") + agent.server : "";
+        }
+        text += "  - {name: bookings-" + zone + ", pool: bookings, zone: " + zone + ", servers: [" + servers + "]}\n";
+    }
+    if (!leavingRows.empty()) {
+        text += "leaving:\n" + leavingRows;
+    }
+    publish("table", text);
+}
+
+void LocalFleet::publishVms(const std::vector<std::string> &leaving, const std::vector<std::string> &missing)
+{
+    const auto has = [](const std::vector<std::string> &names, const std::string &name) {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    };
+    std::string text = "vms:\n";
+    const auto add = [&](const std::string &vm, const std::string &zone, const std::string &rest) {
+        if (!has(missing, vm)) {
+            text += "  - {name: " + vm + ", zone: " + zone + ", " + rest + ", state: " + (has(leaving, vm) ? "leaving" : "live") + "}\n";
+        }
+    };
+    for (const auto &router : routers) {
+        add(router.vm, router.zone, "role: router, address: '" + router.peerAddress + "'");
+    }
+    for (const auto *agents : {&engines, &services}) {
+        for (const auto &agent : *agents) {
+            add(agent.vm, agent.zone, "role: agent, address: '" + agent.peerAddress + "', group: " + agent.group + ", server: " + agent.server);
+        }
+    }
+    publish("vms", text);
+}
+
+void LocalFleet::setPlatform(const std::string &mode)
+{
+    control(configurationService, "/test/mode?is=" + mode);
+    control(vmList, "/test/mode?is=" + mode);
+}
+
+void LocalFleet::startBackend(AgentProcess &agent)
+{
+    const bool isEngine = agent.server.rfind("engine", 0) == 0;
+    std::vector<std::string> arguments{"--listen", agent.backendAddress};
+    if (isEngine) {
+        arguments.insert(arguments.end(), shape_.engineArguments.begin(), shape_.engineArguments.end());
+        if (shape_.modelLoaded) {
+            arguments.insert(arguments.end(), {"--model", "lamp"});
+        }
+    }
+    agent.backend = Process(program(isEngine ? "test/standin_engine" : "test/standin_service"), arguments, logOf(agent.server));
+}
+
+void LocalFleet::startAgent(AgentProcess &agent)
+{
+    agent.agent = Process(program("cyclamenspool"), {"agent", "--settings", agent.settingsFile}, logOf(agent.vm));
+}
+
+void LocalFleet::startRouter(RouterProcess &router)
+{
+    router.router = Process(program("cyclamenspool"), {"router", "--settings", router.settingsFile}, logOf(router.vm));
+}
+
+bool LocalFleet::await(const std::function<bool()> &condition, std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(pollPeriod);
+    }
+    return true;
+}
+
+bool LocalFleet::awaitReady(const std::string &address)
+{
+    return await([&address] {
+        return run({address, "GET", "/readyz"}).status == 200;
+    });
+}
+
+Call LocalFleet::chat(std::size_t router, const std::string &chat, const std::string &text, int tokens, bool stream) const
+{
+    Call call{routers[router].httpAddress, "POST", "/v1/chat/completions"};
+    call.headers = {{"X-Workspace", "desk"}, {"X-Chat-Id", chat}, {"Content-Type", "application/json"}};
+    call.body = R"({"model":"lamp","stream":)" + std::string(stream ? "true" : "false") + R"(,"max_tokens":)" + std::to_string(tokens)
+        + R"(,"messages":[{"role":"user","content":")" + text + R"("}]})";
+    return call;
+}
+
+Call LocalFleet::booking(std::size_t router, const std::string &key, const std::string &body) const
+{
+    Call call{routers[router].httpAddress, "POST", "/v1/services/bookings/slots"};
+    call.headers = {{"X-Workspace", "desk"}, {"Content-Type", "application/json"}};
+    if (!key.empty()) {
+        call.headers.emplace_back("Idempotency-Key", key);
+    }
+    call.body = body;
+    return call;
+}
+
+std::string LocalFleet::control(const std::string &address, const std::string &target)
+{
+    return run({address, "GET", target}).body;
+}
+
+long LocalFleet::number(const std::string &address, const std::string &target, const std::string &name)
+{
+    const auto answer = run({address, "GET", target});
+    if (answer.status != 200) {
+        return -1;
+    }
+    const auto object = boost::json::parse(answer.body).as_object();
+    const auto *value = object.if_contains(name);
+    return value == nullptr || !value->is_number() ? -1 : value->to_number<long>();
+}
+
+bool LocalFleet::stopInOrder()
+{
+    bool ordered = true;
+    const auto stop = [&ordered](Process &process) {
+        if (process.isRunning()) {
+            ordered = process.wait(stopLimit) == 0 && ordered;
+        }
+    };
+    for (auto &router : routers) {
+        router.router.signal(SIGTERM);
+    }
+    for (auto &router : routers) {
+        stop(router.router);
+    }
+    for (auto *agents : {&engines, &services}) {
+        for (auto &agent : *agents) {
+            agent.agent.signal(SIGTERM);
+        }
+    }
+    for (auto *agents : {&engines, &services}) {
+        for (auto &agent : *agents) {
+            stop(agent.agent);
+            agent.backend.signal(SIGTERM);
+            agent.backend.wait(stopLimit);
+        }
+    }
+    return ordered;
+}
+
+} // namespace cyclamenspool::harness
--- /dev/null
+++ b/test/standin/engine.cpp
@@ -0,0 +1,373 @@
+// Stand-in for a model engine: prefix cache, continuous batch, cold start, lagging state, cancel and resume, faults on demand.
+
+#include "enginemodel.h"
+#include "standin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <iostream>
+#include <memory>
+#include <set>
+
+namespace cyclamenspool::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace po = boost::program_options;
+
+/** @brief A request under way; its answer grows whether or not somebody listens. */
+struct Run {
+    std::string id;
+    std::string chat;
+    std::string echo;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t cachedTokens = 0;
+    std::uint64_t decodeTokens = 0;
+    bool stream = false;
+    std::string answer;
+    bool started = false;
+    bool finished = false;
+    bool cancelled = false;
+};
+
+class Engine
+{
+public:
+    explicit Engine(const EngineOptions &options)
+        : options_(options)
+        , cache_(options.cacheTokens)
+        , coldUntil_(std::chrono::steady_clock::now() + options.coldFor)
+    {
+    }
+
+    asio::awaitable<void> handle(const http::Request &request, http::Responder &responder)
+    {
+        const auto target = parseTarget(std::string(request.target()));
+        if (target.path == "/v1/chat/completions") {
+            co_await complete(request, responder);
+        } else if (target.path == "/v1/state") {
+            co_await sendJson(responder, state(target));
+        } else if (target.path.rfind("/v1/runs/", 0) == 0) {
+            co_await onRunPath(request, target, responder);
+        } else if (target.path.rfind("/v1/models/", 0) == 0) {
+            co_await onOrder(request, target, responder);
+        } else {
+            control(target);
+            co_await sendJson(responder, counts());
+        }
+    }
+
+    void load(const std::string &model)
+    {
+        models_.insert(model);
+    }
+
+    void checkFencing(bool check)
+    {
+        checksFencing_ = check;
+    }
+
+private:
+    using RunPtr = std::shared_ptr<Run>;
+    using Fence = std::pair<std::uint64_t, std::int64_t>;
+
+    static constexpr std::size_t keptRuns = 2000;
+
+    void control(const Target &target)
+    {
+        if (holds_.control(target)) {
+            return;
+        }
+        if (target.path == "/test/crossed") {
+            crossed_ = target.number("count", 1);
+        } else if (target.path == "/test/cut") {
+            cuts_ = target.number("count", 1);
+            cutAfter_ = static_cast<std::size_t>(target.number("bytes", 100));
+        } else if (target.path == "/test/lose_cache") {
+            cache_.clear();
+            ++cacheEpoch_;
+            coldUntil_ = std::chrono::steady_clock::now() + options_.coldFor;
+        } else if (target.path == "/test/restart") {
+            cache_.clear();
+            ++incarnation_;
+            coldUntil_ = std::chrono::steady_clock::now() + options_.coldFor;
+        }
+    }
+
+    RunPtr makeRun(const http::Request &request)
+    {
+        const auto body = json::parse(request.body()).as_object();
+        auto run = std::make_shared<Run>();
+        run->id = std::string(request["X-Request-Id"]);
+        run->chat = std::string(request["X-Chat-Id"]);
+        std::uint64_t bytes = 0;
+        for (const auto &message : body.at("messages").as_array()) {
+            const auto &content = message.as_object().at("content").as_string();
+            bytes += content.size();
+            run->echo = std::string(content).substr(0, 64);
+        }
+        run->promptTokens = bytes / 4 + 1;
+        run->decodeTokens = body.contains("max_tokens") ? body.at("max_tokens").to_number<std::uint64_t>() : 128;
+        run->stream = body.contains("stream") && body.at("stream").as_bool();
+        return run;
+    }
+
+    asio::awaitable<void> complete(const http::Request &request, http::Responder &responder)
+    {
+        const auto run = makeRun(request);
+        co_await holds_.pass("accepted");
+        runs_[run->id] = run;
+        order_.push_back(run->id);
+        if (order_.size() > keptRuns) {
+            runs_.erase(order_.front());
+            order_.pop_front();
+        }
+        ++started_;
+        asio::co_spawn(co_await asio::this_coro::executor, generate(run), asio::detached);
+        while (!run->started) {
+            co_await pause(std::chrono::milliseconds(1));
+        }
+        co_await holds_.pass("first_byte");
+        http::Headers headers;
+        headers.emplace_back("Content-Type", run->stream ? "text/event-stream" : "application/json");
+        headers.emplace_back("X-Request-Id", crossed_-- > 0 ? "another-request" : run->id);
+        headers.emplace_back("X-Cached-Tokens", std::to_string(run->cachedTokens));
+        co_await responder.begin(200, headers);
+        co_await relay(run, 0, responder);
+    }
+
+    asio::awaitable<void> relay(RunPtr run, std::size_t offset, http::Responder &responder)
+    {
+        const bool cut = cuts_ > 0;
+        cuts_ -= cut ? 1 : 0;
+        std::size_t written = 0;
+        while (true) {
+            const auto part = run->answer.substr(offset);
+            offset += part.size();
+            written += part.size();
+            co_await responder.chunk(part);
+            if (cut && written >= cutAfter_) {
+                responder.closeAfter();
+                throw std::runtime_error("cut on demand");
+            }
+            if (written > 0) {
+                co_await holds_.pass("mid_stream");
+            }
+            if (run->finished && offset == run->answer.size()) {
+                break;
+            }
+            co_await pause(std::chrono::milliseconds(1));
+        }
+        co_await holds_.pass("last_byte");
+        co_await responder.end();
+    }
+
+    asio::awaitable<void> generate(RunPtr run)
+    {
+        ++batch_;
+        maxBatch_ = std::max(maxBatch_, batch_);
+        const auto cached = run->chat.empty() ? 0 : std::min(cache_.lookup(run->chat), run->promptTokens);
+        run->cachedTokens = cached;
+        promptTokens_ += run->promptTokens;
+        cachedTokens_ += cached;
+        const auto now = std::chrono::steady_clock::now();
+        prefillFree_ = std::max(prefillFree_, now) + options_.prefillPerToken * static_cast<long>(run->promptTokens - cached) * slowdown();
+        co_await pause(std::chrono::duration_cast<std::chrono::microseconds>(prefillFree_ - now));
+        run->started = true;
+        std::string text;
+        for (std::uint64_t token = 0; token < run->decodeTokens && !run->cancelled; ++token) {
+            const auto step = options_.decodePerToken * (options_.batchReference + batch_) / options_.batchReference;
+            co_await pause(step * slowdown());
+            const std::string word = "w" + std::to_string(token) + " ";
+            text += word;
+            if (run->stream) {
+                run->answer += event(run, word);
+            }
+        }
+        run->answer += run->stream ? event(run, run->echo) + "data: [DONE]\n\n" : wholeAnswer(run, text);
+        if (!run->chat.empty() && !run->cancelled) {
+            for (auto &evicted : cache_.store(run->chat, run->promptTokens + run->decodeTokens)) {
+                evictions_.push_back(std::move(evicted));
+            }
+        }
+        run->finished = true;
+        --batch_;
+    }
+
+    [[nodiscard]] int slowdown() const
+    {
+        const bool cold = std::chrono::steady_clock::now() < coldUntil_;
+        return cold && batch_ > options_.coldBatch ? options_.collapseFactor : 1;
+    }
+
+    static std::string event(const RunPtr &run, const std::string &content)
+    {
+        json::object delta;
+        delta["content"] = content;
+        json::object object;
+        object["id"] = run->id;
+        object["delta"] = std::move(delta);
+        return "data: " + json::serialize(object) + "\n\n";
+    }
+
+    static std::string wholeAnswer(const RunPtr &run, const std::string &text)
+    {
+        json::object object;
+        object["id"] = run->id;
+        object["content"] = text;
+        object["echo"] = run->echo;
+        object["cached_tokens"] = run->cachedTokens;
+        object["prompt_tokens"] = run->promptTokens;
+        return json::serialize(object);
+    }
+
+    asio::awaitable<void> onRunPath(const http::Request &request, Target target, http::Responder &responder)
+    {
+        const std::string prefix = "/v1/runs/";
+        const auto rest = target.path.substr(prefix.size());
+        const auto found = runs_.find(rest.substr(0, rest.find('/')));
+        if (found == runs_.end()) {
+            co_await sendJson(responder, "{\"error\":\"no such run\"}", 404);
+            co_return;
+        }
+        const auto run = found->second;
+        if (request.method() == boost::beast::http::verb::delete_) {
+            run->cancelled = true;
+            ++cancelled_;
+            co_await sendJson(responder, "{}");
+            co_return;
+        }
+        http::Headers headers;
+        headers.emplace_back("X-Request-Id", run->id);
+        co_await responder.begin(200, headers);
+        ++resumed_;
+        co_await relay(run, static_cast<std::size_t>(target.number("offset", 0)), responder);
+    }
+
+    asio::awaitable<void> onOrder(const http::Request &request, Target target, http::Responder &responder)
+    {
+        const std::string revision(request["X-Fence-Revision"]);
+        const std::string start(request["X-Fence-Start"]);
+        const Fence fence{std::stoull(revision), std::stoll(start)};
+        if (checksFencing_ && fence < fence_) {
+            co_await sendJson(responder, "{\"error\":\"old fencing number\"}", 409);
+            co_return;
+        }
+        fence_ = std::max(fence_, fence);
+        ++orders_;
+        models_.insert(target.path.substr(std::string("/v1/models/").size()));
+        co_await sendJson(responder, "{}");
+    }
+
+    [[nodiscard]] std::string state(const Target &target)
+    {
+        const auto after = static_cast<std::size_t>(target.number("after", 0));
+        json::array evicted;
+        for (std::size_t i = after; i < evictions_.size(); ++i) {
+            evicted.emplace_back(evictions_[i]);
+        }
+        json::array models;
+        for (const auto &model : models_) {
+            models.emplace_back(model);
+        }
+        json::object object;
+        object["incarnation"] = std::to_string(incarnation_);
+        object["cache_epoch"] = cacheEpoch_;
+        object["models"] = std::move(models);
+        object["first_event"] = 1;
+        object["last_event"] = evictions_.size();
+        object["evicted"] = std::move(evicted);
+        return json::serialize(object);
+    }
+
+    [[nodiscard]] std::string counts() const
+    {
+        json::object object;
+        object["started"] = started_;
+        object["batch"] = batch_;
+        object["max_batch"] = maxBatch_;
+        object["held"] = holds_.held();
+        object["cancelled"] = cancelled_;
+        object["resumed"] = resumed_;
+        object["orders"] = orders_;
+        object["prompt_tokens"] = promptTokens_;
+        object["cached_tokens"] = cachedTokens_;
+        return json::serialize(object);
+    }
+
+    EngineOptions options_;
+    PrefixCache cache_;
+    HoldPoints holds_;
+    std::chrono::steady_clock::time_point coldUntil_;
+    std::chrono::steady_clock::time_point prefillFree_{};
+    std::map<std::string, RunPtr> runs_;
+    std::deque<std::string> order_;
+    std::set<std::string> models_;
+    std::vector<std::string> evictions_;
+    Fence fence_{0, 0};
+    bool checksFencing_ = false;
+    std::uint64_t incarnation_ = 1;
+    std::uint64_t cacheEpoch_ = 0;
+    int batch_ = 0;
+    int maxBatch_ = 0;
+    long crossed_ = 0;
+    long cuts_ = 0;
+    std::size_t cutAfter_ = 0;
+    int started_ = 0;
+    int cancelled_ = 0;
+    int resumed_ = 0;
+    int orders_ = 0;
+    std::uint64_t promptTokens_ = 0;
+    std::uint64_t cachedTokens_ = 0;
+};
+
+int run(int argc, char **argv)
+{
+    po::options_description options("options");
+    auto add = options.add_options();
+    add("listen", po::value<std::string>()->required(), "IP number and port");
+    add("model", po::value<std::string>()->default_value(""), "model loaded at the start; empty: none");
+    add("cache-tokens", po::value<std::uint64_t>()->default_value(200000), "size of the prefix cache");
+    add("prefill-us", po::value<long>()->default_value(50), "prefill time of a token");
+    add("decode-us", po::value<long>()->default_value(2000), "decode time of a token alone");
+    add("cold-ms", po::value<long>()->default_value(0), "length of a cold start");
+    add("check-fencing", "refuse orders with an old fencing number");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    EngineOptions engineOptions;
+    engineOptions.cacheTokens = values["cache-tokens"].as<std::uint64_t>();
+    engineOptions.prefillPerToken = std::chrono::microseconds(values["prefill-us"].as<long>());
+    engineOptions.decodePerToken = std::chrono::microseconds(values["decode-us"].as<long>());
+    engineOptions.coldFor = std::chrono::milliseconds(values["cold-ms"].as<long>());
+    Engine engine(engineOptions);
+    engine.checkFencing(values.count("check-fencing") > 0);
+    if (!values["model"].as<std::string>().empty()) {
+        engine.load(values["model"].as<std::string>());
+    }
+    serve(values["listen"].as<std::string>(), [&engine](const http::Request &request, http::Responder &responder) {
+        return engine.handle(request, responder);
+    });
+    return 0;
+}
+
+} // namespace cyclamenspool::standin
+
+int main(int argc, char **argv)
+{
+    try {
+        return cyclamenspool::standin::run(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/test/standin/platform.cpp
@@ -0,0 +1,109 @@
+// Stand-in for the configuration service and for the VM list: revisions, long poll, call count, outages, stale values.
+
+#include "standin.h"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+#include <map>
+#include <optional>
+
+namespace cyclamenspool::standin {
+
+namespace asio = boost::asio;
+namespace po = boost::program_options;
+
+/** @brief One value with its history. */
+struct Value {
+    std::uint64_t revision = 0;
+    std::string text;
+    std::uint64_t oldRevision = 0;
+    std::string oldText;
+};
+
+class Platform
+{
+public:
+    asio::awaitable<void> handle(const http::Request &request, http::Responder &responder)
+    {
+        const auto target = parseTarget(std::string(request.target()));
+        const std::string prefix = "/v1/values/";
+        if (target.path.rfind(prefix, 0) == 0) {
+            const auto name = target.path.substr(prefix.size());
+            if (request.method() == boost::beast::http::verb::put) {
+                put(name, request.body(), target);
+                co_await sendJson(responder, "{}");
+            } else {
+                co_await get(name, target, responder);
+            }
+        } else if (target.path == "/test/mode") {
+            mode_ = target.get("is", "up");
+            co_await sendJson(responder, "{}");
+        } else {
+            co_await sendJson(responder, "{\"calls\":" + std::to_string(calls_) + "}");
+        }
+    }
+
+private:
+    void put(const std::string &name, const std::string &text, const Target &target)
+    {
+        auto &value = values_[name];
+        value.oldRevision = value.revision;
+        value.oldText = value.text;
+        value.revision = static_cast<std::uint64_t>(target.number("revision", static_cast<long>(value.revision) + 1));
+        value.text = text;
+    }
+
+    asio::awaitable<void> get(std::string name, Target target, http::Responder &responder)
+    {
+        ++calls_;
+        const auto after = static_cast<std::uint64_t>(target.number("after", 0));
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::milliseconds(target.number("wait_ms", 0));
+        while (mode_ == "up" && values_[name].revision <= after && std::chrono::steady_clock::now() < limit) {
+            co_await pause(std::chrono::milliseconds(5));
+        }
+        if (mode_ == "down") {
+            responder.closeAfter();
+            co_await sendJson(responder, "{\"error\":\"down\"}", 503);
+            co_return;
+        }
+        const auto &value = values_[name];
+        const bool stale = mode_ == "stale";
+        const auto revision = stale ? value.oldRevision : value.revision;
+        http::Headers headers;
+        headers.emplace_back("X-Revision", std::to_string(revision));
+        const bool isNew = stale ? revision > 0 : revision > after;
+        const std::string text = !isNew ? std::string() : stale ? value.oldText : value.text;
+        co_await responder.send(isNew ? 200 : 204, headers, text);
+    }
+
+    std::map<std::string, Value> values_;
+    std::string mode_ = "up";
+    std::uint64_t calls_ = 0;
+};
+
+int run(int argc, char **argv)
+{
+    po::options_description options("options");
+    options.add_options()("listen", po::value<std::string>()->required(), "IP number and port");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    Platform platform;
+    serve(values["listen"].as<std::string>(), [&platform](const http::Request &request, http::Responder &responder) {
+        return platform.handle(request, responder);
+    });
+    return 0;
+}
+
+} // namespace cyclamenspool::standin
+
+int main(int argc, char **argv)
+{
+    try {
+        return cyclamenspool::standin::run(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/test/standin/service.cpp
@@ -0,0 +1,103 @@
+// Stand-in for a plain service: counts its runs by key, with hold points and cuts.
+
+#include "standin.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+
+#include <iostream>
+#include <map>
+
+namespace cyclamenspool::standin {
+
+namespace asio = boost::asio;
+namespace po = boost::program_options;
+
+class Service
+{
+public:
+    asio::awaitable<void> handle(const http::Request &request, http::Responder &responder)
+    {
+        const auto target = parseTarget(std::string(request.target()));
+        if (holds_.control(target)) {
+            co_await sendJson(responder, "{}");
+        } else if (target.path == "/test/cut") {
+            cuts_ = target.number("count", 1);
+            co_await sendJson(responder, "{}");
+        } else if (target.path == "/test/counts") {
+            co_await sendJson(responder, counts());
+        } else if (target.path == "/v1/state") {
+            co_await sendJson(responder, R"({"incarnation":"1","cache_epoch":0,"models":[],"first_event":0,"last_event":0,"evicted":[]})");
+        } else {
+            co_await work(request, responder);
+        }
+    }
+
+private:
+    asio::awaitable<void> work(const http::Request &request, http::Responder &responder)
+    {
+        const std::string key(request["Idempotency-Key"]);
+        const std::string id(request["X-Request-Id"]);
+        co_await holds_.pass("before_run");
+        ++runs_[key.empty() ? "request " + id : key];
+        ++total_;
+        co_await holds_.pass("after_run");
+        if (cuts_ > 0) {
+            --cuts_;
+            responder.closeAfter();
+            throw std::runtime_error("cut on demand");
+        }
+        boost::json::object answer;
+        answer["run"] = total_;
+        answer["echo"] = request.body();
+        http::Headers headers;
+        headers.emplace_back("Content-Type", "application/json");
+        headers.emplace_back("X-Request-Id", id);
+        co_await responder.send(200, headers, boost::json::serialize(answer));
+    }
+
+    [[nodiscard]] std::string counts() const
+    {
+        boost::json::object runs;
+        for (const auto &[key, count] : runs_) {
+            runs[key] = count;
+        }
+        boost::json::object object;
+        object["runs"] = std::move(runs);
+        object["total"] = total_;
+        object["held"] = holds_.held();
+        return boost::json::serialize(object);
+    }
+
+    HoldPoints holds_;
+    std::map<std::string, int> runs_;
+    int total_ = 0;
+    long cuts_ = 0;
+};
+
+int run(int argc, char **argv)
+{
+    po::options_description options("options");
+    options.add_options()("listen", po::value<std::string>()->required(), "IP number and port");
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+    Service service;
+    serve(values["listen"].as<std::string>(), [&service](const http::Request &request, http::Responder &responder) {
+        return service.handle(request, responder);
+    });
+    return 0;
+}
+
+} // namespace cyclamenspool::standin
+
+int main(int argc, char **argv)
+{
+    try {
+        return cyclamenspool::standin::run(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/test/standin/standin.cpp
@@ -0,0 +1,101 @@
+#include "standin.h"
+
+#include <cyclamenspool/http/refusal.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+
+namespace cyclamenspool::standin {
+
+namespace asio = boost::asio;
+
+std::string Target::get(const std::string &name, const std::string &fallback) const
+{
+    const auto found = query.find(name);
+    return found == query.end() ? fallback : found->second;
+}
+
+long Target::number(const std::string &name, long fallback) const
+{
+    const auto text = get(name);
+    return text.empty() ? fallback : std::stol(text);
+}
+
+Target parseTarget(const std::string &target)
+{
+    Target parsed;
+    const auto mark = target.find('?');
+    parsed.path = target.substr(0, mark);
+    if (mark == std::string::npos) {
+        return parsed;
+    }
+    std::string rest = target.substr(mark + 1);
+    while (!rest.empty()) {
+        const auto amp = rest.find('&');
+        const auto pair = rest.substr(0, amp);
+        const auto equal = pair.find('=');
+        parsed.query[pair.substr(0, equal)] = equal == std::string::npos ? "" : pair.substr(equal + 1);
+        rest = amp == std::string::npos ? "" : rest.substr(amp + 1);
+    }
+    return parsed;
+}
+
+void serve(const std::string &address, const http::Handler &handler, const std::function<void(asio::io_context &)> &start)
+{
+    asio::io_context context(1);
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&context](const boost::system::error_code &, int) {
+        context.stop();
+    });
+    http::ServerLimits limits;
+    limits.bodyBytes = 64UL * 1024 * 1024;
+    http::Server server(context, address, limits, handler, http::refuseUnread);
+    if (start) {
+        start(context);
+    }
+    context.run();
+}
+
+asio::awaitable<void> pause(std::chrono::microseconds length)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, length);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> sendJson(http::Responder &responder, const std::string &body, int status)
+{
+    http::Headers headers;
+    headers.emplace_back("Content-Type", "application/json");
+    co_await responder.send(status, headers, body);
+}
+
+asio::awaitable<void> HoldPoints::pass(std::string step)
+{
+    if (!holds_[step]) {
+        co_return;
+    }
+    ++held_;
+    while (holds_[step]) {
+        co_await pause(std::chrono::milliseconds(2));
+    }
+    --held_;
+}
+
+bool HoldPoints::control(const Target &target)
+{
+    if (target.path == "/test/hold") {
+        holds_[target.get("step")] = true;
+        return true;
+    }
+    if (target.path == "/test/release") {
+        holds_.clear();
+        return true;
+    }
+    return false;
+}
+
+} // namespace cyclamenspool::standin
