--- /dev/null
+++ b/test/fault/ledger.cpp
@@ -0,0 +1,72 @@
+#include "ledger.h"
+
+namespace cyclamenspool::fault {
+
+std::string expectedAnswer(const wire::Submit &request)
+{
+    const auto &name = request.key().empty() ? request.request_id() : request.key();
+    return "first part for " + name + "; second part for " + name + ".";
+}
+
+LedgerBackend::LedgerBackend(std::string server, std::shared_ptr<Ledger> ledger, std::string model)
+    : server_(std::move(server))
+    , ledger_(std::move(ledger))
+{
+    state_.incarnation = std::to_string(ledger_->restarts[server_]++);
+    if (!model.empty()) {
+        state_.models.push_back(std::move(model));
+    }
+}
+
+void LedgerBackend::answer(const std::string &name, const std::string &text, fake::EventQueue &queue, const fake::BackendSink &sink)
+{
+    const auto half = text.size() / 2;
+    const auto first = text.substr(0, half);
+    const auto second = text.substr(half);
+    queue.add({}, {"backend_work", name, [&queue, name, sink, first, second] {
+                       sink.chunk(first);
+                       queue.add({}, {"backend_work", name, [&queue, name, sink, second] {
+                                          sink.chunk(second);
+                                          queue.add({}, {"backend_work", name, sink.end});
+                                      }});
+                   }});
+}
+
+void LedgerBackend::run(const std::string &name, const wire::Submit &request, fake::EventQueue &queue, const fake::BackendSink &sink)
+{
+    ++ledger_->runsByRequest[request.request_id()];
+    if (!request.key().empty()) {
+        ++ledger_->runsByKey[request.workspace() + "/" + request.key()];
+    }
+    const auto text = expectedAnswer(request);
+    answers_[request.request_id()] = text;
+    agent::BackendBegin begin;
+    begin.status = 200;
+    begin.contentType = "text/plain";
+    begin.requestId = ledger_->crossed-- > 0 ? "another request" : request.request_id();
+    sink.begin(begin);
+    answer(name, text, queue, sink);
+}
+
+bool LedgerBackend::resume(const std::string &name, const std::string &request, std::uint64_t offset, fake::EventQueue &queue, const fake::BackendSink &sink)
+{
+    const auto found = answers_.find(request);
+    if (found == answers_.end()) {
+        return false;
+    }
+    answer(name, found->second.substr(offset), queue, sink);
+    return true;
+}
+
+void LedgerBackend::order(const agent::OrderModel &order)
+{
+    ledger_->orders.push_back(order);
+    state_.models.push_back(order.model);
+}
+
+agent::EngineState LedgerBackend::state() const
+{
+    return state_;
+}
+
+} // namespace cyclamenspool::fault
--- /dev/null
+++ b/test/fault/matrixfleet.cpp
@@ -0,0 +1,79 @@
+#include "matrixfleet.h"
+
+namespace cyclamenspool::fault {
+
+namespace {
+
+constexpr core::Milliseconds quietTime{60000};
+constexpr core::Milliseconds deadline{20000};
+
+} // namespace
+
+std::string matrixTable(const TableParts &parts)
+{
+    std::string text = "workspaces:\n  - {name: desk}\n  - {name: small, requests_per_second: 4}\n";
+    text += "pools:\n  - {name: notes, kind: model, model: lamp, " + parts.poolRow + "}\n";
+    text += "  - {name: bookings, kind: service, non_idempotent: [POST], max_tokens: 1000, cold_tokens: 1000}\n";
+    text += "groups:\n  - {name: engines, pool: notes, checks_fencing: " + std::string(parts.checksFencing ? "true" : "false") + "}\n";
+    text += "  - {name: bookings, pool: bookings, servers: [" + parts.bookings + "]}\n";
+    if (!parts.leaving.empty()) {
+        text += "leaving:\n" + parts.leaving;
+    }
+    return text;
+}
+
+std::string matrixVms(const std::string &missing)
+{
+    std::string text = "vms:\n";
+    const auto add = [&](const std::string &name, const std::string &zone, const std::string &rest) {
+        if (name != missing) {
+            text += "  - {name: " + name + ", zone: " + zone + ", address: " + name + ", " + rest + "}\n";
+        }
+    };
+    add("router-0", "az-a", "role: router");
+    add("router-1", "az-b", "role: router");
+    const char *zones[] = {"az-a", "az-b", "az-c"};
+    for (int i = 0; i < 3; ++i) {
+        const auto number = std::to_string(i);
+        add("vm-engine-" + number, zones[i], "role: agent, group: engines, server: engine-" + number);
+        add("vm-booking-" + number, zones[i], "role: agent, group: bookings, server: booking-" + number);
+    }
+    return text;
+}
+
+MatrixFleet::MatrixFleet(const std::string &model, const TableParts &parts)
+{
+    fake::FakeFleet::Shape shape;
+    shape.table = matrixTable(parts);
+    shape.vms = matrixVms();
+    shape.makeBackend = [ledger = ledger, model](const std::string &server) {
+        const bool isEngine = server.rfind("engine", 0) == 0;
+        return std::make_unique<LedgerBackend>(server, ledger, isEngine ? model : "");
+    };
+    fleet = std::make_unique<fake::FakeFleet>(std::move(shape));
+    fleet->run(quietTime);
+}
+
+router::CallerRequest makeRequest(RequestMode mode, const std::string &id, const std::string &key)
+{
+    router::CallerRequest request;
+    request.id = id;
+    request.workspace = "desk";
+    request.deadline = deadline;
+    request.method = "POST";
+    request.body = "{}";
+    if (mode == RequestMode::Chat) {
+        request.pool = "notes";
+        request.path = "/v1/chat/completions";
+        request.chat = "chat-1";
+        request.promptTokens = 100;
+        request.decodeTokens = 50;
+        return request;
+    }
+    request.pool = "bookings";
+    request.path = "/slots";
+    request.key = mode == RequestMode::CallerKey ? key : "";
+    return request;
+}
+
+} // namespace cyclamenspool::fault
