Load bound finds a place while the pool has capacity; suspects, parked requests, departure and order cells

Trace of one request: every engine held one request, the estimated mean was still 0 after an idle time, so all three refused and the caller got 'overloaded' from an almost idle pool. Ruled out: capacity (100000 tokens, 300 in use), the retry budget alone (20 saved). Changes: limit = max(multiple x mean, mean + this request); loads of refusing agents travel with the request as a fresh sample; the averages of two epochs overlap, so that an estimate is always live; after all have refused the least loaded is asked again, at most 10 times 50 ms apart; refusals do not take retry budget, failed connections do and make the member a suspect; requests wait for the re-read view after a freeze; PING only on sessions with open streams that are silent.

--- a/bench/fake/fakefleet.cpp
+++ b/bench/fake/fakefleet.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds pingTimeout{4000}; /* two unanswered PINGs */
+constexpr std::chrono::milliseconds pingTimeout{3000}; /* unanswered PINGs until a peer is given up */
 constexpr std::chrono::milliseconds refreshTime{300};
 constexpr int ticksPerPoll = 5; /* ticks between two polls of a backend server's state */
 constexpr std::size_t frameBytes = 48; /* HTTP/2 frames around a control message */
@@ -279,9 +279,8 @@
                 agents_.at(placed.address).core->onPlaced(placed.message, queue_.now());
             });
         } else if (const auto *order = std::get_if<agent::OrderModel>(&action)) {
-            const auto server = agents_.at(vm).server;
-            post("order", server, {}, [this, server, order = *order] {
-                backends_.at(server)->order(order);
+            post("order_decided", vm, {}, [this, vm, order = *order] {
+                giveOrder(vm, order);
             });
         } else if (std::holds_alternative<agent::RefreshView>(action)) {
             refresh(vm);
@@ -354,6 +353,17 @@
     });
 }
 
+void FakeFleet::giveOrder(const std::string &vm, const agent::OrderModel &order)
+{
+    if (!agents_.at(vm).core->mayOrder(order, queue_.now())) {
+        return;
+    }
+    const auto server = agents_.at(vm).server;
+    post("order_sent", server, {}, [this, server, order] {
+        backends_.at(server)->order(order);
+    });
+}
+
 void FakeFleet::resumeRun(const std::string &vm, const agent::ResumeRun &resume)
 {
     const auto server = agents_.at(vm).server;
@@ -406,7 +416,7 @@
             giveView(vm);
         }
         if (routers_.count(vm) > 0) {
-            routers_.at(vm).core->confirmView(queue_.now());
+            carryOut(vm, routers_.at(vm).core->confirmView(queue_.now()));
         } else {
             agents_.at(vm).core->confirmView(queue_.now());
         }
--- a/src/cyclamenspool/agent/agentnode.cpp
+++ b/src/cyclamenspool/agent/agentnode.cpp
@@ -51,6 +51,9 @@
     events.mayStart = [this](std::uint64_t run) {
         return core_.mayStart(run, core::Now::read());
     };
+    events.mayOrder = [this](const OrderModel &order) {
+        return core_.mayOrder(order, core::Now::read());
+    };
     events.onBegin = [this](std::uint64_t run, const BackendBegin &begin) {
         carryOut(core_.onBackendBegin(run, begin, core::Now::read()));
     };
--- a/src/cyclamenspool/agent/backendlink.cpp
+++ b/src/cyclamenspool/agent/backendlink.cpp
@@ -156,12 +156,18 @@
     asio::co_spawn(asio::make_strand(context_), relay(action.run, std::move(request), false), asio::detached);
 }
 
-void BackendLink::send(http::ClientRequest request, const std::string &what)
+void BackendLink::send(http::ClientRequest request, const std::string &what, std::function<bool()> beforeSend)
 {
-    const auto work = [request = std::move(request), what]() -> asio::awaitable<void> {
+    const auto work = [request = std::move(request), what, beforeSend = std::move(beforeSend)]() -> asio::awaitable<void> {
+        int status = 0;
+        http::ClientEvents events;
+        events.beforeSend = beforeSend;
+        events.onHead = [&status](const http::ClientHead &head) {
+            status = head.status;
+        };
         try {
-            const auto response = co_await http::fetch(request);
-            telemetry::logEvent(what, request.target + ": status " + std::to_string(response.head.status));
+            co_await http::stream(request, std::move(events));
+            telemetry::logEvent(what, request.target + ": status " + std::to_string(status));
         } catch (const std::exception &error) {
             telemetry::logEvent(what, request.target + ": " + error.what());
         }
@@ -175,7 +181,7 @@
     request.address = address_;
     request.method = "DELETE";
     request.target = "/v1/runs/" + action.request;
-    send(std::move(request), "run_cancelled");
+    send(std::move(request), "run_cancelled", nullptr);
 }
 
 void BackendLink::order(const OrderModel &action)
@@ -185,7 +191,9 @@
     request.method = "POST";
     request.target = "/v1/models/" + action.model;
     request.headers = {{"X-Fence-Revision", std::to_string(action.fenceRevision)}, {"X-Fence-Start", std::to_string(action.fenceStart)}};
-    send(std::move(request), "model_ordered");
+    send(std::move(request), "model_ordered", [this, action] {
+        return events_.mayOrder(action);
+    });
 }
 
 } // namespace cyclamenspool::agent
--- a/src/cyclamenspool/agent/backendlink.h
+++ b/src/cyclamenspool/agent/backendlink.h
@@ -16,6 +16,7 @@
 /** @brief What a link reports of its runs; called on any worker. */
 struct BackendEvents {
     std::function<bool(std::uint64_t)> mayStart; /**< Asked immediately before a run's first byte is written. */
+    std::function<bool(const OrderModel &)> mayOrder; /**< Asked immediately before an order's first byte is written. */
     std::function<void(std::uint64_t, const BackendBegin &)> onBegin;
     std::function<void(std::uint64_t, const std::string &)> onChunk;
     std::function<void(std::uint64_t)> onEnd;
@@ -49,7 +50,7 @@
     boost::asio::awaitable<void> poll();
     boost::asio::awaitable<std::optional<EngineState>> readState();
     boost::asio::awaitable<void> relay(std::uint64_t run, http::ClientRequest request, bool first);
-    void send(http::ClientRequest request, const std::string &what);
+    void send(http::ClientRequest request, const std::string &what, std::function<bool()> beforeSend);
 
     boost::asio::io_context &context_;
     std::string address_;
--- a/src/cyclamenspool/agent/core/agentcore.cpp
+++ b/src/cyclamenspool/agent/core/agentcore.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::chrono::milliseconds orderPeriod{5000}; /* between two orders for the same model */
 constexpr double largestRequestDecay = 0.999; /* per tick */
+constexpr double fullPart = 0.95; /* of the capacity; a pool with this mean load is full */
 constexpr std::size_t keptAnswerLimit = 64 * 1024; /* bytes of one stored answer */
 constexpr double historyTokens = 64.0; /* prompts shorter than this have no history worth a redirect */
 
@@ -101,12 +102,17 @@
     return ramp_.capacity(now.monotonic, own->coldTokens, own->maxTokens, own->warmUp);
 }
 
-double AgentCore::loadLimit(double cost, core::Now now) const
+double AgentCore::loadLimit(double cost, const std::vector<double> &seenLoads, core::Now now) const
 {
     const auto *own = pool();
     policy::LoadPicture picture;
     picture.cost = cost / weight();
     picture.poolMean = estimator_->estimate(now);
+    picture.seenLoads = seenLoads;
+    const auto &members = view_->members(own->name);
+    picture.poolSize = static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const member::Member &member) {
+        return member.accepting;
+    }));
     picture.largestRequest = largestRequest_ / weight();
     picture.capacity = capacity(now);
     picture.coldCapacity = own->coldTokens;
@@ -185,16 +191,22 @@
     if (pool()->isService()) {
         return tokens_ + total <= capacity(now) * weight();
     }
-    static_cast<void>(request);
     const bool idle = runs_.empty();
-    return idle || tokens_ + total <= loadLimit(total, now);
+    const std::vector<double> seen(request.seen_loads().begin(), request.seen_loads().end());
+    return idle || tokens_ + total <= loadLimit(total, seen, now);
+}
+
+bool AgentCore::isPoolFull(core::Now now) const
+{
+    const auto mean = estimator_->estimate(now);
+    return mean && *mean >= internal::fullPart * pool()->maxTokens;
 }
 
 std::string AgentCore::spillTarget(const wire::Submit &request, const Cost &cost, core::Now now)
 {
     const auto mean = estimator_->estimate(now);
     const double limit = mean ? std::max(*mean, largestRequest_ / weight()) : pool()->maxTokens;
-    const auto target = peers_.pick(limit, now.monotonic, random_);
+    auto target = peers_.pick(limit, now.monotonic, random_);
     const auto *member = view_->find(request.pool(), target);
     if (member == nullptr || !member->accepting || target == options_.server) {
         return "";
@@ -236,6 +248,7 @@
     failed->set_detail(detail);
     failed->set_retry_after_ms(core::ruleOf(kind).retryAfter.count());
     failed->set_candidate(candidate);
+    failed->set_load(view_ == nullptr ? 0.0 : tokens_ / weight());
     actions.emplace_back(SendReply{stream, std::move(reply), true});
     ++counts_.refusals[kind];
 }
@@ -271,7 +284,7 @@
         if (!target.empty() && !request.chat().empty() && homeOfChat(request.chat()) == options_.server) {
             chats_.put(request.chat(), {target, 0, now.monotonic});
         }
-        const auto kind = cold ? ErrorKind::ColdStart : ErrorKind::Overloaded;
+        const auto kind = isPoolFull(now) ? ErrorKind::PoolFull : cold ? ErrorKind::ColdStart : ErrorKind::Overloaded;
         refuse(stream, request, kind, "'" + options_.server + "' is at its load limit", target, actions);
         return;
     }
@@ -376,6 +389,12 @@
     return runs_.count(run) > 0 && lease_.holds(now.monotonic);
 }
 
+bool AgentCore::mayOrder(const OrderModel &order, core::Now now) const
+{
+    const std::lock_guard lock(mutex_);
+    return lease_.holds(now.monotonic) && view_->revision() == order.fenceRevision && !isLeaving();
+}
+
 Actions AgentCore::onStreamClosed(std::uint64_t stream, core::Now now)
 {
     const std::lock_guard lock(mutex_);
@@ -779,7 +798,7 @@
     if (own == nullptr) {
         return load;
     }
-    load.limit = loadLimit(0.0, now);
+    load.limit = loadLimit(0.0, {}, now);
     load.poolMean = estimator_->estimate(now);
     load.leaving = isLeaving();
     load.cold = ramp_.isCold(now.monotonic, own->warmUp);
--- a/src/cyclamenspool/agent/core/agentcore.h
+++ b/src/cyclamenspool/agent/core/agentcore.h
@@ -98,6 +98,14 @@
      */
     [[nodiscard]] bool mayStart(std::uint64_t run, core::Now now) const;
 
+    /**
+     * @brief Tells whether an order may still be given; asked immediately before its first byte is written.
+     * @param order Order.
+     * @param now Time.
+     * @return False if the process slept or the view has changed since it decided on the order.
+     */
+    [[nodiscard]] bool mayOrder(const OrderModel &order, core::Now now) const;
+
     /** @brief Notes that a stream's router cancelled it or is gone. @param stream Stream. @param now Time. @return Actions. */
     [[nodiscard]] Actions onStreamClosed(std::uint64_t stream, core::Now now);
 
@@ -180,7 +188,8 @@
     [[nodiscard]] double weight() const;
     [[nodiscard]] bool isLeaving() const;
     [[nodiscard]] double capacity(core::Now now) const;
-    [[nodiscard]] double loadLimit(double cost, core::Now now) const;
+    [[nodiscard]] double loadLimit(double cost, const std::vector<double> &seenLoads, core::Now now) const;
+    [[nodiscard]] bool isPoolFull(core::Now now) const;
     [[nodiscard]] Cost costOf(const wire::Submit &request, core::Now now);
     void checkAvailable(const wire::Submit &request, core::Now now) const;
     [[nodiscard]] std::string warmElsewhere(const wire::Submit &request, core::Now now);
--- a/src/cyclamenspool/core/errorkind.cpp
+++ b/src/cyclamenspool/core/errorkind.cpp
@@ -25,6 +25,7 @@
     {Kind::WrongMethod, "wrong_method", 405, Run::NotRun, 0ms, "The method is not allowed on this path."},
     {Kind::WorkspaceLimit, "workspace_limit", 429, Run::NotRun, 1000ms, "The workspace is over its limit."},
     {Kind::Overloaded, "overloaded", 503, Run::NotRun, 1000ms, "Every backend server that was asked is at its load bound."},
+    {Kind::PoolFull, "pool_full", 503, Run::NotRun, 2000ms, "The whole pool is at its capacity."},
     {Kind::ColdStart, "cold_start", 503, Run::NotRun, 2000ms, "The backend server is starting cold."},
     {Kind::Leaving, "leaving", 503, Run::NotRun, 1000ms, "The backend server takes no new work."},
     {Kind::ShuttingDown, "shutting_down", 503, Run::NotRun, 1000ms, "The process is shutting down."},
--- a/src/cyclamenspool/core/errorkind.h
+++ b/src/cyclamenspool/core/errorkind.h
@@ -20,6 +20,7 @@
     WrongMethod,
     WorkspaceLimit,
     Overloaded,
+    PoolFull,
     ColdStart,
     Leaving,
     ShuttingDown,
--- a/src/cyclamenspool/member/fwd.h
+++ b/src/cyclamenspool/member/fwd.h
@@ -3,4 +3,6 @@
 namespace cyclamenspool::member {
 struct Member;
 class FleetView;
+class MeanEstimator;
+class SuspectList;
 } // namespace cyclamenspool::member
--- a/src/cyclamenspool/member/meanestimator.cpp
+++ b/src/cyclamenspool/member/meanestimator.cpp
@@ -22,6 +22,31 @@
     }
 };
 
+/** @brief Running averages of one epoch. */
+struct EpochAverage {
+    double load = 0.0;
+    double weight = 1.0;
+    int meetings = 0;
+
+    void shift(double loadChange, double weightChange)
+    {
+        load += loadChange;
+        weight += weightChange;
+    }
+
+    void meet(double otherLoad, double otherWeight)
+    {
+        shift((otherLoad - load) / 2, (otherWeight - weight) / 2);
+        ++meetings;
+    }
+
+    [[nodiscard]] double ratio() const
+    {
+        return std::max(0.0, load) / std::max(weight, smallestWeight);
+    }
+};
+
+/** @brief Averages of two epochs: the newer one settles while the older one is used. */
 class PairwiseEstimator final : public MeanEstimator
 {
 public:
@@ -32,34 +57,34 @@
 
     void setLoad(double load, double weight, core::Now now) override
     {
-        enterEpoch(epochOf(now), now);
-        loadAverage_ += load - own_.load;
-        weightAverage_ += weight - own_.weight;
+        enterEpoch(epochOf(now));
+        newer_.shift(load - own_.load, weight - own_.weight);
+        older_.shift(load - own_.load, weight - own_.weight);
         own_ = {load, weight};
     }
 
     wire::Exchange startExchange(core::Now now) override
     {
-        enterEpoch(epochOf(now), now);
+        enterEpoch(epochOf(now));
         pendingSequence_ = ++sequence_;
         pendingSince_ = now.monotonic;
-        sentLoad_ = loadAverage_;
-        sentWeight_ = weightAverage_;
+        sentNewer_ = newer_;
+        sentOlder_ = older_;
         return message(sequence_);
     }
 
     wire::Exchange answer(const wire::Exchange &request, core::Now now) override
     {
-        enterEpoch(std::max(epochOf(now), request.epoch()), now);
+        enterEpoch(std::max(epochOf(now), request.epoch()));
         auto reply = message(request.sequence());
         const bool pending = pendingSequence_ != 0 && now.monotonic - pendingSince_ < periods_.replyTimeout;
         if (pending || request.epoch() != epoch_) {
             reply.set_busy(true);
             return reply;
         }
-        loadAverage_ = (loadAverage_ + request.load_average()) / 2;
-        weightAverage_ = (weightAverage_ + request.weight_average()) / 2;
-        noteMeeting(now);
+        newer_.meet(request.load_average(), request.weight_average());
+        older_.meet(request.older_load_average(), request.older_weight_average());
+        lastMeeting_ = now.monotonic;
         return reply;
     }
 
@@ -73,55 +98,47 @@
         if (reply.busy() || reply.epoch() != epoch_) {
             return;
         }
-        loadAverage_ += (reply.load_average() - sentLoad_) / 2;
-        weightAverage_ += (reply.weight_average() - sentWeight_) / 2;
-        noteMeeting(now);
+        applyReply(newer_, sentNewer_, reply.load_average(), reply.weight_average());
+        applyReply(older_, sentOlder_, reply.older_load_average(), reply.older_weight_average());
+        lastMeeting_ = now.monotonic;
     }
 
     std::optional<double> estimate(core::Now now) const override
     {
-        const bool current = meetings_ >= settledMeetings;
-        const bool hasPrevious = previous_ && now.monotonic - previousAt_ <= periods_.stale;
-        const bool fresh = now.monotonic - lastMeeting_ <= periods_.stale;
-        if (current && fresh) {
-            return ratio();
+        if (now.monotonic - lastMeeting_ > periods_.stale) {
+            return std::nullopt;
+        }
+        if (older_.meetings >= settledMeetings) {
+            return older_.ratio();
         }
-        return hasPrevious ? previous_ : std::nullopt;
+        return newer_.meetings >= settledMeetings ? std::optional(newer_.ratio()) : std::nullopt;
     }
 
 private:
-    static constexpr int settledMeetings = 6; /* meetings in an epoch until its average is used */
+    static constexpr int settledMeetings = 4; /* meetings in an epoch until its average is used */
 
     [[nodiscard]] std::uint64_t epochOf(core::Now now) const
     {
         return static_cast<std::uint64_t>(now.wall.time_since_epoch() / periods_.epoch);
     }
 
-    [[nodiscard]] double ratio() const
+    /** @brief Moves by half the difference to the peer; the own load may have changed since the message was sent. */
+    static void applyReply(EpochAverage &average, const EpochAverage &sent, double peerLoad, double peerWeight)
     {
-        return std::max(0.0, loadAverage_) / std::max(weightAverage_, smallestWeight);
+        average.shift((peerLoad - sent.load) / 2, (peerWeight - sent.weight) / 2);
+        ++average.meetings;
     }
 
-    void enterEpoch(std::uint64_t epoch, core::Now now)
+    void enterEpoch(std::uint64_t epoch)
     {
         if (epoch <= epoch_) {
             return;
         }
-        if (meetings_ >= settledMeetings) {
-            previous_ = ratio();
-            previousAt_ = now.monotonic;
-        }
+        const EpochAverage fresh{own_.load, own_.weight, 0};
+        older_ = epoch == epoch_ + 1 ? newer_ : fresh;
+        newer_ = fresh;
         epoch_ = epoch;
-        meetings_ = 0;
         pendingSequence_ = 0;
-        loadAverage_ = own_.load;
-        weightAverage_ = own_.weight;
-    }
-
-    void noteMeeting(core::Now now)
-    {
-        ++meetings_;
-        lastMeeting_ = now.monotonic;
     }
 
     [[nodiscard]] wire::Exchange message(std::uint64_t sequence) const
@@ -129,25 +146,24 @@
         auto message = own_.message();
         message.set_epoch(epoch_);
         message.set_sequence(sequence);
-        message.set_load_average(loadAverage_);
-        message.set_weight_average(weightAverage_);
+        message.set_load_average(newer_.load);
+        message.set_weight_average(newer_.weight);
+        message.set_older_load_average(older_.load);
+        message.set_older_weight_average(older_.weight);
         return message;
     }
 
     EstimatorPeriods periods_;
     OwnLoad own_;
+    EpochAverage newer_;
+    EpochAverage older_;
+    EpochAverage sentNewer_;
+    EpochAverage sentOlder_;
     std::uint64_t epoch_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t pendingSequence_ = 0;
     core::MonotonicTime pendingSince_{};
-    double sentLoad_ = 0.0;
-    double sentWeight_ = 1.0;
-    double loadAverage_ = 0.0;
-    double weightAverage_ = 1.0;
-    int meetings_ = 0;
     core::MonotonicTime lastMeeting_{};
-    std::optional<double> previous_;
-    core::MonotonicTime previousAt_{};
 };
 
 class SamplingEstimator final : public MeanEstimator
--- a/src/cyclamenspool/member/meanestimator.h
+++ b/src/cyclamenspool/member/meanestimator.h
@@ -37,7 +37,7 @@
 
 /** @brief Lengths of the estimators' periods. */
 struct EstimatorPeriods {
-    core::Milliseconds epoch{4000}; /**< Pairwise averaging starts anew after this time. */
+    core::Milliseconds epoch{2000}; /**< Pairwise averaging starts anew after this time. */
     core::Milliseconds stale{5000}; /**< An estimate older than this is not used. */
     core::Milliseconds replyTimeout{1000}; /**< An exchange without a reply is given up after this time. */
     std::size_t samples = 16; /**< Peers remembered by sampling. */
@@ -49,7 +49,8 @@
  * Two peers replace their running averages by the mean of both; the total over the pool is conserved and every average
  * converges exponentially to the pool's mean (Cetintemel and Keleher, "Light-Weight Currency Management Mechanisms in
  * Deno", sections 3.2 to 3.4). A change of the own load is added to the running average at once. Each epoch starts anew
- * from the loads, so that the part lost with a crashed peer or a lost reply does not last.
+ * from the loads, so that the part lost with a crashed peer or a lost reply does not last; the average of the epoch before is
+ * kept up and used until then.
  * @param periods Periods.
  * @return Estimator.
  */
--- a/src/cyclamenspool/policy/loadbound.h
+++ b/src/cyclamenspool/policy/loadbound.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace cyclamenspool::policy {
 
@@ -9,6 +11,8 @@
     double load = 0.0; /**< This engine's own load. */
     double cost = 0.0; /**< What the request adds. */
     std::optional<double> poolMean; /**< Estimated mean of the pool; none before the first estimate or when it is stale. */
+    std::vector<double> seenLoads; /**< Loads of the engines that have just refused this request at their bound. */
+    std::size_t poolSize = 1; /**< Engines of the pool that take work. */
     double largestRequest = 0.0; /**< Largest cost of one request seen lately. */
     double capacity = 0.0; /**< What the engine bears now, cold start included. */
     double coldCapacity = 0.0; /**< What the engine bears even when cold. */
@@ -17,8 +21,10 @@
 /**
  * @brief Decides whether an engine may take a request without passing the table's multiple of the pool's mean load.
  *
- * An idle engine may always take one request. Below the floor of one largest request the multiple does not apply.
- * Without an estimate the engine keeps to its cold capacity, which is safe alone.
+ * The limit is the larger of the multiple of the mean and the mean plus this request: some engine is always at or under the
+ * mean, so a request finds a place while the pool has capacity. Below the floor of one largest request the multiple does not
+ * apply. The estimate lags behind a rising load; when several engines have refused, their loads are a fresh sample and raise
+ * the mean. Without an estimate the engine keeps to its cold capacity, which is safe alone.
  */
 class LoadBound
 {
@@ -36,6 +42,8 @@
     [[nodiscard]] bool admits(const LoadPicture &picture) const noexcept;
 
 private:
+    [[nodiscard]] static std::optional<double> mean(const LoadPicture &picture) noexcept;
+
     double multiple_;
 };
 
--- a/src/cyclamenspool/router/core/routercore.cpp
+++ b/src/cyclamenspool/router/core/routercore.cpp
@@ -3,6 +3,7 @@
 #include <cyclamenspool/core/uuid.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenspool::router {
 
@@ -90,6 +91,7 @@
     }
     flight.deadline = now.monotonic + request.deadline;
     flight.placement = place(request, isKeyed, *view_, random_);
+    deferSuspects(flight.placement, now);
     flight.request = std::move(request);
     return flight;
 }
@@ -99,6 +101,46 @@
     const std::lock_guard lock(mutex_);
     Actions actions;
     ++counts_.requests;
+    if (!park(request, now, actions)) {
+        take(std::move(request), now, actions);
+    }
+    return actions;
+}
+
+bool RouterCore::park(CallerRequest &request, core::Now now, Actions &actions)
+{
+    const bool refreshing = view_ != nullptr && !lease_.holds(now.monotonic) && !shuttingDown_;
+    if (!refreshing || parked_.size() >= limits_.openRequests) {
+        return false;
+    }
+    parked_.push_back({std::move(request), now.monotonic});
+    actions.emplace_back(RefreshView{});
+    return true;
+}
+
+void RouterCore::takeParked(core::Now now, Actions &actions)
+{
+    for (auto &parked : std::exchange(parked_, {})) {
+        parked.request.deadline -= std::chrono::duration_cast<core::Milliseconds>(now.monotonic - parked.since);
+        take(std::move(parked.request), now, actions);
+    }
+}
+
+void RouterCore::endParked(core::Now now, Actions &actions)
+{
+    const auto late = std::stable_partition(parked_.begin(), parked_.end(), [&now](const Parked &parked) {
+        return parked.since + parked.request.deadline > now.monotonic;
+    });
+    for (auto parked = late; parked != parked_.end(); ++parked) {
+        Flight flight;
+        flight.request = std::move(parked->request);
+        fail(flight, ErrorKind::DeadlineBeforeRun, "the caller's deadline passed", core::ruleOf(ErrorKind::DeadlineBeforeRun).retryAfter, actions);
+    }
+    parked_.erase(late, parked_.end());
+}
+
+void RouterCore::take(CallerRequest request, core::Now now, Actions &actions)
+{
     Flight refused;
     refused.request.id = request.id;
     refused.request.pool = request.pool;
@@ -109,7 +151,7 @@
         const auto wait = workspaceLimiter_.check(workspace, view_->routerCount(), now.monotonic);
         if (wait) {
             fail(refused, ErrorKind::WorkspaceLimit, "workspace '" + request.workspace + "' is over its requests per second", *wait, actions);
-            return actions;
+            return;
         }
         request.priority = std::max(request.priority, workspace.priority);
         retryBudget_.onFreshRequest();
@@ -118,14 +160,27 @@
         if (flight.placement.candidates.empty()) {
             const auto kind = flight.placement.binding == Binding::KeyHome ? ErrorKind::HomeDown : ErrorKind::NoCandidate;
             fail(flight, kind, "no backend server of pool '" + flight.request.pool + "' takes work", core::ruleOf(kind).retryAfter, actions);
-            return actions;
+            return;
         }
         const auto first = flight.placement.candidates.front();
         sendTo(flight, first, flight.placement.reason, flight.placement.hinted, now, actions);
     } catch (const Error &error) {
         fail(refused, error.kind(), error.what(), core::ruleOf(error.kind()).retryAfter, actions);
     }
-    return actions;
+}
+
+void RouterCore::deferSuspects(Placement &placement, core::Now now) const
+{
+    const auto trusted = [&](const std::string &server) {
+        return !suspects_.isSuspect(server, now.monotonic);
+    };
+    const auto before = placement.candidates.empty() ? "" : placement.candidates.front();
+    std::stable_partition(placement.candidates.begin(), placement.candidates.end(), trusted);
+    const bool changed = !placement.candidates.empty() && placement.candidates.front() != before;
+    if (changed) {
+        placement.reason = "next after '" + before + "', which could not be reached";
+        placement.hinted = false;
+    }
 }
 
 core::Decision RouterCore::decide(const Flight &flight, const char *kind) const
@@ -153,7 +208,7 @@
     ++counts_.attempts;
     const auto *member = view_->find(flight.request.pool, server);
     if (member == nullptr || !member->accepting) {
-        tryNext(flight, ErrorKind::Leaving, "backend server '" + server + "' is not listed as taking work", now, actions);
+        tryNext(flight, ErrorKind::Leaving, "backend server '" + server + "' is not listed as taking work", false, now, actions);
         return;
     }
     flight.attempt = nextAttempt_++;
@@ -179,6 +234,9 @@
     message.set_priority(request.priority);
     message.set_stream(request.stream);
     message.set_located(located);
+    for (const auto &[refuser, load] : flight.refusedLoads) {
+        message.add_seen_loads(load);
+    }
     const auto left = std::chrono::duration_cast<core::Milliseconds>(flight.deadline - now.monotonic);
     message.set_remaining_ms(std::max<long>(left.count(), 0));
     actions.emplace_back(std::move(send));
@@ -194,7 +252,7 @@
     return "";
 }
 
-void RouterCore::tryNext(Flight &flight, ErrorKind cause, const std::string &detail, core::Now now, Actions &actions)
+void RouterCore::tryNext(Flight &flight, ErrorKind cause, const std::string &detail, bool takesBudget, core::Now now, Actions &actions)
 {
     const auto retryAfter = core::ruleOf(cause).retryAfter;
     if (flight.placement.binding == Binding::KeyHome) {
@@ -205,10 +263,12 @@
     }
     const auto next = nextCandidate(flight);
     if (next.empty() || flight.attempts >= limits_.attempts) {
-        fail(flight, cause, detail, retryAfter, actions);
+        if (!planLastResort(flight, now, actions)) {
+            fail(flight, cause, detail, retryAfter, actions);
+        }
         return;
     }
-    if (!retryBudget_.take()) {
+    if (takesBudget && !retryBudget_.take()) {
         fail(flight, ErrorKind::RetryBudget, detail, core::ruleOf(ErrorKind::RetryBudget).retryAfter, actions);
         return;
     }
@@ -216,6 +276,62 @@
     sendTo(flight, next, "next candidate after " + std::string(core::ruleOf(cause).name), false, now, actions);
 }
 
+bool RouterCore::planLastResort(Flight &flight, core::Now now, Actions &actions)
+{
+    if (flight.refusedLoads.empty() || flight.lastResorts >= limits_.lastResorts) {
+        return false;
+    }
+    ++flight.lastResorts;
+    if (flight.lastResorts == 1) {
+        sendToLeastLoaded(flight, now, actions);
+    } else {
+        flight.waitsUntil = now.monotonic + limits_.lastResortPause;
+    }
+    return true;
+}
+
+void RouterCore::sendToLeastLoaded(Flight &flight, core::Now now, Actions &actions)
+{
+    const auto &loads = flight.refusedLoads;
+    const auto lighter = [](const auto &a, const auto &b) {
+        return a.second < b.second;
+    };
+    const auto least = std::min_element(loads.begin(), loads.end(), lighter);
+    sendTo(flight, least->first, "least loaded of those that refused", true, now, actions);
+}
+
+void RouterCore::resumeWaiting(core::Now now, Actions &actions)
+{
+    std::vector<std::string> due;
+    for (const auto &[id, flight] : flights_) {
+        if (flight.waitsUntil && *flight.waitsUntil <= now.monotonic) {
+            due.push_back(id);
+        }
+    }
+    for (const auto &id : due) {
+        auto &flight = flights_.at(id);
+        flight.waitsUntil.reset();
+        sendToLeastLoaded(flight, now, actions);
+    }
+}
+
+void RouterCore::endLate(core::Now now, Actions &actions)
+{
+    std::vector<std::string> late;
+    for (const auto &[id, flight] : flights_) {
+        if (flight.deadline <= now.monotonic) {
+            late.push_back(id);
+        }
+    }
+    for (const auto &id : late) {
+        auto &flight = flights_.at(id);
+        const auto kind = flight.waitsUntil ? ErrorKind::DeadlineBeforeRun : ErrorKind::DeadlineAfterSend;
+        const auto attempt = flight.attempt;
+        fail(flight, kind, "the caller's deadline passed", core::ruleOf(kind).retryAfter, actions);
+        actions.emplace_back(CancelAttempt{attempt});
+    }
+}
+
 void RouterCore::fail(Flight &flight, ErrorKind kind, const std::string &detail, core::Milliseconds retryAfter, Actions &actions)
 {
     auto runState = core::ruleOf(kind).runState;
@@ -258,6 +374,7 @@
         ++counts_.droppedReplies;
         return actions;
     }
+    suspects_.noteAnswer(flight->target, now.monotonic);
     switch (reply.body_case()) {
     case wire::Reply::kBegin:
         if (!flight->began) {
@@ -325,6 +442,9 @@
         return;
     }
     attempts_.erase(flight.attempt);
+    if (kind == ErrorKind::Overloaded || kind == ErrorKind::ColdStart || kind == ErrorKind::ElsewhereWarm) {
+        flight.refusedLoads[flight.target] = failed.load();
+    }
     const auto &candidate = failed.candidate();
     const bool redirect = flight.placement.binding == Binding::Chat && !candidate.empty() && flight.tried.count(candidate) == 0;
     if (redirect && flight.attempts < limits_.attempts) {
@@ -332,7 +452,7 @@
         sendTo(flight, candidate, "named by " + flight.target + ": " + std::string(rule.name), true, now, actions);
         return;
     }
-    tryNext(flight, kind, failed.detail(), now, actions);
+    tryNext(flight, kind, failed.detail(), false, now, actions);
 }
 
 Actions RouterCore::onAttemptLost(std::uint64_t attempt, bool sent, const std::string &reason, core::Now now)
@@ -344,8 +464,9 @@
         return actions;
     }
     attempts_.erase(attempt);
+    suspects_.noteFailure(flight->target, now.monotonic);
     if (!sent) {
-        tryNext(*flight, ErrorKind::BackendDown, flight->target + ": " + reason, now, actions);
+        tryNext(*flight, ErrorKind::BackendDown, flight->target + ": " + reason, true, now, actions);
         return actions;
     }
     flight->mayHaveRun = true;
@@ -354,7 +475,7 @@
     } else if (!flight->isRepeatable) {
         fail(*flight, ErrorKind::OutcomeUnknown, reason, core::Milliseconds(0), actions);
     } else {
-        tryNext(*flight, ErrorKind::OutcomeUnknown, flight->target + ": " + reason, now, actions);
+        tryNext(*flight, ErrorKind::OutcomeUnknown, flight->target + ": " + reason, true, now, actions);
     }
     return actions;
 }
@@ -364,6 +485,12 @@
     static_cast<void>(now);
     const std::lock_guard lock(mutex_);
     Actions actions;
+    parked_.erase(std::remove_if(parked_.begin(),
+                                 parked_.end(),
+                                 [&request](const Parked &parked) {
+                                     return parked.request.id == request;
+                                 }),
+                  parked_.end());
     const auto found = flights_.find(request);
     if (found == flights_.end()) {
         return actions;
@@ -385,18 +512,9 @@
     } else {
         actions.emplace_back(RefreshView{});
     }
-    std::vector<std::string> late;
-    for (const auto &[id, flight] : flights_) {
-        if (flight.deadline <= now.monotonic) {
-            late.push_back(id);
-        }
-    }
-    for (const auto &id : late) {
-        auto &flight = flights_.at(id);
-        const auto attempt = flight.attempt;
-        fail(flight, ErrorKind::DeadlineAfterSend, "the caller's deadline passed", core::Milliseconds(0), actions);
-        actions.emplace_back(CancelAttempt{attempt});
-    }
+    endParked(now, actions);
+    endLate(now, actions);
+    resumeWaiting(now, actions);
     return actions;
 }
 
@@ -406,6 +524,7 @@
     Actions actions;
     view_ = std::move(view);
     lease_.renew(now.monotonic);
+    takeParked(now, actions);
     core::Decision decision;
     decision.kind = "view";
     decision.reason = "new view in force";
@@ -414,12 +533,15 @@
     return actions;
 }
 
-void RouterCore::confirmView(core::Now now)
+Actions RouterCore::confirmView(core::Now now)
 {
     const std::lock_guard lock(mutex_);
+    Actions actions;
     if (view_ != nullptr) {
         lease_.renew(now.monotonic);
+        takeParked(now, actions);
     }
+    return actions;
 }
 
 void RouterCore::beginShutdown()
--- a/src/cyclamenspool/router/core/routercore.h
+++ b/src/cyclamenspool/router/core/routercore.h
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/core/random.h>
 #include <cyclamenspool/member/fleetview.h>
+#include <cyclamenspool/member/suspectlist.h>
 #include <cyclamenspool/policy/freshnesslease.h>
 #include <cyclamenspool/policy/retrybudget.h>
 #include <cyclamenspool/policy/workspacelimiter.h>
@@ -12,8 +13,10 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cyclamenspool::router {
 
@@ -22,6 +25,8 @@
     int attempts = 4; /**< Attempts of one request, redirects included. */
     double retryRatio = 0.2; /**< Retries per fresh request. */
     double retryReserve = 20.0; /**< Retries that quiet times save up. */
+    int lastResorts = 10; /**< Attempts at the least loaded after all have refused. */
+    core::Milliseconds lastResortPause{50}; /**< Between two of these; the loads move meanwhile. */
     std::size_t openRequests = 10000;
     core::Milliseconds viewLease{3000};
 };
@@ -74,8 +79,8 @@
     /** @brief Takes a new view of the fleet. @param view View. @param now Time. @return Actions. */
     [[nodiscard]] Actions onView(std::shared_ptr<const member::FleetView> view, core::Now now);
 
-    /** @brief Notes that the documents were re-read after a freeze and the view in hand is the newest. @param now Time. */
-    void confirmView(core::Now now);
+    /** @brief Notes that the documents were re-read after a freeze and the view in hand is the newest. @param now Time. @return Actions. */
+    [[nodiscard]] Actions confirmView(core::Now now);
 
     /** @brief Starts the graceful shutdown: new requests are refused. */
     void beginShutdown();
@@ -87,6 +92,10 @@
     [[nodiscard]] RouterCounts counts() const;
 
 private:
+    struct Parked {
+        CallerRequest request;
+        core::MonotonicTime since;
+    };
     struct Flight {
         CallerRequest request;
         Placement placement;
@@ -97,18 +106,30 @@
         std::uint64_t attempt = 0;
         std::string target;
         std::set<std::string> tried;
+        std::map<std::string, double> refusedLoads; /* by backend server that refused at its load bound */
+        int lastResorts = 0; /* times it was sent to the least loaded of those that refused */
+        std::optional<core::MonotonicTime> waitsUntil; /* between two of these times */
         int attempts = 0;
         bool began = false;
         bool mayHaveRun = false;
         std::uint64_t received = 0;
     };
 
+    void take(CallerRequest request, core::Now now, Actions &actions);
+    [[nodiscard]] bool park(CallerRequest &request, core::Now now, Actions &actions);
+    void takeParked(core::Now now, Actions &actions);
+    void endParked(core::Now now, Actions &actions);
+    void deferSuspects(Placement &placement, core::Now now) const;
     void check(const CallerRequest &request, core::Now now);
     [[nodiscard]] Flight makeFlight(CallerRequest request, core::Now now);
     void sendTo(Flight &flight, const std::string &server, const std::string &reason, bool located, core::Now now, Actions &actions);
-    void tryNext(Flight &flight, core::ErrorKind cause, const std::string &detail, core::Now now, Actions &actions);
+    void tryNext(Flight &flight, core::ErrorKind cause, const std::string &detail, bool takesBudget, core::Now now, Actions &actions);
     void fail(Flight &flight, core::ErrorKind kind, const std::string &detail, core::Milliseconds retryAfter, Actions &actions);
     void onFailed(Flight &flight, const wire::Failed &failed, core::Now now, Actions &actions);
+    [[nodiscard]] bool planLastResort(Flight &flight, core::Now now, Actions &actions);
+    void sendToLeastLoaded(Flight &flight, core::Now now, Actions &actions);
+    void endLate(core::Now now, Actions &actions);
+    void resumeWaiting(core::Now now, Actions &actions);
     void onChunk(Flight &flight, const wire::Chunk &chunk, Actions &actions);
     void onEnd(Flight &flight, const wire::End &end, Actions &actions);
     void erase(const Flight &flight);
@@ -122,10 +143,12 @@
     core::RandomSource random_;
     std::shared_ptr<const member::FleetView> view_;
     policy::FreshnessLease lease_;
+    member::SuspectList suspects_;
     policy::RetryBudget retryBudget_;
     policy::WorkspaceLimiter workspaceLimiter_;
     std::map<std::string, Flight> flights_;
     std::map<std::uint64_t, std::string> attempts_;
+    std::vector<Parked> parked_; /* requests that wait for the view to be re-read after a freeze */
     std::uint64_t nextAttempt_ = 1;
     bool shuttingDown_ = false;
     RouterCounts counts_;
--- a/src/cyclamenspool/router/routernode.cpp
+++ b/src/cyclamenspool/router/routernode.cpp
@@ -97,8 +97,8 @@
             answer(failure->request, *failure);
         } else if (std::holds_alternative<RefreshView>(action) && !refreshing_.exchange(true)) {
             node_.refresh([this] {
-                core_.confirmView(core::Now::read());
                 refreshing_ = false;
+                carryOut(core_.confirmView(core::Now::read()));
             });
         }
     }
--- a/src/cyclamenspool/wire/session.cpp
+++ b/src/cyclamenspool/wire/session.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstring>
+#include <utility>
 
 namespace cyclamenspool::wire {
 
@@ -107,9 +108,6 @@
     static int onFrameReceived(nghttp2_session *, const nghttp2_frame *frame, void *user)
     {
         auto &session = self(user);
-        if (frame->hd.type == NGHTTP2_PING && (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0) {
-            session.unansweredPings_ = 0;
-        }
         const bool carriesEnd = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
         if (!carriesEnd || (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0) {
             return 0;
@@ -281,6 +279,7 @@
         if (!self->open_) {
             return;
         }
+        self->receivedSincePing_ = true;
         const auto *bytes = reinterpret_cast<const std::uint8_t *>(self->readBuffer_.data());
         const auto taken = nghttp2_session_mem_recv(self->session_, bytes, count);
         if (taken < 0) {
@@ -334,13 +333,17 @@
     if (!open_) {
         return;
     }
-    if (unansweredPings_ >= internal::allowedUnansweredPings) {
+    const bool heard = std::exchange(receivedSincePing_, false);
+    if (heard || streams_.empty()) {
+        unansweredPings_ = 0;
+    } else if (unansweredPings_ >= internal::allowedUnansweredPings) {
         shut("the peer does not answer PING");
         return;
+    } else {
+        ++unansweredPings_;
+        nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+        write();
     }
-    ++unansweredPings_;
-    nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
-    write();
     pingTimer_.expires_after(limits_.pingPeriod);
     pingTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
--- a/src/cyclamenspool/wire/session.h
+++ b/src/cyclamenspool/wire/session.h
@@ -23,7 +23,7 @@
     std::size_t messageBytes = 64UL * 1024 * 1024; /**< Largest message. */
     std::size_t queuedBytes = 8UL * 1024 * 1024; /**< Bytes that may wait for a slow peer on one stream. */
     std::uint32_t streams = 4000; /**< Streams open at once. */
-    std::chrono::milliseconds pingPeriod{2000}; /**< A peer that misses two PINGs is given up. */
+    std::chrono::milliseconds pingPeriod{1000}; /**< A peer that is silent while streams are open is asked by PING; two without an answer end the session. */
 };
 
 /** @brief How a client's stream ended. */
@@ -164,6 +164,7 @@
     std::string writeBuffer_;
     bool writing_ = false;
     int unansweredPings_ = 0;
+    bool receivedSincePing_ = false;
     std::atomic<bool> open_{true};
     std::function<void()> onClosed_;
 };
--- a/test/fault/ledger.cpp
+++ b/test/fault/ledger.cpp
@@ -23,18 +23,21 @@
     const auto half = text.size() / 2;
     const auto first = text.substr(0, half);
     const auto second = text.substr(half);
-    queue.add({}, {"backend_work", name, [&queue, name, sink, first, second] {
-                       sink.chunk(first);
-                       queue.add({}, {"backend_work", name, [&queue, name, sink, second] {
-                                          sink.chunk(second);
-                                          queue.add({}, {"backend_work", name, sink.end});
-                                      }});
-                   }});
+    const auto pause = ledger_->partTime;
+    const auto finish = [&queue, name, sink, second, pause] {
+        sink.chunk(second);
+        queue.add(pause, {"backend_work", name, sink.end});
+    };
+    queue.add(pause, {"backend_work", name, [&queue, name, sink, first, finish, pause] {
+                          sink.chunk(first);
+                          queue.add(pause, {"backend_work", name, finish});
+                      }});
 }
 
 void LedgerBackend::run(const std::string &name, const wire::Submit &request, fake::EventQueue &queue, const fake::BackendSink &sink)
 {
     ++ledger_->runsByRequest[request.request_id()];
+    ledger_->starts.emplace_back(name, queue.now().monotonic);
     if (!request.key().empty()) {
         ++ledger_->runsByKey[request.workspace() + "/" + request.key()];
     }
@@ -60,7 +63,7 @@
 
 void LedgerBackend::order(const agent::OrderModel &order)
 {
-    ledger_->orders.push_back(order);
+    ledger_->orders[server_].push_back(order);
     state_.models.push_back(order.model);
 }
 
--- a/test/fault/ledger.h
+++ b/test/fault/ledger.h
@@ -14,7 +14,9 @@
     std::map<std::string, int> runsByRequest;
     std::map<std::string, int> restarts;
     int crossed = 0; /**< Answers to be given with another request's id. */
-    std::vector<agent::OrderModel> orders;
+    std::map<std::string, std::vector<agent::OrderModel>> orders; /**< By backend server. */
+    std::vector<std::pair<std::string, core::MonotonicTime>> starts; /**< Backend server and time of each run. */
+    core::Milliseconds partTime{0}; /**< Time between two parts of an answer. */
 };
 
 /** @brief Returns the text that a backend server answers. @param request Request. @return Text. */
--- a/test/fault/main.cpp
+++ b/test/fault/main.cpp
@@ -1,6 +1,6 @@
 // Runs the fault matrix: every fault at every step, one line a cell.
 
-#include "requestcells.h"
+#include "cell.h"
 
 #include <boost/program_options.hpp>
 
@@ -34,11 +34,37 @@
     std::cout << '\n';
 }
 
+struct Section {
+    const char *name;
+    Cells (*visit)(bool run);
+};
+
+const Section sections[] = {
+    {"request", requestCells},
+    {"departure", departureCells},
+    {"order", orderCells},
+    {"configuration", configurationCells},
+};
+
+/** @brief Visits the sections. @param only Name of the one wanted; empty: all. @param run False to list the cells only. @return Cells. */
+Cells visit(const std::string &only, bool run)
+{
+    Cells all;
+    for (const auto &section : sections) {
+        if (only.empty() || only == section.name) {
+            const auto cells = section.visit(run);
+            all.insert(all.end(), cells.begin(), cells.end());
+        }
+    }
+    return all;
+}
+
 int run(int argc, char **argv)
 {
     po::options_description options("options");
     auto add = options.add_options();
     add("list", "print the cells, one a line, without running them");
+    add("section", po::value<std::string>()->default_value(""), "request, departure, order or configuration; empty: all");
     add("verbose", "print every cell that was run");
     add("help", "print this help");
     po::variables_map values;
@@ -49,15 +75,15 @@
     }
     const bool list = values.count("list") > 0;
     std::map<Verdict, int> counts;
-    for (const auto &cell : list ? listRequestCells() : runRequestCells()) {
+    for (const auto &cell : visit(values["section"].as<std::string>(), !list)) {
         ++counts[cell.verdict];
         if (list || values.count("verbose") > 0 || cell.verdict == Verdict::Failed) {
             print(cell, !list);
         }
     }
     if (!list) {
-        std::cout << counts[Verdict::Passed] << " passed, " << counts[Verdict::Failed] << " failed, " << counts[Verdict::NotApplicable]
-                  << " not applicable, " << counts[Verdict::NotWritten] << " not written\n";
+        std::cout << counts[Verdict::Passed] << " passed, " << counts[Verdict::Failed] << " failed, " << counts[Verdict::NotApplicable] << " not applicable, "
+                  << counts[Verdict::NotWritten] << " not written\n";
     }
     return counts[Verdict::Failed] == 0 ? 0 : 1;
 }
--- a/test/fault/matrixfleet.h
+++ b/test/fault/matrixfleet.h
@@ -20,7 +20,8 @@
 /** @brief Returns the table of the matrix. @param parts Parts. @return YAML. */
 [[nodiscard]] std::string matrixTable(const TableParts &parts);
 
-/** @brief Returns the list of VMs of the matrix: 2 routers, 3 engines, 3 plain services in 3 availability zones. @param missing VM left out; empty: none. @return YAML. */
+/** @brief Returns the list of VMs of the matrix: 2 routers, 3 engines, 3 plain services in 3 availability zones. @param missing VM left out; empty: none.
+ * @return YAML. */
 [[nodiscard]] std::string matrixVms(const std::string &missing = "");
 
 /** @brief Fleet of the matrix after a minute without events. */
--- a/test/fault/requestcells.cpp
+++ b/test/fault/requestcells.cpp
@@ -1,4 +1,4 @@
-#include "requestcells.h"
+#include "cell.h"
 
 #include "matrixfleet.h"
 
@@ -67,8 +67,7 @@
 std::set<std::string> allBut(const std::string &name)
 {
     std::set<std::string> names;
-    for (const std::string vm :
-         {"router-0", "router-1", "vm-engine-0", "vm-engine-1", "vm-engine-2", "vm-booking-0", "vm-booking-1", "vm-booking-2"}) {
+    for (const std::string vm : {"router-0", "router-1", "vm-engine-0", "vm-engine-1", "vm-engine-2", "vm-booking-0", "vm-booking-1", "vm-booking-2"}) {
         if (vm != name) {
             names.insert(vm);
         }
@@ -139,8 +138,18 @@
     faults.push_back(cutFault("forward", {true, false}));
     faults.push_back(cutFault("backward", {false, true}));
     faults.push_back(cutFault("both", {true, true}));
-    faults.push_back({"reset", [](Scene &scene) { scene.fleet().reset(scene.router, scene.agent); }, nothing});
-    faults.push_back({"platform_down", [](Scene &scene) { scene.fleet().setRefresh(false); }, [](Scene &scene) { scene.fleet().setRefresh(true); }});
+    faults.push_back({"reset",
+                      [](Scene &scene) {
+                          scene.fleet().reset(scene.router, scene.agent);
+                      },
+                      nothing});
+    faults.push_back({"platform_down",
+                      [](Scene &scene) {
+                          scene.fleet().setRefresh(false);
+                      },
+                      [](Scene &scene) {
+                          scene.fleet().setRefresh(true);
+                      }});
     const auto shrunken = [](Scene &scene) {
         scene.fleet().publish("", matrixVms(scene.agent), {scene.router});
     };
@@ -148,7 +157,12 @@
         scene.fleet().publish("", matrixVms());
     };
     faults.push_back({"list_disagrees", shrunken, whole});
-    faults.push_back({"list_flaps", [=](Scene &scene) { shrunken(scene); whole(scene); }, whole});
+    faults.push_back({"list_flaps",
+                      [=](Scene &scene) {
+                          shrunken(scene);
+                          whole(scene);
+                      },
+                      whole});
     const auto leave = [](Scene &scene) {
         TableParts parts;
         parts.leaving = "  - {name: " + scene.agent + ", kind: vm}\n";
@@ -158,12 +172,31 @@
         scene.fleet().publish(matrixTable({}), "");
     };
     faults.push_back({"vm_leaves", leave, comeBack});
-    faults.push_back({"warm_to_cold", [](Scene &scene) { scene.fleet().kill(scene.server); scene.fleet().restart(scene.server); }, nothing});
-    faults.push_back({"crossed_answer", [](Scene &scene) { scene.matrix.ledger->crossed = 1; }, nothing});
-    faults.push_back({"duplicated_replies", [](Scene &scene) { scene.fleet().duplicateReplies(4); }, nothing});
-    faults.push_back(moveFault("", [](const Scene &) { return std::set<std::string>(); }));
-    faults.push_back(moveFault("_unknown_to_router", [](const Scene &scene) { return allBut(scene.router); }));
-    faults.push_back(moveFault("_unknown_to_agent", [](const Scene &scene) { return allBut(scene.agent); }));
+    faults.push_back({"warm_to_cold",
+                      [](Scene &scene) {
+                          scene.fleet().kill(scene.server);
+                          scene.fleet().restart(scene.server);
+                      },
+                      nothing});
+    faults.push_back({"crossed_answer",
+                      [](Scene &scene) {
+                          scene.matrix.ledger->crossed = 1;
+                      },
+                      nothing});
+    faults.push_back({"duplicated_replies",
+                      [](Scene &scene) {
+                          scene.fleet().duplicateReplies(4);
+                      },
+                      nothing});
+    faults.push_back(moveFault("", [](const Scene &) {
+        return std::set<std::string>();
+    }));
+    faults.push_back(moveFault("_unknown_to_router", [](const Scene &scene) {
+        return allBut(scene.router);
+    }));
+    faults.push_back(moveFault("_unknown_to_agent", [](const Scene &scene) {
+        return allBut(scene.agent);
+    }));
     const auto remove = [](Scene &scene) {
         TableParts parts;
         parts.bookings = otherBookings(scene);
@@ -217,8 +250,8 @@
     return faults;
 }
 
-const std::array<std::string, 10> steps{
-    "accepted", "placed", "sent", "admitted", "recorded", "to_backend", "first_byte", "mid_stream", "last_byte", "answered"};
+const std::array<std::string, 10>
+    steps{"accepted", "placed", "sent", "admitted", "recorded", "to_backend", "first_byte", "mid_stream", "last_byte", "answered"};
 
 const std::array<std::string, 4> invariants{"at_most_once", "not_run_is_true", "whole_answer", "one_final_answer"};
 
@@ -319,9 +352,11 @@
     return "";
 }
 
-std::vector<Cell> visit(bool run)
+} // namespace
+
+Cells requestCells(bool run)
 {
-    std::vector<Cell> cells;
+    Cells cells;
     for (const auto &step : steps) {
         for (const auto &fault : allFaults()) {
             for (const auto &mode : modes) {
@@ -347,16 +382,4 @@
     return cells;
 }
 
-} // namespace
-
-std::vector<Cell> listRequestCells()
-{
-    return visit(false);
-}
-
-std::vector<Cell> runRequestCells()
-{
-    return visit(true);
-}
-
 } // namespace cyclamenspool::fault
