--- a/src/cyclamenspool/agent/agentnode.cpp
+++ b/src/cyclamenspool/agent/agentnode.cpp
@@ -81,9 +81,9 @@
     }
 }
 
-void AgentNode::onTick()
+void AgentNode::onTick(core::Milliseconds newsAge)
 {
-    carryOut(core_.onTick(core::Now::read()));
+    carryOut(core_.onTick(core::Now::read(), newsAge));
 }
 
 void AgentNode::beginShutdown()
--- a/src/cyclamenspool/agent/agentnode.h
+++ b/src/cyclamenspool/agent/agentnode.h
@@ -20,7 +20,7 @@
     explicit AgentNode(node::Node &node);
 
     void onView(std::shared_ptr<const member::FleetView> view) override;
-    void onTick() override;
+    void onTick(core::Milliseconds newsAge) override;
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, std::string message) override;
     boost::asio::awaitable<void> onHttp(const http::Request &request, http::Responder &responder) override;
     void beginShutdown() override;
--- a/src/cyclamenspool/agent/core/agentcore.cpp
+++ b/src/cyclamenspool/agent/core/agentcore.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::chrono::milliseconds orderPeriod{5000}; /* between two orders for the same model */
 constexpr double largestRequestDecay = 0.999; /* per tick */
+constexpr double shortestExchangePart = 0.5; /* of the exchange period; the longest is 1.5 */
 constexpr double fullPart = 0.95; /* of the capacity; a pool with this mean load is full */
 constexpr std::size_t keptAnswerLimit = 64 * 1024; /* bytes of one stored answer */
 constexpr double historyTokens = 64.0; /* prompts shorter than this have no history worth a redirect */
@@ -559,7 +560,8 @@
         actions.emplace_back(ResumeRun{id, run.request.request_id(), run.offset});
         return actions;
     }
-    const auto kind = run.began ? ErrorKind::AnswerCut : ErrorKind::OutcomeUnknown;
+    const bool late = run.deadline <= now.monotonic;
+    const auto kind = run.began ? ErrorKind::AnswerCut : late ? ErrorKind::DeadlineAfterSend : ErrorKind::OutcomeUnknown;
     failRun(id, kind, reason, actions);
     eraseRun(id, now);
     return actions;
@@ -640,7 +642,8 @@
     const std::lock_guard lock(mutex_);
     Actions actions;
     const bool slept = view_ != nullptr && !lease_.holds(now.monotonic);
-    if (slept && keys_ != nullptr) {
+    const bool missed = std::exchange(outOfTouch_, false);
+    if ((slept || missed) && keys_ != nullptr) {
         keys_->onGap(now);
     }
     view_ = std::move(view);
@@ -674,10 +677,12 @@
 void AgentCore::startExchange(core::Now now, Actions &actions)
 {
     const auto *own = pool();
-    if (own == nullptr || own->isService() || now.monotonic - lastExchange_ < options_.exchangePeriod) {
+    if (own == nullptr || own->isService() || now.monotonic < nextExchange_) {
         return;
     }
-    lastExchange_ = now.monotonic;
+    // The jitter keeps agents from starting together and finding each other busy.
+    const double factor = internal::shortestExchangePart + random_.unit();
+    nextExchange_ = now.monotonic + std::chrono::duration_cast<core::MonotonicTime::duration>(options_.exchangePeriod * factor);
     const auto &members = view_->members(own->name);
     if (members.size() == 1) {
         return;
@@ -708,10 +713,11 @@
     }
 }
 
-Actions AgentCore::onTick(core::Now now)
+Actions AgentCore::onTick(core::Now now, core::Milliseconds newsAge)
 {
     const std::lock_guard lock(mutex_);
     Actions actions;
+    outOfTouch_ = newsAge > options_.takeOver / 2;
     if (view_ == nullptr) {
         return actions;
     }
--- a/src/cyclamenspool/agent/core/agentcore.h
+++ b/src/cyclamenspool/agent/core/agentcore.h
@@ -137,8 +137,13 @@
     /** @brief Notes that the documents were re-read and the view in hand is the newest. @param now Time. */
     void confirmView(core::Now now);
 
-    /** @brief Runs the periodic work. @param now Time. @return Actions. */
-    [[nodiscard]] Actions onTick(core::Now now);
+    /**
+     * @brief Runs the periodic work.
+     * @param now Time.
+     * @param newsAge Time since the platform's services were last heard, directly or through peers.
+     * @return Actions.
+     */
+    [[nodiscard]] Actions onTick(core::Now now, core::Milliseconds newsAge = core::Milliseconds(0));
 
     /** @brief Answers a peer's load exchange. @param request Message. @param now Time. @return Reply. */
     [[nodiscard]] wire::Exchange onExchange(const wire::Exchange &request, core::Now now);
@@ -228,12 +233,13 @@
     std::unique_ptr<member::MeanEstimator> estimator_;
     PeerLoads peers_;
     std::unique_ptr<KeyKeeper> keys_;
+    bool outOfTouch_ = false; /* no news for so long that key homes may have moved away and back unseen */
     std::map<std::uint64_t, Run> runs_;
     std::map<std::uint64_t, std::uint64_t> streams_; /* stream to run */
     std::uint64_t nextRun_ = 1;
     double tokens_ = 0.0;
     double largestRequest_ = 0.0;
-    core::MonotonicTime lastExchange_{};
+    core::MonotonicTime nextExchange_{};
     std::optional<EngineState> engine_;
     core::MonotonicTime lastOrder_{};
     bool shuttingDown_ = false;
--- a/src/cyclamenspool/agent/core/keykeeper.cpp
+++ b/src/cyclamenspool/agent/core/keykeeper.cpp
@@ -63,7 +63,10 @@
 
 void KeyKeeper::onView(std::shared_ptr<const member::FleetView> view, core::Now now)
 {
-    static_cast<void>(now);
+    const bool wasListed = view_ == nullptr || view_->find(pool_, server_) != nullptr;
+    if (!wasListed) {
+        onGap(now);
+    }
     const auto &homes = view->keyHomes(pool_);
     const bool first = view_ == nullptr;
     const bool changed = first || !internal::sameNames(homes, view_->keyHomes(pool_));
--- a/src/cyclamenspool/agent/core/keykeeper.h
+++ b/src/cyclamenspool/agent/core/keykeeper.h
@@ -33,7 +33,7 @@
     /** @brief Creates a keeper without a view. @param server Own backend server. @param pool Own pool. @param bounds Time bounds. @param now Time. */
     KeyKeeper(std::string server, std::string pool, const KeyKeeperBounds &bounds, core::Now now);
 
-    /** @brief Takes a new view. @param view View. @param now Time. */
+    /** @brief Takes a new view; a time in which the list did not name this agent counts as a gap. @param view View. @param now Time. */
     void onView(std::shared_ptr<const member::FleetView> view, core::Now now);
 
     /** @brief Notes that the process slept or lost touch: what ran elsewhere meanwhile is unknown. @param now Time. */
--- a/src/cyclamenspool/config/settings.cpp
+++ b/src/cyclamenspool/config/settings.cpp
@@ -24,6 +24,7 @@
         {"group", &S::group},
         {"backend_address", &S::backendAddress},
         {"documents", &S::documents},
+        {"seed_peers", &S::seedPeers},
         {"log_file", &S::logFile},
         {"workers", &S::workers, false, {1, 64}},
         {"max_body_bytes", &S::maxBodyBytes, false, {1024, 64.0 * 1024 * 1024}},
@@ -88,6 +89,9 @@
         internal::checkAddress(root, "configuration_service", settings.configurationService, diagnostics);
         internal::checkAddress(root, "vm_list", settings.vmList, diagnostics);
         internal::checkAddress(root, "backend_address", settings.backendAddress, diagnostics);
+        for (const auto &peer : settings.seedPeers) {
+            internal::checkAddress(root, "seed_peers", peer, diagnostics);
+        }
     }
     diagnostics.raise();
     return settings;
--- a/src/cyclamenspool/config/settings.h
+++ b/src/cyclamenspool/config/settings.h
@@ -18,6 +18,7 @@
     std::string group; /**< Agent: backend server group. */
     std::string backendAddress; /**< Agent: IP number and port of the backend server. */
     std::vector<std::string> documents{"table"}; /**< Names of the table's values at the configuration service. */
+    std::vector<std::string> seedPeers; /**< Peers asked at the start while the list of VMs is not known. */
     std::string logFile = "-"; /**< "-": standard output. */
     int workers = 2;
     int maxBodyBytes = 4 * 1024 * 1024;
--- a/src/cyclamenspool/member/fleetview.h
+++ b/src/cyclamenspool/member/fleetview.h
@@ -13,9 +13,9 @@
 /** @brief A backend server with the agent beside it, as the platform's list shows it. */
 struct Member {
     std::string server;
-    std::string vm;
-    std::string zone;
-    std::string address;
+    std::string vm{};
+    std::string zone{};
+    std::string address{};
     double weight = 1.0;
     bool accepting = true; /**< False while the list or the operators mark it as leaving. */
 };
--- a/src/cyclamenspool/member/meanestimator.cpp
+++ b/src/cyclamenspool/member/meanestimator.cpp
@@ -84,7 +84,7 @@
         }
         newer_.meet(request.load_average(), request.weight_average());
         older_.meet(request.older_load_average(), request.older_weight_average());
-        lastMeeting_ = now.monotonic;
+        noteMeeting(now);
         return reply;
     }
 
@@ -100,18 +100,12 @@
         }
         applyReply(newer_, sentNewer_, reply.load_average(), reply.weight_average());
         applyReply(older_, sentOlder_, reply.older_load_average(), reply.older_weight_average());
-        lastMeeting_ = now.monotonic;
+        noteMeeting(now);
     }
 
     std::optional<double> estimate(core::Now now) const override
     {
-        if (now.monotonic - lastMeeting_ > periods_.stale) {
-            return std::nullopt;
-        }
-        if (older_.meetings >= settledMeetings) {
-            return older_.ratio();
-        }
-        return newer_.meetings >= settledMeetings ? std::optional(newer_.ratio()) : std::nullopt;
+        return now.monotonic - lastMeeting_ > periods_.stale ? std::nullopt : smoothed_;
     }
 
 private:
@@ -129,6 +123,17 @@
         ++average.meetings;
     }
 
+    /** @brief Takes the settled average into the estimate. */
+    void noteMeeting(core::Now now)
+    {
+        lastMeeting_ = now.monotonic;
+        const auto &settled = older_.meetings >= settledMeetings ? older_ : newer_;
+        if (settled.meetings >= settledMeetings) {
+            const double before = smoothed_.value_or(settled.ratio());
+            smoothed_ = before + periods_.smoothing * (settled.ratio() - before);
+        }
+    }
+
     void enterEpoch(std::uint64_t epoch)
     {
         if (epoch <= epoch_) {
@@ -164,6 +169,7 @@
     std::uint64_t pendingSequence_ = 0;
     core::MonotonicTime pendingSince_{};
     core::MonotonicTime lastMeeting_{};
+    std::optional<double> smoothed_;
 };
 
 class SamplingEstimator final : public MeanEstimator
--- a/src/cyclamenspool/member/meanestimator.h
+++ b/src/cyclamenspool/member/meanestimator.h
@@ -41,6 +41,7 @@
     core::Milliseconds stale{5000}; /**< An estimate older than this is not used. */
     core::Milliseconds replyTimeout{1000}; /**< An exchange without a reply is given up after this time. */
     std::size_t samples = 16; /**< Peers remembered by sampling. */
+    double smoothing = 0.25; /**< Part of each meeting's result that enters the estimate of pairwise averaging. */
 };
 
 /**
--- a/src/cyclamenspool/node/documentsync.cpp
+++ b/src/cyclamenspool/node/documentsync.cpp
@@ -123,7 +123,6 @@
         if (status != 200 && status != 204) {
             throw http::ClientError("status " + std::to_string(status), true);
         }
-        noteServiceHeard(core::Milliseconds(0));
         counts_.controlBytes += response.body.size();
         if (status == 200) {
             const auto revision = std::stoull(response.head.header("x-revision"));
@@ -141,6 +140,7 @@
                 pushChange(before);
             }
         }
+        noteServiceHeard(core::Milliseconds(0));
         co_return true;
     } catch (const std::exception &error) {
         ++counts_.serviceErrors;
@@ -188,6 +188,9 @@
             others.push_back(vm.address);
         }
     }
+    if (others.empty()) {
+        others = settings_.seedPeers;
+    }
     const std::lock_guard lock(mutex_);
     std::vector<std::string> chosen;
     while (chosen.size() < count && !others.empty()) {
@@ -235,9 +238,7 @@
         for (auto &delta : store_.deltasFor(have)) {
             *push.add_deltas() = std::move(delta);
         }
-        for (const auto &state : have) {
-            noteServiceHeard(core::Milliseconds(state.service_age_ms()));
-        }
+        notePeerHeard(pull.have());
     }
     const auto own = pullMessage();
     push.mutable_have()->CopyFrom(own.have());
@@ -266,14 +267,12 @@
             ++counts_.refused;
         }
     }
-    for (const auto &state : push.have()) {
-        noteServiceHeard(core::Milliseconds(state.service_age_ms()));
-    }
     if (accepted) {
         ++counts_.accepted;
         onChange_();
         pushChange(before);
     }
+    notePeerHeard(push.have());
     return accepted;
 }
 
@@ -296,6 +295,18 @@
     }
 }
 
+void DocumentSync::notePeerHeard(const google::protobuf::RepeatedPtrField<wire::DocumentState> &have)
+{
+    for (const auto &state : have) {
+        if (state.revision() > store_.revision(state.name())) {
+            return;
+        }
+    }
+    if (!have.empty()) {
+        noteServiceHeard(core::Milliseconds(have.begin()->service_age_ms()));
+    }
+}
+
 void DocumentSync::noteServiceHeard(core::Milliseconds age)
 {
     const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/node/documentsync.h
+++ b/src/cyclamenspool/node/documentsync.h
@@ -94,6 +94,8 @@
     void pullFrom(const std::string &address);
     void pushChange(const std::vector<wire::DocumentState> &before);
     bool takeDeltas(const wire::DocumentPush &push);
+    /** @brief Takes over a peer's time of the last news, if the peer knows no newer revision than this process. */
+    void notePeerHeard(const google::protobuf::RepeatedPtrField<wire::DocumentState> &have);
     void noteServiceHeard(core::Milliseconds age);
     [[nodiscard]] std::vector<std::string> randomPeers(std::size_t count);
     [[nodiscard]] std::vector<std::string> documentNames() const;
--- a/src/cyclamenspool/node/node.cpp
+++ b/src/cyclamenspool/node/node.cpp
@@ -108,7 +108,7 @@
     if (!viewPublished_ && sync_.isReady()) {
         publishView();
     }
-    role_->onTick();
+    role_->onTick(sync_.serviceAge());
     tickTimer_.expires_after(internal::tickPeriod);
     tickTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
--- a/src/cyclamenspool/node/node.h
+++ b/src/cyclamenspool/node/node.h
@@ -31,8 +31,8 @@
     /** @brief Takes a new view of the fleet. @param view View. */
     virtual void onView(std::shared_ptr<const member::FleetView> view) = 0;
 
-    /** @brief Runs the periodic work. */
-    virtual void onTick() = 0;
+    /** @brief Runs the periodic work. @param newsAge Time since the platform's services were last heard. */
+    virtual void onTick(core::Milliseconds newsAge) = 0;
 
     /** @brief Takes a message of another process. @param stream Stream. @param path Path. @param message Message. */
     virtual void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, std::string message) = 0;
--- a/src/cyclamenspool/router/core/routercore.cpp
+++ b/src/cyclamenspool/router/core/routercore.cpp
@@ -263,7 +263,7 @@
     }
     const auto next = nextCandidate(flight);
     if (next.empty() || flight.attempts >= limits_.attempts) {
-        if (!planLastResort(flight, now, actions)) {
+        if (!sweepAgain(flight, now, actions)) {
             fail(flight, cause, detail, retryAfter, actions);
         }
         return;
@@ -276,16 +276,24 @@
     sendTo(flight, next, "next candidate after " + std::string(core::ruleOf(cause).name), false, now, actions);
 }
 
-bool RouterCore::planLastResort(Flight &flight, core::Now now, Actions &actions)
+bool RouterCore::sweepAgain(Flight &flight, core::Now now, Actions &actions)
 {
-    if (flight.refusedLoads.empty() || flight.lastResorts >= limits_.lastResorts) {
+    if (flight.refusedLoads.empty()) {
         return false;
     }
-    ++flight.lastResorts;
-    if (flight.lastResorts == 1) {
+    const bool goesOn = flight.sweeps > 0 && flight.asked <= flight.refusedLoads.size();
+    if (goesOn) {
+        sendToLeastLoaded(flight, now, actions);
+        return true;
+    }
+    if (flight.sweeps >= limits_.sweeps) {
+        return false;
+    }
+    flight.asked = 0;
+    if (++flight.sweeps == 1) {
         sendToLeastLoaded(flight, now, actions);
     } else {
-        flight.waitsUntil = now.monotonic + limits_.lastResortPause;
+        flight.waitsUntil = now.monotonic + limits_.sweepPause;
     }
     return true;
 }
@@ -296,6 +304,7 @@
     const auto lighter = [](const auto &a, const auto &b) {
         return a.second < b.second;
     };
+    ++flight.asked;
     const auto least = std::min_element(loads.begin(), loads.end(), lighter);
     sendTo(flight, least->first, "least loaded of those that refused", true, now, actions);
 }
--- a/src/cyclamenspool/router/core/routercore.h
+++ b/src/cyclamenspool/router/core/routercore.h
@@ -25,8 +25,8 @@
     int attempts = 4; /**< Attempts of one request, redirects included. */
     double retryRatio = 0.2; /**< Retries per fresh request. */
     double retryReserve = 20.0; /**< Retries that quiet times save up. */
-    int lastResorts = 10; /**< Attempts at the least loaded after all have refused. */
-    core::Milliseconds lastResortPause{50}; /**< Between two of these; the loads move meanwhile. */
+    int sweeps = 10; /**< Times that those which refused are asked again, least loaded first. */
+    core::Milliseconds sweepPause{50}; /**< Between two sweeps; the loads move meanwhile. */
     std::size_t openRequests = 10000;
     core::Milliseconds viewLease{3000};
 };
@@ -107,8 +107,9 @@
         std::string target;
         std::set<std::string> tried;
         std::map<std::string, double> refusedLoads; /* by backend server that refused at its load bound */
-        int lastResorts = 0; /* times it was sent to the least loaded of those that refused */
-        std::optional<core::MonotonicTime> waitsUntil; /* between two of these times */
+        int sweeps = 0; /* sweeps begun over those that refused */
+        std::size_t asked = 0; /* attempts in the present sweep */
+        std::optional<core::MonotonicTime> waitsUntil; /* start of the next sweep */
         int attempts = 0;
         bool began = false;
         bool mayHaveRun = false;
@@ -126,7 +127,7 @@
     void tryNext(Flight &flight, core::ErrorKind cause, const std::string &detail, bool takesBudget, core::Now now, Actions &actions);
     void fail(Flight &flight, core::ErrorKind kind, const std::string &detail, core::Milliseconds retryAfter, Actions &actions);
     void onFailed(Flight &flight, const wire::Failed &failed, core::Now now, Actions &actions);
-    [[nodiscard]] bool planLastResort(Flight &flight, core::Now now, Actions &actions);
+    [[nodiscard]] bool sweepAgain(Flight &flight, core::Now now, Actions &actions);
     void sendToLeastLoaded(Flight &flight, core::Now now, Actions &actions);
     void endLate(core::Now now, Actions &actions);
     void resumeWaiting(core::Now now, Actions &actions);
--- a/src/cyclamenspool/router/routernode.cpp
+++ b/src/cyclamenspool/router/routernode.cpp
@@ -55,8 +55,9 @@
     carryOut(core_.onView(std::move(view), core::Now::read()));
 }
 
-void RouterNode::onTick()
+void RouterNode::onTick(core::Milliseconds newsAge)
 {
+    static_cast<void>(newsAge);
     carryOut(core_.onTick(core::Now::read()));
 }
 
--- /dev/null
+++ b/test/agent/load.cpp
@@ -0,0 +1,158 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/core/random.h>
+
+#include <fault/matrixfleet.h>
+
+#include <algorithm>
+#include <cmath>
+
+using namespace cyclamenspool;
+using core::Milliseconds;
+using fault::MatrixFleet;
+using fault::RequestMode;
+
+namespace {
+
+/** @brief A fleet with more engines than the fault matrix has. */
+struct EnginePool {
+    explicit EnginePool(int engines, std::uint64_t seed)
+    {
+        fake::FakeFleet::Shape shape;
+        shape.seed = seed;
+        shape.table = fault::matrixTable({});
+        shape.vms = "vms:\n  - {name: router-0, zone: az-a, address: router-0, role: router}\n";
+        for (int i = 0; i < engines; ++i) {
+            const auto number = std::to_string(i);
+            shape.vms += "  - {name: vm-engine-" + number + ", zone: az-a, address: vm-engine-" + number + ", role: agent, group: engines, server: engine-"
+                + number + "}\n";
+        }
+        ledger->partTime = Milliseconds(700);
+        shape.makeBackend = [ledger = ledger](const std::string &server) {
+            return std::make_unique<fault::LedgerBackend>(server, ledger, "lamp");
+        };
+        fleet = std::make_unique<fake::FakeFleet>(std::move(shape));
+        count = engines;
+        fleet->run(Milliseconds(5000));
+    }
+
+    [[nodiscard]] std::vector<double> loads() const
+    {
+        std::vector<double> all;
+        for (int i = 0; i < count; ++i) {
+            all.push_back(fleet->agent("vm-engine-" + std::to_string(i)).load(fleet->queue().now()).tokens);
+        }
+        return all;
+    }
+
+    std::shared_ptr<fault::Ledger> ledger = std::make_shared<fault::Ledger>();
+    std::unique_ptr<fake::FakeFleet> fleet;
+    int count = 0;
+};
+
+constexpr double largestRequest = 150; /* tokens of makeRequest */
+constexpr double multiple = 1.25;
+
+} // namespace
+
+TEST_CASE("no engine passes the table's multiple of the mean load", "[agent]")
+{
+    const auto seed = static_cast<std::uint64_t>(GENERATE(1, 2, 3, 4, 5));
+    const double hotPart = GENERATE(0.0, 0.6);
+    CAPTURE(seed, hotPart);
+    EnginePool pool(12, seed);
+    core::RandomSource random(seed);
+    std::vector<double> smoothed(12, 0.0);
+    int asked = 0;
+    int passed = 0;
+    for (int step = 0; step < 600; ++step) {
+        for (int i = 0; i < 3; ++i) {
+            auto request = fault::makeRequest(RequestMode::Chat, "r" + std::to_string(asked++), "");
+            const bool hot = random.unit() < hotPart;
+            request.chat = hot ? "hot-" + std::to_string(random.index(3)) : "chat-" + std::to_string(random.index(500));
+            pool.fleet->ask("router-0", request);
+        }
+        pool.fleet->run(Milliseconds(50));
+        const auto loads = pool.loads();
+        double mean = 0;
+        for (std::size_t i = 0; i < loads.size(); ++i) {
+            smoothed[i] += (loads[i] - smoothed[i]) * 0.05;
+            mean += smoothed[i] / static_cast<double>(loads.size());
+        }
+        const double limit = std::max(multiple * mean, mean + largestRequest);
+        passed += std::any_of(smoothed.begin(),
+                              smoothed.end(),
+                              [limit](double load) {
+                                  return load > limit;
+                              })
+            ? 1
+            : 0;
+    }
+    CHECK(passed == 0);
+    pool.fleet->run(Milliseconds(10000));
+    int whole = 0;
+    for (int i = 0; i < asked; ++i) {
+        whole += pool.fleet->answer("r" + std::to_string(i)).whole ? 1 : 0;
+    }
+    CHECK(whole == asked);
+}
+
+TEST_CASE("an engine that turned cold without warning gets no more than it bears", "[agent]")
+{
+    fault::TableParts parts;
+    parts.poolRow = "load_bound: 1.25, max_tokens: 100000, cold_tokens: 600, warm_up_ms: 20000";
+    MatrixFleet matrix("lamp", parts);
+    matrix.ledger->partTime = Milliseconds(700);
+    auto &fleet = *matrix.fleet;
+    fleet.run(Milliseconds(30000));
+    int asked = 0;
+    const auto load = [&](int steps) {
+        double most = 0;
+        for (int step = 0; step < steps; ++step) {
+            auto request = fault::makeRequest(RequestMode::Chat, "r" + std::to_string(asked), "");
+            request.chat = "chat-" + std::to_string(asked++ % 100);
+            fleet.ask("router-0", request);
+            fleet.run(Milliseconds(50));
+            most = std::max(most, fleet.agent("vm-engine-0").load(fleet.queue().now()).tokens);
+        }
+        return most;
+    };
+    load(200);
+    fleet.kill("engine-0");
+    fleet.restart("engine-0");
+    fleet.run(Milliseconds(300));
+    CHECK(fleet.agent("vm-engine-0").load(fleet.queue().now()).cold);
+    CHECK(load(40) <= 600 + (100000 - 600) * 2.5 / 20);
+    CHECK(fleet.agent("vm-engine-0").counts().coldStarts >= 2);
+}
+
+TEST_CASE("a pool that is full refuses at once, truthfully and with a time to come back", "[agent]")
+{
+    fault::TableParts parts;
+    parts.poolRow = "load_bound: 1.25, max_tokens: 600, cold_tokens: 600, warm_up_ms: 100";
+    MatrixFleet matrix("lamp", parts);
+    matrix.ledger->partTime = Milliseconds(5000);
+    auto &fleet = *matrix.fleet;
+    for (int i = 0; i < 60; ++i) {
+        auto request = fault::makeRequest(RequestMode::Chat, "r" + std::to_string(i), "");
+        request.chat = "chat-" + std::to_string(i);
+        fleet.ask("router-0", request);
+        fleet.run(Milliseconds(50));
+    }
+    fleet.run(Milliseconds(1000));
+    int refused = 0;
+    for (int i = 0; i < 60; ++i) {
+        const auto id = "r" + std::to_string(i);
+        const auto &answer = fleet.answer(id);
+        if (!answer.final) {
+            continue;
+        }
+        ++refused;
+        CHECK(answer.runState == core::RunState::NotRun);
+        CHECK(matrix.ledger->runsByRequest.count(id) == 0);
+        CHECK(answer.retryAfter.count() > 0);
+        CHECK(answer.answered - answer.asked <= Milliseconds(1000));
+    }
+    constexpr int mostAdmitted = 3 * 600 / 50; /* capacity of three engines over the tokens that a request still has to decode */
+    CHECK(refused >= 60 - mostAdmitted);
+}
--- /dev/null
+++ b/test/catchmain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- a/test/harness/localfleet.cpp
+++ b/test/harness/localfleet.cpp
@@ -117,6 +117,11 @@
     for (const auto &[name, value] : values) {
         out << name << ": " << value << "\n";
     }
+    std::string seeds;
+    for (const auto &router : routers) {
+        seeds += (seeds.empty() ? "'" : ", '") + router.peerAddress + "'";
+    }
+    out << "seed_peers: [" << seeds << "]\n";
     for (const auto &[name, value] : shape_.settings) {
         out << name << ": " << value << "\n";
     }
--- /dev/null
+++ b/test/policy/loadbound.cpp
@@ -0,0 +1,103 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/policy/coldstartramp.h>
+#include <cyclamenspool/policy/loadbound.h>
+#include <cyclamenspool/policy/loadslot.h>
+
+#include <map>
+
+using namespace cyclamenspool;
+using policy::LoadBound;
+using policy::LoadPicture;
+
+namespace {
+
+LoadPicture picture(double load, double cost, std::optional<double> mean)
+{
+    LoadPicture result;
+    result.load = load;
+    result.cost = cost;
+    result.poolMean = mean;
+    result.capacity = 100000;
+    result.coldCapacity = 4000;
+    result.poolSize = 12;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("an engine keeps to the multiple of the mean", "[policy]")
+{
+    const LoadBound bound(1.25);
+    CHECK(bound.admits(picture(12000, 400, 10000)));
+    CHECK_FALSE(bound.admits(picture(12200, 400, 10000)));
+}
+
+TEST_CASE("an engine at or under the mean takes one more request", "[policy]")
+{
+    const LoadBound bound(1.25);
+    CHECK(bound.admits(picture(10000, 9000, 10000)));
+    CHECK_FALSE(bound.admits(picture(10001, 9000, 10000)));
+}
+
+TEST_CASE("an idle engine takes a request whatever its size", "[policy]")
+{
+    CHECK(LoadBound(1.25).admits(picture(0, 500000, 1)));
+}
+
+TEST_CASE("without an estimate an engine keeps to its cold capacity", "[policy]")
+{
+    const LoadBound bound(1.25);
+    CHECK(bound.admits(picture(3000, 900, std::nullopt)));
+    CHECK_FALSE(bound.admits(picture(3500, 900, std::nullopt)));
+}
+
+TEST_CASE("a lagging estimate is raised by several refusals and not by one", "[policy]")
+{
+    const LoadBound bound(1.25);
+    auto one = picture(150, 150, 0);
+    one.seenLoads = {150};
+    CHECK_FALSE(bound.admits(one));
+    auto three = one;
+    three.seenLoads = {150, 160, 170};
+    CHECK(bound.admits(three));
+    three.load = 200;
+    CHECK_FALSE(bound.admits(three));
+}
+
+TEST_CASE("no evidence raises the limit over the capacity", "[policy]")
+{
+    auto full = picture(99900, 200, 99900);
+    full.seenLoads = {99900, 99950, 99990};
+    CHECK_FALSE(LoadBound(1.25).admits(full));
+}
+
+TEST_CASE("the capacity of a cold engine grows over its warm-up", "[policy]")
+{
+    using core::Milliseconds;
+    const core::MonotonicTime start(std::chrono::hours(1));
+    policy::ColdStartRamp ramp(start);
+    CHECK(ramp.capacity(start, 100, 1100, Milliseconds(10000)) == Approx(100));
+    CHECK(ramp.capacity(start + Milliseconds(5000), 100, 1100, Milliseconds(10000)) == Approx(600));
+    CHECK(ramp.capacity(start + Milliseconds(10000), 100, 1100, Milliseconds(10000)) == Approx(1100));
+    ramp.restart(start + Milliseconds(20000));
+    CHECK(ramp.capacity(start + Milliseconds(20000), 100, 1100, Milliseconds(10000)) == Approx(100));
+    CHECK(ramp.isCold(start + Milliseconds(29999), Milliseconds(10000)));
+}
+
+TEST_CASE("agents with the same list never load in the same slot", "[policy]")
+{
+    constexpr std::size_t members = 50;
+    constexpr double rate = 20.0;
+    std::map<long, int> startsBySecond;
+    for (std::size_t rank = 0; rank < members; ++rank) {
+        const policy::LoadSlot slot(rank, members, rate);
+        const core::WallTime begin(std::chrono::seconds(1000000));
+        const auto start = begin + slot.wait(begin);
+        CHECK(slot.wait(start) == core::Milliseconds(0));
+        ++startsBySecond[std::chrono::duration_cast<std::chrono::seconds>(start.time_since_epoch()).count()];
+    }
+    for (const auto &[second, starts] : startsBySecond) {
+        CHECK(starts <= 20);
+    }
+}
