Load bound weighs the prefill that a spill would cost

Change: the limit's second term is the mean plus the request's cold cost (prompt and decode), not its warm cost. Ruled out: the estimate's error (0.05 to 0.07) and the floor of one largest request, both unchanged.

--- a/bench/fake/enginemodel.h
+++ b/bench/fake/enginemodel.h
@@ -30,7 +30,8 @@
     void run(const std::string &name, const wire::Submit &request, EventQueue &queue, const BackendSink &sink) override;
     [[nodiscard]] agent::EngineState state() const override;
 
-    /** @brief Serves a request without an agent. @param chat Chat. @param prompt Prompt tokens. @param decode Tokens to generate. @param now Time. @return Times until first and last token. */
+    /** @brief Serves a request without an agent. @param chat Chat. @param prompt Prompt tokens. @param decode Tokens to generate. @param now Time. @return
+     * Times until first and last token. */
     struct Service {
         std::chrono::microseconds firstToken;
         std::chrono::microseconds lastToken;
--- a/bench/live.cpp
+++ b/bench/live.cpp
@@ -18,8 +18,8 @@
 #include <algorithm>
 #include <fstream>
 #include <iomanip>
-#include <iterator>
 #include <iostream>
+#include <iterator>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -313,8 +313,8 @@
         sum += admitted;
     }
     const double reuse = tally.promptTokens == 0 ? 0 : static_cast<double>(tally.cachedTokens) / static_cast<double>(tally.promptTokens);
-    std::cout << "prompt tokens found warm " << reuse << ", requests of the busiest engine over the mean " << most * static_cast<double>(fleet.engines.size()) / sum
-              << '\n';
+    std::cout << "prompt tokens found warm " << reuse << ", requests of the busiest engine over the mean "
+              << most * static_cast<double>(fleet.engines.size()) / sum << '\n';
 }
 
 int run(int argc, char **argv)
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -61,6 +61,7 @@
 const Scenario scenarios[] = {
     {"steady, half load", 0.6},
     {"steady, high load", 1.1},
+    {"steady, full load", 3.0},
     {"churn", 0.6, 1.0, true},
     {"surge", 0.5, 5.0},
     {"departure and return", 0.6, 1.0, false, true},
@@ -518,7 +519,13 @@
     std::unique_ptr<fake::FakeFleet> fleet_;
 };
 
-void printJson(const Deployment &deployment, const Scenario &scenario, const Policy &policy, const char *measure, double value, const char *unit, std::uint64_t seed)
+void printJson(const Deployment &deployment,
+               const Scenario &scenario,
+               const Policy &policy,
+               const char *measure,
+               double value,
+               const char *unit,
+               std::uint64_t seed)
 {
     boost::json::object line;
     line["scenario"] = std::string(deployment.name) + ": " + scenario.name;
--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -11,7 +11,6 @@
 
 #include <malloc.h>
 
-
 #include <chrono>
 #include <cmath>
 #include <functional>
@@ -22,7 +21,6 @@
 
 namespace cyclamenspool::bench {
 
-
 /** @brief One measured size. */
 struct Point {
     double size;
@@ -297,12 +295,12 @@
     auto b = member::makePairwiseEstimator({});
     a->setLoad(1, 1, timeAt(0));
     return rounds * microsecondsOf(rounds, [&](int i) {
-        wire::Exchange question;
-        question.ParseFromString(a->startExchange(timeAt(i)).SerializeAsString());
-        wire::Exchange reply;
-        reply.ParseFromString(b->answer(question, timeAt(i)).SerializeAsString());
-        a->finishExchange(reply, timeAt(i));
-    });
+               wire::Exchange question;
+               question.ParseFromString(a->startExchange(timeAt(i)).SerializeAsString());
+               wire::Exchange reply;
+               reply.ParseFromString(b->answer(question, timeAt(i)).SerializeAsString());
+               a->finishExchange(reply, timeAt(i));
+           });
 }
 
 const std::vector<Quantity> &quantities()
--- a/src/cyclamenspool/agent/core/agentcore.cpp
+++ b/src/cyclamenspool/agent/core/agentcore.cpp
@@ -103,11 +103,12 @@
     return ramp_.capacity(now.monotonic, own->coldTokens, own->maxTokens, own->warmUp);
 }
 
-double AgentCore::loadLimit(double cost, const std::vector<double> &seenLoads, core::Now now) const
+double AgentCore::loadLimit(const Cost &cost, const std::vector<double> &seenLoads, core::Now now) const
 {
     const auto *own = pool();
     policy::LoadPicture picture;
-    picture.cost = cost / weight();
+    picture.cost = cost.total() / weight();
+    picture.coldCost = (cost.total() + cost.warm) / weight();
     picture.poolMean = estimator_->estimate(now);
     picture.seenLoads = seenLoads;
     const auto &members = view_->members(own->name);
@@ -151,7 +152,7 @@
 AgentCore::Cost AgentCore::costOf(const wire::Submit &request, core::Now now)
 {
     if (pool()->isService()) {
-        return {0.0, 1.0};
+        return {0.0, 1.0, 0.0};
     }
     double warm = 0.0;
     if (!request.chat().empty()) {
@@ -160,7 +161,8 @@
         warm = here ? static_cast<double>(place->warmTokens) : 0.0;
     }
     const auto prompt = static_cast<double>(request.prompt_tokens());
-    return {std::max(prompt - warm, 0.0), static_cast<double>(std::max<std::uint64_t>(request.decode_tokens(), 1))};
+    const auto decode = static_cast<double>(std::max<std::uint64_t>(request.decode_tokens(), 1));
+    return {std::max(prompt - warm, 0.0), decode, std::min(warm, prompt)};
 }
 
 std::string AgentCore::warmElsewhere(const wire::Submit &request, core::Now now)
@@ -188,13 +190,13 @@
 
 bool AgentCore::admitsLoad(const wire::Submit &request, const Cost &cost, core::Now now) const
 {
-    const double total = cost.prefill + cost.decode;
+    const double total = cost.total();
     if (pool()->isService()) {
         return tokens_ + total <= capacity(now) * weight();
     }
     const bool idle = runs_.empty();
     const std::vector<double> seen(request.seen_loads().begin(), request.seen_loads().end());
-    return idle || tokens_ + total <= loadLimit(total, seen, now);
+    return idle || tokens_ + total <= loadLimit(cost, seen, now);
 }
 
 bool AgentCore::isPoolFull(core::Now now) const
@@ -804,7 +806,7 @@
     if (own == nullptr) {
         return load;
     }
-    load.limit = loadLimit(0.0, {}, now);
+    load.limit = loadLimit({}, {}, now);
     load.poolMean = estimator_->estimate(now);
     load.leaving = isLeaving();
     load.cold = ramp_.isCold(now.monotonic, own->warmUp);
--- a/src/cyclamenspool/agent/core/agentcore.h
+++ b/src/cyclamenspool/agent/core/agentcore.h
@@ -185,15 +185,21 @@
         std::string kept; /* answer of a request with a key, for the register */
     };
     struct Cost {
-        double prefill;
-        double decode;
+        double prefill = 0.0;
+        double decode = 0.0;
+        double warm = 0.0; /* part of the prompt that is warm here */
+
+        [[nodiscard]] double total() const noexcept
+        {
+            return prefill + decode;
+        }
     };
 
     [[nodiscard]] const world::Pool *pool() const;
     [[nodiscard]] double weight() const;
     [[nodiscard]] bool isLeaving() const;
     [[nodiscard]] double capacity(core::Now now) const;
-    [[nodiscard]] double loadLimit(double cost, const std::vector<double> &seenLoads, core::Now now) const;
+    [[nodiscard]] double loadLimit(const Cost &cost, const std::vector<double> &seenLoads, core::Now now) const;
     [[nodiscard]] bool isPoolFull(core::Now now) const;
     [[nodiscard]] Cost costOf(const wire::Submit &request, core::Now now);
     void checkAvailable(const wire::Submit &request, core::Now now) const;
--- a/src/cyclamenspool/policy/loadbound.cpp
+++ b/src/cyclamenspool/policy/loadbound.cpp
@@ -29,7 +29,7 @@
     if (!poolMean) {
         return std::min(picture.coldCapacity, picture.capacity);
     }
-    const double bounded = std::max(multiple_ * *poolMean, *poolMean + picture.cost);
+    const double bounded = std::max(multiple_ * *poolMean, *poolMean + std::max(picture.coldCost, picture.cost));
     const double floor = std::max(picture.largestRequest, picture.cost);
     return std::min(std::max(bounded, floor), picture.capacity);
 }
--- a/src/cyclamenspool/policy/loadbound.h
+++ b/src/cyclamenspool/policy/loadbound.h
@@ -9,7 +9,8 @@
 /** @brief What an engine's agent knows when it decides on one request. Loads are outstanding tokens per unit of weight. */
 struct LoadPicture {
     double load = 0.0; /**< This engine's own load. */
-    double cost = 0.0; /**< What the request adds. */
+    double cost = 0.0; /**< What the request adds; the warm part of its prompt adds nothing. */
+    double coldCost = 0.0; /**< What the request would add on an engine that has none of its history. */
     std::optional<double> poolMean; /**< Estimated mean of the pool; none before the first estimate or when it is stale. */
     std::vector<double> seenLoads; /**< Loads of the engines that have just refused this request at their bound. */
     std::size_t poolSize = 1; /**< Engines of the pool that take work. */
@@ -21,8 +22,9 @@
 /**
  * @brief Decides whether an engine may take a request without passing the table's multiple of the pool's mean load.
  *
- * The limit is the larger of the multiple of the mean and the mean plus this request: some engine is always at or under the
- * mean, so a request finds a place while the pool has capacity. Below the floor of one largest request the multiple does not
+ * The limit is the larger of the multiple of the mean and the mean plus this request's cold cost: elsewhere the request
+ * would add that much to an engine at the mean, so a warm engine takes it while that is no worse. Some engine is always at or
+ * under the mean, so a request finds a place while the pool has capacity. Below the floor of one largest request the multiple does not
  * apply. The estimate lags behind a rising load; when several engines have refused, their loads are a fresh sample and raise
  * the mean. Without an estimate the engine keeps to its cold capacity, which is safe alone.
  */
