--- a/bench/estimate.cpp
+++ b/bench/estimate.cpp
@@ -1,11 +1,12 @@
 // Measures the estimators of a pool's mean load while the loads move: error, bytes, time to settle, loss under crashes.
 
+#include <fake/program.h>
+
 #include <cyclamenspool/core/random.h>
 #include <cyclamenspool/member/meanestimator.h>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/program_options.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -224,13 +225,11 @@
     auto add = options.add_options();
     add("json", "print one JSON line a figure");
     add("seed", po::value<std::uint64_t>()->default_value(1), "seed");
-    add("help", "print this help");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, options), values);
-    if (values.count("help") > 0) {
-        std::cout << options;
+    const auto parsed = fake::parseCommandLine(options, argc, argv);
+    if (!parsed) {
         return 0;
     }
+    const auto &values = *parsed;
     const auto seed = values["seed"].as<std::uint64_t>();
     const bool json = values.count("json") > 0;
     if (!json) {
@@ -257,10 +256,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return cyclamenspool::bench::run(argc, argv);
-    } catch (const std::exception &error) {
-        std::cerr << error.what() << '\n';
-        return 1;
-    }
+    return cyclamenspool::fake::runProgram(cyclamenspool::bench::run, argc, argv);
 }
--- a/bench/live.cpp
+++ b/bench/live.cpp
@@ -1,5 +1,7 @@
 // Drives the real processes and the stand-ins over loopback with a schedule and prints latencies, reuse, skew, memory and processor time.
 
+#include <fake/program.h>
+
 #include <harness/localfleet.h>
 
 #include <cyclamenspool/config/fieldreader.h>
@@ -11,7 +13,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
-#include <boost/program_options.hpp>
 
 #include <unistd.h>
 
@@ -202,12 +203,6 @@
     shape.zones = {"az-a"};
     shape.enginesPerZone = 1;
     shape.services = 0;
-    if (const char *workers = std::getenv("TRIAL_WORKERS")) {
-        shape.settings["workers"] = workers;
-    }
-    if (const char *log = std::getenv("TRIAL_LOG")) {
-        shape.settings["log_file"] = log;
-    }
     shape.engineArguments = {"--prefill-us", "1", "--decode-us", "100", "--cache-tokens", "1000000"};
     LocalFleet fleet(shape);
     const auto direct = [&fleet](const std::string &chat, const std::string &text, int tokens) {
@@ -322,22 +317,16 @@
     po::options_description options("options");
     auto add = options.add_options();
     add("experiment", po::value<std::string>(), "experiment file (YAML); without it: overhead, open streams and idle costs");
-    add("help", "print this help");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, options), values);
-    if (values.count("help") > 0) {
-        std::cout << options;
+    const auto parsed = fake::parseCommandLine(options, argc, argv);
+    if (!parsed) {
         return 0;
     }
+    const auto &values = *parsed;
     std::cout << std::fixed << std::setprecision(2);
     if (values.count("experiment") > 0) {
         runExperiment(readExperiment(values["experiment"].as<std::string>()));
         return 0;
     }
-    if (std::getenv("TRIAL_ONLY") != nullptr) {
-        measureOverhead(readExperiment(std::string(CYCLAMENSPOOL_BENCH_DIR) + "/experiments/overhead.yaml"));
-        return 0;
-    }
     measureOverhead(readExperiment(std::string(CYCLAMENSPOOL_BENCH_DIR) + "/experiments/overhead.yaml"));
     measureOpenStreams();
     measureIdle();
@@ -348,10 +337,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return cyclamenspool::bench::run(argc, argv);
-    } catch (const std::exception &error) {
-        std::cerr << error.what() << '\n';
-        return 1;
-    }
+    return cyclamenspool::fake::runProgram(cyclamenspool::bench::run, argc, argv);
 }
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -1,5 +1,7 @@
 // Compares placement policies on one schedule of returning chats: the real router and agent cores against simple baselines.
 
+#include <fake/program.h>
+
 #include <fake/enginemodel.h>
 #include <fake/fakefleet.h>
 
@@ -7,7 +9,6 @@
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/program_options.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -563,13 +564,11 @@
     add("json", "print one JSON line a figure");
     add("seed", po::value<std::uint64_t>()->default_value(1), "seed");
     add("only", po::value<std::string>()->default_value(""), "policy; empty: all");
-    add("help", "print this help");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, options), values);
-    if (values.count("help") > 0) {
-        std::cout << options;
+    const auto parsed = fake::parseCommandLine(options, argc, argv);
+    if (!parsed) {
         return 0;
     }
+    const auto &values = *parsed;
     const auto seed = values["seed"].as<std::uint64_t>();
     const bool json = values.count("json") > 0;
     const auto only = values["only"].as<std::string>();
@@ -596,10 +595,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return cyclamenspool::bench::run(argc, argv);
-    } catch (const std::exception &error) {
-        std::cerr << error.what() << '\n';
-        return 1;
-    }
+    return cyclamenspool::fake::runProgram(cyclamenspool::bench::run, argc, argv);
 }
--- /dev/null
+++ b/src/cyclamenspool/agent/core/agentruns.cpp
@@ -0,0 +1,231 @@
+#include <cyclamenspool/agent/core/agentcore.h>
+#include <cyclamenspool/agent/core/replies.h>
+
+#include <cyclamenspool/policy/rendezvous.h>
+
+namespace cyclamenspool::agent {
+
+using core::ErrorKind;
+
+namespace internal {
+
+constexpr std::size_t keptAnswerLimit = 64 * 1024; /* bytes of one stored answer */
+
+} // namespace internal
+
+void AgentCore::addTokens(double change, core::Now now)
+{
+    tokens_ = std::max(0.0, tokens_ + change);
+    if (view_ != nullptr) {
+        estimator_->setLoad(tokens_, weight(), now);
+    }
+}
+
+void AgentCore::eraseRun(std::uint64_t id, core::Now now)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end()) {
+        return;
+    }
+    const double change = -(found->second.prefill + found->second.decode);
+    if (found->second.streamOpen) {
+        streams_.erase(found->second.stream);
+    }
+    runs_.erase(found);
+    if (runs_.empty()) {
+        tokens_ = 0.0;
+    }
+    addTokens(runs_.empty() ? 0.0 : change, now);
+}
+
+void AgentCore::replyOn(const Run &run, wire::Reply reply, bool last, Actions &actions) const
+{
+    if (run.streamOpen) {
+        actions.emplace_back(SendReply{run.stream, std::move(reply), last});
+    }
+}
+
+bool AgentCore::mayStart(std::uint64_t run, core::Now now) const
+{
+    const std::lock_guard lock(mutex_);
+    return runs_.count(run) > 0 && lease_.holds(now.monotonic);
+}
+
+bool AgentCore::mayOrder(const OrderModel &order, core::Now now) const
+{
+    const std::lock_guard lock(mutex_);
+    return lease_.holds(now.monotonic) && view_->revision() == order.fenceRevision && !isLeaving();
+}
+
+Actions AgentCore::onStreamClosed(std::uint64_t stream, core::Now now)
+{
+    const std::lock_guard lock(mutex_);
+    Actions actions;
+    const auto found = streams_.find(stream);
+    if (found == streams_.end()) {
+        return actions;
+    }
+    const auto id = found->second;
+    streams_.erase(found);
+    auto &run = runs_.at(id);
+    run.streamOpen = false;
+    const bool mustFinish = !run.request.key().empty();
+    if (!mustFinish) {
+        actions.emplace_back(CancelRun{id, run.request.request_id()});
+        eraseRun(id, now);
+    }
+    return actions;
+}
+
+Actions AgentCore::onBackendBegin(std::uint64_t id, const BackendBegin &begin, core::Now now)
+{
+    const std::lock_guard lock(mutex_);
+    Actions actions;
+    const auto found = runs_.find(id);
+    if (found == runs_.end() || found->second.began) {
+        return actions;
+    }
+    auto &run = found->second;
+    if (!begin.requestId.empty() && begin.requestId != run.request.request_id()) {
+        ++counts_.droppedAnswers;
+        actions.emplace_back(CancelRun{id, run.request.request_id()});
+        failRun(id, ErrorKind::OutcomeUnknown, "the backend server answered another request", actions);
+        eraseRun(id, now);
+        return actions;
+    }
+    run.began = true;
+    run.status = begin.status;
+    run.contentType = begin.contentType;
+    counts_.warmTokens += begin.cachedTokens;
+    addTokens(-run.prefill, now);
+    run.prefill = 0.0;
+    const auto *known = run.request.chat().empty() ? nullptr : chats_.find(run.request.chat(), now.monotonic);
+    const bool wasWarm = known != nullptr && known->server.empty() && known->warmTokens > 0;
+    if (wasWarm && begin.cachedTokens == 0 && !pool()->isService()) {
+        chats_.erase(run.request.chat());
+    }
+    auto reply = internal::replyFor(run.request);
+    reply.mutable_begin()->set_status(begin.status);
+    reply.mutable_begin()->set_content_type(begin.contentType);
+    reply.mutable_begin()->set_backend_server(options_.server);
+    replyOn(run, std::move(reply), false, actions);
+    return actions;
+}
+
+Actions AgentCore::onBackendChunk(std::uint64_t id, const std::string &data, core::Now now)
+{
+    static_cast<void>(now);
+    const std::lock_guard lock(mutex_);
+    Actions actions;
+    const auto found = runs_.find(id);
+    if (found == runs_.end()) {
+        return actions;
+    }
+    auto &run = found->second;
+    auto reply = internal::replyFor(run.request);
+    reply.mutable_chunk()->set_offset(run.offset);
+    reply.mutable_chunk()->set_data(data);
+    run.offset += data.size();
+    if (!run.request.key().empty() && run.kept.size() + data.size() <= internal::keptAnswerLimit) {
+        run.kept += data;
+    }
+    replyOn(run, std::move(reply), false, actions);
+    return actions;
+}
+
+Actions AgentCore::onBackendEnd(std::uint64_t id, core::Now now)
+{
+    const std::lock_guard lock(mutex_);
+    Actions actions;
+    const auto found = runs_.find(id);
+    if (found == runs_.end()) {
+        return actions;
+    }
+    auto &run = found->second;
+    ++counts_.whole;
+    if (!run.request.key().empty()) {
+        const bool isWhole = run.kept.size() == run.offset;
+        keys_->finish(run.request, isWhole ? policy::StoredAnswer{run.status, run.contentType, run.kept} : policy::StoredAnswer{});
+    }
+    auto reply = internal::replyFor(run.request);
+    reply.mutable_end()->set_total(run.offset);
+    replyOn(run, std::move(reply), true, actions);
+    notePlace(run, now, actions);
+    eraseRun(id, now);
+    return actions;
+}
+
+std::string AgentCore::homeOfChat(const std::string &chat) const
+{
+    const auto ranked = policy::rankByRendezvous(chat, view_->members(pool()->name), 1);
+    return ranked.empty() ? "" : ranked.front()->server;
+}
+
+void AgentCore::notePlace(const Run &run, core::Now now, Actions &actions)
+{
+    const auto &chat = run.request.chat();
+    const bool succeeded = run.status >= 200 && run.status < 300;
+    if (chat.empty() || !succeeded || pool() == nullptr || pool()->isService()) {
+        return;
+    }
+    const auto warm = run.request.prompt_tokens() + run.request.decode_tokens();
+    chats_.put(chat, {"", warm, now.monotonic});
+    const auto home = homeOfChat(chat);
+    const auto *member = view_->find(pool()->name, home);
+    if (home == options_.server || member == nullptr) {
+        return;
+    }
+    SendPlaced placed{member->address, {}};
+    placed.message.set_pool(pool()->name);
+    placed.message.set_chat(chat);
+    placed.message.set_backend_server(options_.server);
+    placed.message.set_warm_tokens(warm);
+    actions.emplace_back(std::move(placed));
+}
+
+void AgentCore::failRun(std::uint64_t id, ErrorKind kind, const std::string &detail, Actions &actions)
+{
+    const auto &run = runs_.at(id);
+    auto decision = decide("admit", run.request);
+    decision.choice = std::string(core::ruleOf(kind).name);
+    decision.reason = detail;
+    actions.emplace_back(std::move(decision));
+    auto reply = internal::replyFor(run.request);
+    reply.mutable_failed()->set_kind(static_cast<int>(kind));
+    reply.mutable_failed()->set_detail(detail);
+    reply.mutable_failed()->set_retry_after_ms(core::ruleOf(kind).retryAfter.count());
+    replyOn(run, std::move(reply), true, actions);
+}
+
+Actions AgentCore::onBackendLost(std::uint64_t id, bool sent, const std::string &reason, core::Now now)
+{
+    const std::lock_guard lock(mutex_);
+    Actions actions;
+    const auto found = runs_.find(id);
+    if (found == runs_.end()) {
+        return actions;
+    }
+    auto &run = found->second;
+    const bool isKeyed = !run.request.key().empty();
+    if (!sent) {
+        if (isKeyed) {
+            keys_->forgetNotSent(run.request);
+        }
+        failRun(id, ErrorKind::BackendDown, reason, actions);
+        eraseRun(id, now);
+        return actions;
+    }
+    const bool canResume = run.began && !isKeyed && !pool()->isService() && run.resumes < options_.resumes;
+    if (canResume) {
+        ++run.resumes;
+        actions.emplace_back(ResumeRun{id, run.request.request_id(), run.offset});
+        return actions;
+    }
+    const bool late = run.deadline <= now.monotonic;
+    const auto kind = run.began ? ErrorKind::AnswerCut : late ? ErrorKind::DeadlineAfterSend : ErrorKind::OutcomeUnknown;
+    failRun(id, kind, reason, actions);
+    eraseRun(id, now);
+    return actions;
+}
+
+} // namespace cyclamenspool::agent
--- a/src/cyclamenspool/agent/core/keykeeper.cpp
+++ b/src/cyclamenspool/agent/core/keykeeper.cpp
@@ -81,7 +81,8 @@
             }
         }
         others.erase(server_);
-        const bool settled = !first && pending_.empty();
+        const bool sawEveryRevision = !first && view->revision() == view_->revision() + 1;
+        const bool settled = sawEveryRevision && pending_.empty();
         previousHomes_ = settled ? std::optional<Homes>(view_->keyHomes(pool_)) : std::nullopt;
         pending_.insert(others.begin(), others.end());
         handedOver_.clear();
@@ -189,7 +190,8 @@
 wire::HandOverReply KeyKeeper::handOver(const wire::HandOverRequest &request) const
 {
     wire::HandOverReply reply;
-    if (view_ == nullptr || request.table_revision() > view_->revision()) {
+    // A giver at another revision may itself be the home of keys that the asker takes for its own.
+    if (view_ == nullptr || request.table_revision() != view_->revision()) {
         return reply;
     }
     reply.set_complete(true);
--- a/src/cyclamenspool/agent/core/keykeeper.h
+++ b/src/cyclamenspool/agent/core/keykeeper.h
@@ -86,7 +86,7 @@
     policy::KeyRegister register_;
     core::WallTime homeSince_;
     std::shared_ptr<const member::FleetView> view_;
-    std::optional<Homes> previousHomes_; /* homes before the last change; none if unknown */
+    std::optional<Homes> previousHomes_; /* homes before the last change; none if unknown or if a revision was not seen */
     std::set<std::string> pending_;
     std::set<std::string> handedOver_; /* members that have handed over since the last change */
     std::map<std::string, core::MonotonicTime> missingSince_;
--- a/src/cyclamenspool/config/document.cpp
+++ b/src/cyclamenspool/config/document.cpp
@@ -62,7 +62,7 @@
     return rows;
 }
 
-Rows Document::replace(std::uint64_t revision, Rows rows)
+Rows Document::replace(std::uint64_t revision, const Rows &rows)
 {
     Rows changes;
     for (const auto &[key, text] : rows) {
--- a/src/cyclamenspool/config/document.h
+++ b/src/cyclamenspool/config/document.h
@@ -26,7 +26,7 @@
 {
 public:
     /** @brief Replaces the content. @param revision Revision. @param rows All rows. @return Changed rows; an empty text means removed. */
-    Rows replace(std::uint64_t revision, Rows rows);
+    Rows replace(std::uint64_t revision, const Rows &rows);
 
     /** @brief Applies changed rows. @param revision New revision. @param changes Changed rows; an empty text means removed. */
     void apply(std::uint64_t revision, const Rows &changes);
--- a/src/cyclamenspool/http/client.cpp
+++ b/src/cyclamenspool/http/client.cpp
@@ -1,6 +1,6 @@
 #include <cyclamenspool/http/client.h>
 
-#include <cyclamenspool/config/settings.h>
+#include <cyclamenspool/wire/endpoint.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -58,10 +58,9 @@
 
 asio::awaitable<void> connect(beast::tcp_stream &stream, const ClientRequest &request)
 {
-    const auto [host, port] = config::splitAddress(request.address);
     boost::system::error_code error;
     stream.expires_after(request.timeout);
-    co_await stream.async_connect(asio::ip::tcp::endpoint(asio::ip::make_address(host), port), asio::redirect_error(asio::use_awaitable, error));
+    co_await stream.async_connect(wire::endpointOf(request.address), asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         throw ClientError("cannot connect to " + request.address + ": " + error.message(), false);
     }
--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -1,6 +1,6 @@
 #include <cyclamenspool/http/server.h>
 
-#include <cyclamenspool/config/settings.h>
+#include <cyclamenspool/wire/endpoint.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,12 +25,6 @@
 
 constexpr std::size_t firstReadBytes = 4096;
 
-asio::ip::tcp::endpoint endpointOf(const std::string &address)
-{
-    const auto [host, port] = config::splitAddress(address);
-    return {asio::ip::make_address(host), port};
-}
-
 core::ErrorKind kindOf(const boost::system::error_code &error)
 {
     if (error == bhttp::error::body_limit) {
@@ -109,7 +103,7 @@
 
 Server::Server(asio::io_context &context, const std::string &address, const ServerLimits &limits, Handler handler, RefusalHandler refuse)
     : context_(context)
-    , acceptor_(asio::make_strand(context), internal::endpointOf(address))
+    , acceptor_(asio::make_strand(context), wire::endpointOf(address))
     , limits_(limits)
     , handler_(std::move(handler))
     , refuse_(std::move(refuse))
--- a/src/cyclamenspool/node/node.cpp
+++ b/src/cyclamenspool/node/node.cpp
@@ -80,6 +80,7 @@
     tick();
     telemetry::logEvent("started", settings_.vm);
     std::vector<std::thread> workers;
+    workers.reserve(static_cast<std::size_t>(settings_.workers));
     for (int i = 0; i < settings_.workers; ++i) {
         workers.emplace_back([this] {
             context_.run();
--- a/src/cyclamenspool/router/requestreader.cpp
+++ b/src/cyclamenspool/router/requestreader.cpp
@@ -2,7 +2,8 @@
 
 #include <cyclamenspool/core/errorkind.h>
 
-#include <boost/json/parse.hpp>
+#include <boost/json/stream_parser.hpp>
+#include <boost/json/value.hpp>
 
 #include <charconv>
 #include <optional>
--- a/src/cyclamenspool/wire/peerpool.cpp
+++ b/src/cyclamenspool/wire/peerpool.cpp
@@ -1,6 +1,6 @@
 #include <cyclamenspool/wire/peerpool.h>
 
-#include <cyclamenspool/config/settings.h>
+#include <cyclamenspool/wire/endpoint.h>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
@@ -39,8 +39,7 @@
 
 void PeerPool::connect(const std::string &address)
 {
-    const auto [host, port] = config::splitAddress(address);
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(host), port);
+    const auto endpoint = endpointOf(address);
     auto socket = std::make_shared<Session::Socket>(asio::make_strand(context_));
     auto timer = std::make_shared<asio::steady_timer>(socket->get_executor(), internal::connectTimeout);
     timer->async_wait([socket](const boost::system::error_code &error) {
--- a/src/cyclamenspool/wire/peerserver.cpp
+++ b/src/cyclamenspool/wire/peerserver.cpp
@@ -1,6 +1,6 @@
 #include <cyclamenspool/wire/peerserver.h>
 
-#include <cyclamenspool/config/settings.h>
+#include <cyclamenspool/wire/endpoint.h>
 
 #include <boost/asio/post.hpp>
 
@@ -10,21 +10,11 @@
 
 namespace asio = boost::asio;
 
-namespace internal {
-
-asio::ip::tcp::endpoint endpointOf(const std::string &address)
-{
-    const auto [host, port] = config::splitAddress(address);
-    return {asio::ip::make_address(host), port};
-}
-
-} // namespace internal
-
 PeerServer::PeerServer(asio::io_context &context, const std::string &address, const SessionLimits &limits, RequestHandler handler)
     : context_(context)
     , limits_(limits)
     , handler_(std::move(handler))
-    , acceptor_(asio::make_strand(context), internal::endpointOf(address))
+    , acceptor_(asio::make_strand(context), endpointOf(address))
 {
     accept();
 }
--- a/test/fault/main.cpp
+++ b/test/fault/main.cpp
@@ -2,7 +2,7 @@
 
 #include "cell.h"
 
-#include <boost/program_options.hpp>
+#include <fake/program.h>
 
 #include <iostream>
 #include <map>
@@ -66,13 +66,11 @@
     add("list", "print the cells, one a line, without running them");
     add("section", po::value<std::string>()->default_value(""), "request, departure, order or configuration; empty: all");
     add("verbose", "print every cell that was run");
-    add("help", "print this help");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, options), values);
-    if (values.count("help") > 0) {
-        std::cout << options;
+    const auto parsed = fake::parseCommandLine(options, argc, argv);
+    if (!parsed) {
         return 0;
     }
+    const auto &values = *parsed;
     const bool list = values.count("list") > 0;
     std::map<Verdict, int> counts;
     for (const auto &cell : visit(values["section"].as<std::string>(), !list)) {
@@ -92,10 +90,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return cyclamenspool::fault::run(argc, argv);
-    } catch (const std::exception &error) {
-        std::cerr << error.what() << '\n';
-        return 2;
-    }
+    return cyclamenspool::fake::runProgram(cyclamenspool::fault::run, argc, argv);
 }
--- a/test/harness/httpcall.cpp
+++ b/test/harness/httpcall.cpp
@@ -1,6 +1,7 @@
 #include "httpcall.h"
 
 #include <cyclamenspool/http/client.h>
+#include <cyclamenspool/wire/endpoint.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,7 +9,6 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <cyclamenspool/config/settings.h>
 
 namespace cyclamenspool::harness {
 
@@ -51,10 +51,9 @@
 
 std::string exchangeRaw(const std::string &address, const std::string &bytes, bool halfClose, std::chrono::milliseconds timeout)
 {
-    const auto [host, port] = config::splitAddress(address);
     asio::io_context context(1);
     asio::ip::tcp::socket socket(context);
-    socket.connect({asio::ip::make_address(host), port});
+    socket.connect(wire::endpointOf(address));
     boost::system::error_code ignored;
     asio::write(socket, asio::buffer(bytes), ignored);
     if (halfClose) {
--- a/test/standin/engine.cpp
+++ b/test/standin/engine.cpp
@@ -3,6 +3,8 @@
 #include "enginemodel.h"
 #include "standin.h"
 
+#include <fake/program.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -10,7 +12,6 @@
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/program_options.hpp>
 
 #include <algorithm>
 #include <deque>
@@ -341,9 +342,11 @@
     add("decode-us", po::value<long>()->default_value(2000), "decode time of a token alone");
     add("cold-ms", po::value<long>()->default_value(0), "length of a cold start");
     add("check-fencing", "refuse orders with an old fencing number");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, options), values);
-    po::notify(values);
+    const auto parsed = fake::parseCommandLine(options, argc, argv);
+    if (!parsed) {
+        return 0;
+    }
+    const auto &values = *parsed;
     EngineOptions engineOptions;
     engineOptions.cacheTokens = values["cache-tokens"].as<std::uint64_t>();
     engineOptions.prefillPerToken = std::chrono::microseconds(values["prefill-us"].as<long>());
@@ -364,10 +367,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return cyclamenspool::standin::run(argc, argv);
-    } catch (const std::exception &error) {
-        std::cerr << error.what() << '\n';
-        return 1;
-    }
+    return cyclamenspool::fake::runProgram(cyclamenspool::standin::run, argc, argv);
 }
--- a/test/standin/platform.cpp
+++ b/test/standin/platform.cpp
@@ -2,7 +2,7 @@
 
 #include "standin.h"
 
-#include <boost/program_options.hpp>
+#include <fake/program.h>
 
 #include <iostream>
 #include <map>
@@ -86,9 +86,11 @@
 {
     po::options_description options("options");
     options.add_options()("listen", po::value<std::string>()->required(), "IP number and port");
-    po::variables_map values;
-    po::store(po::parse_command_line(argc, argv, options), values);
-    po::notify(values);
+    const auto parsed = fake::parseCommandLine(options, argc, argv);
+    if (!parsed) {
+        return 0;
+    }
+    const auto &values = *parsed;
     Platform platform;
     serve(values["listen"].as<std::string>(), [&platform](const http::Request &request, http::Responder &responder) {
         return platform.handle(request, responder);
@@ -100,10 +102,5 @@
 
 int main(int argc, char **argv)
 {
-    try {
-        return cyclamenspool::standin::run(argc, argv);
-    } catch (const std::exception &error) {
-        std::cerr << error.what() << '\n';
-        return 1;
-    }
+    return cyclamenspool::fake::runProgram(cyclamenspool::standin::run, argc, argv);
 }
