--- a/src/cyclamenspool/config/settings.cpp
+++ b/src/cyclamenspool/config/settings.cpp
@@ -36,6 +36,7 @@
         {"shutdown_limit_ms", &S::shutdownLimit, false, period},
         {"exchange_period_ms", &S::exchangePeriod, false, period},
         {"anti_entropy_period_ms", &S::antiEntropyPeriod, false, period},
+        {"start_spread_ms", &S::startSpread, false, {0, 3600000}},
         {"view_lease_ms", &S::viewLease, false, period},
         {"take_over_ms", &S::takeOver, false, {1000, 3600000}},
         {"weight_store_rate", &S::weightStoreRate, false, {0.001, 100000}},
--- a/src/cyclamenspool/config/settings.h
+++ b/src/cyclamenspool/config/settings.h
@@ -30,6 +30,7 @@
     std::chrono::milliseconds shutdownLimit{30000};
     std::chrono::milliseconds exchangePeriod{250};
     std::chrono::milliseconds antiEntropyPeriod{1000};
+    std::chrono::milliseconds startSpread{0}; /**< Longest random delay before a process without informed peers asks the services. */
     std::chrono::milliseconds viewLease{3000}; /**< A process that slept longer re-reads its view. */
     std::chrono::milliseconds takeOver{30000}; /**< A former home of keys counts as gone after missing from the list this long. */
     double weightStoreRate = 10.0; /**< Loads of weights a second that the weight store bears. */
--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -152,8 +153,21 @@
         }
         buffer.commit(count);
     }
-    stream.expires_after(limits_.readTimeout);
+    stream.expires_never();
+    // A timeout of the stream itself would close the socket, and the caller would get no answer.
+    bool late = false;
+    asio::steady_timer timer(stream.get_executor(), limits_.readTimeout);
+    timer.async_wait([&stream, &late](const boost::system::error_code &stopped) {
+        if (!stopped) {
+            late = true;
+            stream.cancel();
+        }
+    });
     co_await bhttp::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    const bool pending = timer.cancel() > 0;
+    if (!pending && !late) {
+        co_await asio::post(stream.get_executor(), asio::use_awaitable);
+    }
     if (error == bhttp::error::end_of_stream) {
         co_return false;
     }
@@ -163,7 +177,9 @@
         unread.version(11);
         Responder responder(stream, unread, limits_.writeTimeout);
         responder.closeAfter();
-        co_await refuse_(internal::kindOf(error), error.message(), responder);
+        const auto kind = late ? core::ErrorKind::SlowCaller : internal::kindOf(error);
+        const std::string detail = late ? "the request did not arrive in time" : error.message();
+        co_await refuse_(kind, detail, responder);
         co_return false;
     }
     const Request request = parser.release();
--- a/src/cyclamenspool/node/documentsync.cpp
+++ b/src/cyclamenspool/node/documentsync.cpp
@@ -76,6 +76,12 @@
 asio::awaitable<void> DocumentSync::startUp()
 {
     while (!stopped_) {
+        co_await askPeers();
+        const bool informedByPeers = hasAll() && serviceAge() < rules_.silence;
+        if (informedByPeers) {
+            break;
+        }
+        co_await pause(startDelay());
         co_await askAll();
         if (hasAll()) {
             break;
@@ -94,12 +100,27 @@
     for (const auto &name : documentNames()) {
         co_await readService(name, core::Milliseconds(0));
     }
-    for (const auto &address : randomPeers(internal::startPeers)) {
+    co_await askPeers();
+}
+
+asio::awaitable<void> DocumentSync::askPeers()
+{
+    const auto peers = randomPeers(internal::startPeers);
+    if (peers.empty()) {
+        co_return;
+    }
+    for (const auto &address : peers) {
         pullFrom(address);
     }
     co_await pause(internal::peerWait);
 }
 
+core::Milliseconds DocumentSync::startDelay()
+{
+    const std::lock_guard lock(mutex_);
+    return std::chrono::duration_cast<core::Milliseconds>(settings_.startSpread * random_.unit());
+}
+
 void DocumentSync::refresh(std::function<void()> done)
 {
     const auto work = [this, done = std::move(done)]() -> asio::awaitable<void> {
--- a/src/cyclamenspool/node/documentsync.h
+++ b/src/cyclamenspool/node/documentsync.h
@@ -90,6 +90,8 @@
     boost::asio::awaitable<bool> readService(std::string name, core::Milliseconds wait);
     boost::asio::awaitable<void> pullForever();
     boost::asio::awaitable<void> askAll();
+    boost::asio::awaitable<void> askPeers();
+    [[nodiscard]] core::Milliseconds startDelay();
     boost::asio::awaitable<void> pause(core::Milliseconds length);
     void pullFrom(const std::string &address);
     void pushChange(const std::vector<wire::DocumentState> &before);
--- a/test/process/configuration.cpp
+++ b/test/process/configuration.cpp
@@ -105,6 +105,25 @@
     CHECK(allAt(all, 2));
 }
 
+TEST_CASE("a process that starts among informed peers does not ask the services", "[process]")
+{
+    LocalFleet fleet(shape());
+    fleet.routers[1].router.kill();
+    fleet.startRouter(fleet.routers[1]);
+    for (auto &engine : fleet.engines) {
+        engine.agent.kill();
+        fleet.startAgent(engine);
+    }
+    int silent = 0;
+    for (const auto &address : addresses(fleet)) {
+        REQUIRE(LocalFleet::awaitReady(address));
+        silent += LocalFleet::metric(address, "cyclamenspool_service_calls_total") == 0 ? 1 : 0;
+    }
+    constexpr int restarted = 7;
+    constexpr int watchers = 4;
+    CHECK(silent >= restarted - watchers);
+}
+
 TEST_CASE("the fleet serves while the platform is down and catches up afterwards", "[process]")
 {
     LocalFleet fleet(shape());
