--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -2,6 +2,8 @@
 
 #include <fake/program.h>
 
+#include "barplot.h"
+
 #include <fake/enginemodel.h>
 #include <fake/fakefleet.h>
 
@@ -562,6 +564,7 @@
     po::options_description options("options");
     auto add = options.add_options();
     add("json", "print one JSON line a figure");
+    add("plot", po::value<std::string>()->default_value(""), "directory for SVG plots; empty: none");
     add("seed", po::value<std::uint64_t>()->default_value(1), "seed");
     add("only", po::value<std::string>()->default_value(""), "policy; empty: all");
     const auto parsed = fake::parseCommandLine(options, argc, argv);
@@ -575,6 +578,9 @@
     if (!json) {
         std::cout << "deployment scenario            policy               reuse    max    p99   over  ttft95 refus  lost  B/s/n\n";
     }
+    std::vector<Bar> reuse;
+    std::vector<Bar> skew;
+    std::vector<Bar> firstToken;
     for (const auto &deployment : deployments) {
         for (const auto &scenario : scenarios) {
             const auto schedule = makeSchedule(deployment, scenario, runLength, seed);
@@ -585,9 +591,19 @@
                 const auto outcome = policy.choose == nullptr ? CoreRun(deployment, scenario, seed).run(schedule)
                                                               : BaselineRun(deployment, scenario, policy.choose).run(schedule);
                 printOutcome(deployment, scenario, policy, outcome, seed, json);
+                const auto group = std::string(deployment.name) + ": " + scenario.name;
+                reuse.push_back({group, policy.name, outcome.reuse});
+                skew.push_back({group, policy.name, outcome.skewP99});
+                firstToken.push_back({group, policy.name, outcome.firstTokenP95});
             }
         }
     }
+    const auto directory = values["plot"].as<std::string>();
+    if (!directory.empty()) {
+        writeBarPlot(directory + "/reuse.svg", "cache reuse (prompt tokens found warm over all)", reuse);
+        writeBarPlot(directory + "/skew.svg", "load skew (p99 of max over mean, smoothed over 1 s)", skew);
+        writeBarPlot(directory + "/first-token.svg", "time to the first token (p95, s)", firstToken);
+    }
     return 0;
 }
 
--- a/src/cyclamenspool/agent/agentnode.cpp
+++ b/src/cyclamenspool/agent/agentnode.cpp
@@ -273,6 +273,7 @@
     metrics.set("cyclamenspool_agent_cold_starts_total", static_cast<double>(counts.coldStarts));
     metrics.set("cyclamenspool_agent_orders_total", static_cast<double>(counts.orders));
     metrics.set("cyclamenspool_agent_warm_tokens_total", static_cast<double>(counts.warmTokens));
+    metrics.set("cyclamenspool_agent_counted_warm_tokens_total", static_cast<double>(counts.countedWarm));
     metrics.set("cyclamenspool_agent_prompt_tokens_total", static_cast<double>(counts.promptTokens));
     metrics.set("cyclamenspool_agent_exchange_bytes_total", static_cast<double>(exchangeBytes_));
     for (const auto &[kind, count] : counts.refusals) {
--- a/src/cyclamenspool/agent/core/agentadmission.cpp
+++ b/src/cyclamenspool/agent/core/agentadmission.cpp
@@ -274,6 +274,7 @@
     addTokens(cost.prefill + cost.decode, now);
     ++counts_.admitted;
     counts_.promptTokens += request.prompt_tokens();
+    counts_.countedWarm += static_cast<std::uint64_t>(cost.warm);
     streams_[stream] = id;
     actions.emplace_back(StartRun{id, request, core::Milliseconds(request.remaining_ms())});
     run.request.clear_body();
--- a/src/cyclamenspool/agent/core/agentcore.cpp
+++ b/src/cyclamenspool/agent/core/agentcore.cpp
@@ -106,6 +106,10 @@
     } else if (previous->cacheEpoch != state->cacheEpoch) {
         goCold("the engine lost its cache", now, actions);
     }
+    if (state->eventGap) {
+        // Some evictions are unknown, so no history here can be counted as warm until it is seen again.
+        chats_.eraseServer("");
+    }
     for (const auto &chat : state->evictedChats) {
         const auto *place = chats_.find(chat, now.monotonic);
         if (place != nullptr && place->server.empty()) {
--- a/src/cyclamenspool/agent/core/agentcore.h
+++ b/src/cyclamenspool/agent/core/agentcore.h
@@ -60,7 +60,8 @@
     std::uint64_t droppedAnswers = 0; /**< Backend answers with another request's id. */
     std::uint64_t coldStarts = 0;
     std::uint64_t orders = 0;
-    std::uint64_t warmTokens = 0;
+    std::uint64_t warmTokens = 0; /**< Prompt tokens that the engine found warm. */
+    std::uint64_t countedWarm = 0; /**< Prompt tokens that were counted as warm at admission. */
     std::uint64_t promptTokens = 0;
     std::map<core::ErrorKind, std::uint64_t> refusals;
 };
--- a/test/agent/load.cpp
+++ b/test/agent/load.cpp
@@ -126,6 +126,28 @@
     CHECK(fleet.agent("vm-engine-0").counts().coldStarts >= 2);
 }
 
+TEST_CASE("after a gap in the cache events no history counts as warm", "[agent]")
+{
+    const bool gap = GENERATE(false, true);
+    MatrixFleet matrix;
+    matrix.ledger->partTime = Milliseconds(700);
+    auto &fleet = *matrix.fleet;
+    const auto ask = [&](const std::string &id) {
+        fleet.ask("router-0", fault::makeRequest(RequestMode::Chat, id, ""));
+    };
+    ask("first");
+    fleet.run(Milliseconds(5000));
+    const auto vm = "vm-" + fleet.answer("first").server;
+    auto state = fleet.backend(fleet.answer("first").server).state();
+    state.eventGap = gap;
+    REQUIRE(fleet.agent(vm).onEngineState(state, fleet.queue().now()).empty());
+    ask("second");
+    fleet.run(Milliseconds(100));
+    REQUIRE(fleet.agent(vm).load(fleet.queue().now()).runs == 1);
+    const auto counts = fleet.agent(vm).counts();
+    CHECK(counts.countedWarm == (gap ? 0 : 100));
+}
+
 TEST_CASE("a pool that is full refuses at once, truthfully and with a time to come back", "[agent]")
 {
     fault::TableParts parts;
--- /dev/null
+++ b/test/agent/orders.cpp
@@ -0,0 +1,34 @@
+#include <catch2/catch.hpp>
+
+#include <fault/matrixfleet.h>
+
+using namespace cyclamenspool;
+using core::Milliseconds;
+
+namespace {
+
+/** @brief Returns the time from an agent's start to its first order. */
+Milliseconds firstOrderAfter(bool checksFencing)
+{
+    fault::TableParts parts;
+    parts.checksFencing = checksFencing;
+    const auto ledger = std::make_shared<fault::Ledger>();
+    fake::FakeFleet::Shape shape;
+    shape.table = fault::matrixTable(parts);
+    shape.vms = fault::matrixVms();
+    shape.makeBackend = [ledger](const std::string &server) {
+        return std::make_unique<fault::LedgerBackend>(server, ledger, "");
+    };
+    fake::FakeFleet fleet(shape);
+    const auto start = fleet.queue().now().monotonic;
+    REQUIRE(fleet.runTo("order_sent", Milliseconds(20000)));
+    return std::chrono::duration_cast<Milliseconds>(fleet.queue().now().monotonic - start);
+}
+
+} // namespace
+
+TEST_CASE("an agent waits out the longest lease before it orders an engine that ignores fencing numbers", "[agent][orders]")
+{
+    CHECK(firstOrderAfter(false) >= agent::AgentOptions{}.viewLease);
+    CHECK(firstOrderAfter(true) < agent::AgentOptions{}.viewLease);
+}
