--- a/test/router/limits.cpp
+++ b/test/router/limits.cpp
@@ -85,6 +85,46 @@
     CHECK(fleet.answer("r").body == fault::expectedAnswer(shape));
 }
 
+TEST_CASE("an answer that ends before its whole length is cut, not whole", "[router]")
+{
+    auto table = std::make_shared<config::Table>();
+    table->apply(config::parseRows(fault::matrixTable({}), "table"));
+    table->apply(config::parseRows(fault::matrixVms(), "vms"));
+    const auto now = core::Now::read();
+    router::RouterCore router("router-0", {}, 1);
+    static_cast<void>(router.onView(std::make_shared<const member::FleetView>(table, 1), now));
+    const auto sent = router.onRequest(fault::makeRequest(RequestMode::Chat, "r", ""), now);
+    const auto attempt = std::get<router::SendAttempt>(sent.back()).attempt;
+    wire::Reply reply;
+    reply.set_request_id("r");
+    reply.set_attempt(attempt);
+    reply.mutable_begin()->set_status(200);
+    REQUIRE(router.onReply(attempt, reply, now).size() == 1);
+    reply.mutable_chunk()->set_data("half");
+    REQUIRE(router.onReply(attempt, reply, now).size() == 1);
+    reply.mutable_end()->set_total(8);
+    const auto ended = router.onReply(attempt, reply, now);
+    const auto *failure = std::get_if<router::AnswerFailure>(&ended.back());
+    REQUIRE(failure != nullptr);
+    CHECK(failure->kind == ErrorKind::AnswerCut);
+    CHECK(failure->runState == RunState::Unknown);
+}
+
+TEST_CASE("a booking at a frozen service is answered at its deadline", "[router]")
+{
+    MatrixFleet matrix;
+    auto &fleet = *matrix.fleet;
+    for (const std::string server : {"booking-0", "booking-1", "booking-2"}) {
+        fleet.freeze(server);
+    }
+    const auto request = fault::makeRequest(RequestMode::RouterKey, "r", "");
+    fleet.ask("router-0", request);
+    fleet.run(request.deadline + Milliseconds(100));
+    REQUIRE(fleet.answer("r").final);
+    CHECK(fleet.answer("r").kind == ErrorKind::DeadlineAfterSend);
+    CHECK(fleet.answer("r").runState == RunState::Unknown);
+}
+
 TEST_CASE("bad requests get their kind from the table", "[router]")
 {
     MatrixFleet matrix;
