An answer too large to keep is not replayed as an empty one; one conversion of a test's call

Found on reading the change: a keyed answer over 64 KB was stored as an empty record that counted as kept, so a repeat got an empty answer with status 0 as if it were whole. finish() now takes no answer for it, and a repeat is told already_run. A unit test shows it. The conversion from a test's call to a client request stood in the harness and in bench_live; it is one function now.

--- a/bench/live.cpp
+++ b/bench/live.cpp
@@ -116,18 +116,6 @@
     return text;
 }
 
-http::ClientRequest clientRequest(const harness::Call &call)
-{
-    http::ClientRequest request;
-    request.address = call.address;
-    request.method = call.method;
-    request.target = call.target;
-    request.headers = call.headers;
-    request.body = call.body;
-    request.timeout = call.timeout;
-    return request;
-}
-
 asio::awaitable<void> sendOne(http::ClientRequest request, Tally &tally)
 {
     const auto began = Clock::now();
@@ -168,7 +156,7 @@
         co_await timer.async_wait(asio::use_awaitable);
         const int chat = std::uniform_int_distribution<int>(0, experiment.chats - 1)(random);
         const auto text = words(experiment.promptWords + experiment.growthWords * turns[chat]++);
-        asio::co_spawn(executor, sendOne(clientRequest(makeCall("chat-" + std::to_string(chat), text, experiment.tokens)), tally), asio::detached);
+        asio::co_spawn(executor, sendOne(harness::clientRequest(makeCall("chat-" + std::to_string(chat), text, experiment.tokens)), tally), asio::detached);
         next += std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(gap(random)));
     }
 }
@@ -246,7 +234,7 @@
     std::cout << "router memory by open streams:";
     for (const int target : {0, 500, 1000, 2000}) {
         for (; opened < target; ++opened) {
-            auto request = clientRequest(fleet.chat(0, "chat-" + std::to_string(opened), "hello", 2, true));
+            auto request = harness::clientRequest(fleet.chat(0, "chat-" + std::to_string(opened), "hello", 2, true));
             request.timeout = std::chrono::seconds(120);
             asio::co_spawn(context, http::stream(std::move(request), {}), [&ended](const std::exception_ptr &) {
                 ++ended;
--- a/src/cyclamenspool/agent/core/agentruns.cpp
+++ b/src/cyclamenspool/agent/core/agentruns.cpp
@@ -145,7 +145,7 @@
     ++counts_.whole;
     if (!run.request.key().empty()) {
         const bool isWhole = run.kept.size() == run.offset;
-        keys_->finish(run.request, isWhole ? policy::StoredAnswer{run.status, run.contentType, run.kept} : policy::StoredAnswer{});
+        keys_->finish(run.request, isWhole ? std::optional(policy::StoredAnswer{run.status, run.contentType, run.kept}) : std::nullopt);
     }
     auto reply = internal::replyFor(run.request);
     reply.mutable_end()->set_total(run.offset);
--- a/src/cyclamenspool/agent/core/keykeeper.cpp
+++ b/src/cyclamenspool/agent/core/keykeeper.cpp
@@ -150,7 +150,7 @@
     return register_.find(internal::scopedKey(request));
 }
 
-void KeyKeeper::finish(const wire::Submit &request, policy::StoredAnswer answer)
+void KeyKeeper::finish(const wire::Submit &request, std::optional<policy::StoredAnswer> answer)
 {
     register_.finish(internal::scopedKey(request), std::move(answer));
 }
--- a/src/cyclamenspool/agent/core/keykeeper.h
+++ b/src/cyclamenspool/agent/core/keykeeper.h
@@ -53,8 +53,8 @@
     /** @brief Finds a key's record. @param request Request. @return Record; null if there is none. */
     [[nodiscard]] const policy::KeyRecord *find(const wire::Submit &request) const;
 
-    /** @brief Stores an outcome. @param request Request. @param answer Answer. */
-    void finish(const wire::Submit &request, policy::StoredAnswer answer);
+    /** @brief Stores an outcome. @param request Request. @param answer Answer; none: too large to keep. */
+    void finish(const wire::Submit &request, std::optional<policy::StoredAnswer> answer);
 
     /** @brief Removes the key of a request that was certainly not sent. @param request Request. */
     void forgetNotSent(const wire::Submit &request);
--- a/src/cyclamenspool/policy/keyregister.cpp
+++ b/src/cyclamenspool/policy/keyregister.cpp
@@ -48,7 +48,7 @@
     records_.insert_or_assign(key, std::move(record));
 }
 
-void KeyRegister::finish(const std::string &key, StoredAnswer answer)
+void KeyRegister::finish(const std::string &key, std::optional<StoredAnswer> answer)
 {
     const auto found = records_.find(key);
     if (found == records_.end()) {
@@ -56,9 +56,12 @@
     }
     auto &record = found->second;
     record.finished = true;
+    if (!answer) {
+        return;
+    }
     record.answerKept = true;
-    answerBytes_ += answer.body.size();
-    record.answer = std::move(answer);
+    answerBytes_ += answer->body.size();
+    record.answer = std::move(*answer);
     answers_.push_back(key);
     boundAnswers();
 }
--- a/src/cyclamenspool/policy/keyregister.h
+++ b/src/cyclamenspool/policy/keyregister.h
@@ -81,8 +81,8 @@
      */
     KeyVerdict admit(const std::string &key, std::optional<core::WallTime> created, std::uint64_t bodyHash, bool knownFresh, core::WallTime at);
 
-    /** @brief Stores the outcome of a key. @param key Scoped key. @param answer Answer; kept while there is room. */
-    void finish(const std::string &key, StoredAnswer answer);
+    /** @brief Stores the outcome of a key. @param key Scoped key. @param answer Answer, kept while there is room; none: too large to keep. */
+    void finish(const std::string &key, std::optional<StoredAnswer> answer);
 
     /** @brief Removes a key whose request was certainly not sent to the service. @param key Scoped key. */
     void forgetNotSent(const std::string &key);
--- a/test/harness/httpcall.cpp
+++ b/test/harness/httpcall.cpp
@@ -20,10 +20,8 @@
     return found == headers.end() ? "" : found->second;
 }
 
-Answer run(const Call &call)
+http::ClientRequest clientRequest(const Call &call)
 {
-    Answer answer;
-    asio::io_context context(1);
     http::ClientRequest request;
     request.address = call.address;
     request.method = call.method;
@@ -31,6 +29,13 @@
     request.headers = call.headers;
     request.body = call.body;
     request.timeout = call.timeout;
+    return request;
+}
+
+Answer run(const Call &call)
+{
+    Answer answer;
+    asio::io_context context(1);
     http::ClientEvents events;
     events.onHead = [&answer](const http::ClientHead &head) {
         answer.status = head.status;
@@ -42,7 +47,7 @@
         }
         answer.body += data;
     };
-    asio::co_spawn(context, http::stream(request, events), [&answer](const std::exception_ptr &error) {
+    asio::co_spawn(context, http::stream(clientRequest(call), events), [&answer](const std::exception_ptr &error) {
         answer.whole = error == nullptr;
     });
     context.run_for(call.timeout);
--- a/test/harness/httpcall.h
+++ b/test/harness/httpcall.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cyclamenspool/http/client.h>
+
 #include <chrono>
 #include <functional>
 #include <map>
@@ -31,6 +33,9 @@
     [[nodiscard]] std::string header(const std::string &name) const;
 };
 
+/** @brief Converts a call to a request of the HTTP client. @param call Call. @return Request. */
+[[nodiscard]] http::ClientRequest clientRequest(const Call &call);
+
 /** @brief Runs a request. @param call Request. @return Answer. */
 [[nodiscard]] Answer run(const Call &call);
 
--- a/test/policy/keyregister.cpp
+++ b/test/policy/keyregister.cpp
@@ -25,7 +25,7 @@
     KeyRegister keys(bounds, start);
     CHECK(keys.admit("k", at(2000), 1, false, at(2100)) == KeyVerdict::Run);
     CHECK(keys.admit("k", at(2000), 1, false, at(2200)) == KeyVerdict::MayHaveRun);
-    keys.finish("k", {200, "text/plain", "done"});
+    keys.finish("k", policy::StoredAnswer{200, "text/plain", "done"});
     CHECK(keys.admit("k", at(2000), 1, false, at(2300)) == KeyVerdict::StoredAnswer);
     CHECK(keys.admit("k", at(2000), 2, false, at(2300)) == KeyVerdict::Conflict);
 }
@@ -69,11 +69,19 @@
     REQUIRE(keys.admit("k", at(2000), 1, false, at(2000)) == KeyVerdict::Run);
     keys.forgetNotSent("k");
     CHECK(keys.admit("k", at(2000), 1, false, at(2100)) == KeyVerdict::Run);
-    keys.finish("k", {200, "", "done"});
+    keys.finish("k", policy::StoredAnswer{200, "", "done"});
     keys.forgetNotSent("k");
     CHECK(keys.admit("k", at(2000), 1, false, at(2200)) == KeyVerdict::StoredAnswer);
 }
 
+TEST_CASE("an answer that was too large to keep is not answered from the record", "[policy]")
+{
+    KeyRegister keys(bounds, start);
+    REQUIRE(keys.admit("k", at(2000), 1, false, at(2000)) == KeyVerdict::Run);
+    keys.finish("k", std::nullopt);
+    CHECK(keys.admit("k", at(2000), 1, false, at(2100)) == KeyVerdict::AlreadyRun);
+}
+
 TEST_CASE("stored answers are bounded and the keys stay", "[policy]")
 {
     KeyRegister keys(bounds, start);
@@ -81,7 +89,7 @@
     for (int i = 0; i < 8; ++i) {
         const auto key = "k" + std::to_string(i);
         REQUIRE(keys.admit(key, at(2000), 1, false, at(2000)) == KeyVerdict::Run);
-        keys.finish(key, {200, "", large});
+        keys.finish(key, policy::StoredAnswer{200, "", large});
     }
     CHECK(keys.admit("k0", at(2000), 1, false, at(2100)) == KeyVerdict::AlreadyRun);
     CHECK(keys.admit("k7", at(2000), 1, false, at(2100)) == KeyVerdict::StoredAnswer);
@@ -93,7 +101,7 @@
     KeyRegister former(bounds, start);
     REQUIRE(former.admit("running", at(2000), 1, false, at(2000)) == KeyVerdict::Run);
     REQUIRE(former.admit("done", at(2000), 2, false, at(2000)) == KeyVerdict::Run);
-    former.finish("done", {200, "", "answer"});
+    former.finish("done", policy::StoredAnswer{200, "", "answer"});
     KeyRegister next(bounds, start);
     for (const auto &record : former.exportIf([](const std::string &) {
              return true;
