--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -15,7 +15,6 @@
 constexpr Milliseconds silenceLimit{700}; /* longer than the prefill of a long prompt */
 constexpr Milliseconds peerLoadAge{1500}; /* a peer that is silent for longer is taken for down, and its connections with it */
 constexpr Milliseconds lapseGrace{2200}; /* entries come back within 2 s after the store's return */
-constexpr Milliseconds illMemory{3000};
 constexpr double failureWeight = 0.15; /* of the newest answer in the moving average */
 constexpr double failureLimit = 0.25;
 constexpr double ejectedPart = 0.34; /* of a service's backend servers that may be suspect for failures */
@@ -84,7 +83,7 @@
 
 bool Fleet::storeWasIll(core::MonotonicTime now) const
 {
-    return lastIll_ && (!wellSince_ || now < *wellSince_ + internal::illMemory);
+    return lastIll_ && (!wellSince_ || now < *wellSince_ + internal::lapseGrace);
 }
 
 void Fleet::onStoreIll(core::MonotonicTime now)
@@ -224,7 +223,8 @@
 
 Standing Fleet::standingOf(const ServerState &server, core::MonotonicTime now) const
 {
-    if (server.record.leaving || server.isGone) {
+    const bool isLapsed = server.lapsed && wellSince_ && now >= *wellSince_ + internal::lapseGrace;
+    if (server.record.leaving || server.isGone || isLapsed) {
         return Standing::Leaving;
     }
     if (leavingZones_.count(server.record.zone) > 0) {
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -30,6 +30,7 @@
 constexpr std::chrono::milliseconds callTimeout{2500}; /* beside the time that a watch waits */
 constexpr std::chrono::milliseconds retryPause{200};
 constexpr wire::Liveness storeLiveness{std::chrono::milliseconds(2000), std::chrono::seconds(1), 2};
+constexpr std::chrono::milliseconds firstWait{50}; /* of the watch after a failure, so that the store's return is noticed at once */
 constexpr std::uint64_t answerBytes = 64UL * 1024 * 1024;
 constexpr unsigned historyGone = 410;
 
@@ -130,6 +131,7 @@
         }
         if (!failure.empty() && !stopping_) {
             stream_.reset();
+            hasFailed_ = true;
             events_.onFailure(failure);
             co_await pause(internal::retryPause);
         }
@@ -179,9 +181,11 @@
 
 asio::awaitable<void> StoreClient::watch()
 {
+    const auto wait = hasFailed_ ? internal::firstWait : times_.wait;
     const std::string target =
-        "/-/kv-watch?prefix=" + prefix_ + "&after=" + std::to_string(events_.revision()) + "&wait_ms=" + std::to_string(times_.wait.count());
-    const auto answer = co_await call(target, times_.wait + internal::callTimeout);
+        "/-/kv-watch?prefix=" + prefix_ + "&after=" + std::to_string(events_.revision()) + "&wait_ms=" + std::to_string(wait.count());
+    const auto answer = co_await call(target, wait + internal::callTimeout);
+    hasFailed_ = false;
     const auto &object = answer.as_object();
     const auto revision = object.at("store_revision").to_number<std::uint64_t>();
     events_.onChanges(internal::itemsOf(object.at("events"), events_), revision);
--- a/src/cyclamenspool/platform/storeclient.h
+++ b/src/cyclamenspool/platform/storeclient.h
@@ -70,6 +70,7 @@
     std::unique_ptr<boost::beast::tcp_stream> stream_;
     boost::beast::flat_buffer buffer_;
     bool listNeeded_ = false;
+    bool hasFailed_ = false; /* the call before failed */
     std::atomic<bool> stopping_{false};
     std::atomic<std::uint64_t> calls_{0};
 };
--- /dev/null
+++ b/test/gateway/fleet.cpp
@@ -0,0 +1,161 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/gateway/fleet.h>
+
+#include <string>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using gateway::Fleet;
+using gateway::Outcome;
+using gateway::ServerState;
+using gateway::Standing;
+
+namespace {
+
+const core::MonotonicTime start = core::MonotonicTime() + 1h;
+
+world::BackendServer entryOf(const std::string &id, std::uint64_t revision = 1)
+{
+    world::BackendServer entry;
+    entry.id = id;
+    entry.service = "pool";
+    entry.address = "10.0.0.1:80";
+    entry.zone = "az-a";
+    entry.slots = 8;
+    entry.revision = revision;
+    return entry;
+}
+
+/** @brief A fleet of listed backend servers s0, s1 and so on. */
+struct FilledFleet : Fleet {
+    explicit FilledFleet(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            onListed(entryOf("s" + std::to_string(i)), start);
+        }
+    }
+
+    ServerState &server(int index)
+    {
+        return *serversOf("pool").at(static_cast<std::size_t>(index));
+    }
+
+    [[nodiscard]] bool uses(const std::string &id, core::MonotonicTime now) const
+    {
+        for (const auto &known : serversOf("pool")) {
+            if (known->record.id == id && standingOf(*known, now) != Standing::Leaving) {
+                return true;
+            }
+        }
+        return false;
+    }
+};
+
+} // namespace
+
+TEST_CASE("an entry that vanishes while the store is well is not used again", "[gateway][fleet]")
+{
+    FilledFleet fleet(3);
+    fleet.onUnlisted("s1", start + 1s);
+    CHECK_FALSE(fleet.uses("s1", start + 1s));
+    CHECK(fleet.uses("s0", start + 1s));
+}
+
+TEST_CASE("an entry that lapsed during an outage is used until two seconds after the store's return, without further news", "[gateway][fleet]")
+{
+    FilledFleet fleet(3);
+    fleet.onStoreIll(start + 1s);
+    fleet.onUnlisted("s1", start + 2s);
+    CHECK(fleet.uses("s1", start + 9s));
+    fleet.onStoreWell(start + 10s);
+    CHECK(fleet.uses("s1", start + 11900ms));
+    CHECK_FALSE(fleet.uses("s1", start + 12300ms));
+}
+
+TEST_CASE("an entry that vanishes right after an outage is not kept beyond the grace of lapsed entries", "[gateway][fleet]")
+{
+    FilledFleet fleet(3);
+    fleet.onStoreIll(start + 1s);
+    fleet.onStoreWell(start + 10s);
+    fleet.onUnlisted("s1", start + 10500ms);
+    CHECK_FALSE(fleet.uses("s1", start + 12300ms));
+    fleet.onUnlisted("s2", start + 12400ms);
+    CHECK_FALSE(fleet.uses("s2", start + 12400ms));
+}
+
+TEST_CASE("a lapsed entry that comes back is used", "[gateway][fleet]")
+{
+    FilledFleet fleet(2);
+    fleet.onStoreIll(start + 1s);
+    fleet.onUnlisted("s1", start + 2s);
+    fleet.onStoreWell(start + 10s);
+    fleet.onListed(entryOf("s1", 9), start + 11s);
+    fleet.onStoreWell(start + 15s);
+    CHECK(fleet.uses("s1", start + 15s));
+}
+
+TEST_CASE("a leaving backend server and an evacuated zone get nothing", "[gateway][fleet]")
+{
+    FilledFleet fleet(2);
+    auto leaving = entryOf("s0", 2);
+    leaving.leaving = true;
+    fleet.onListed(leaving, start);
+    CHECK(fleet.standingOf(fleet.server(0), start) == Standing::Leaving);
+    fleet.onZone("az-a", true);
+    CHECK(fleet.standingOf(fleet.server(1), start) == Standing::Evacuated);
+}
+
+TEST_CASE("a zone that returns is cold until its backend servers report", "[gateway][fleet]")
+{
+    FilledFleet fleet(1);
+    fleet.onZone("az-a", true);
+    fleet.onZone("az-a", false);
+    CHECK(fleet.standingOf(fleet.server(0), start) == Standing::Cold);
+    fleet.onListed(entryOf("s0", 5), start + 1s);
+    CHECK(fleet.standingOf(fleet.server(0), start + 1s) == Standing::Usable);
+}
+
+TEST_CASE("a crash is suspected on the second broken answer in a row, and a trial clears it", "[gateway][fleet]")
+{
+    FilledFleet fleet(3);
+    fleet.onOutcome(fleet.server(0), Outcome::Broken, start);
+    CHECK(fleet.standingOf(fleet.server(0), start) == Standing::Usable);
+    fleet.onOutcome(fleet.server(0), Outcome::Broken, start);
+    CHECK(fleet.standingOf(fleet.server(0), start) == Standing::Suspect);
+    CHECK(fleet.standingOf(fleet.server(0), start + 1s) == Standing::OnTrial);
+    fleet.onOutcome(fleet.server(0), Outcome::Answered, start + 1s);
+    CHECK(fleet.standingOf(fleet.server(0), start + 1s) == Standing::Usable);
+}
+
+TEST_CASE("backend servers that all fail are not all put aside", "[gateway][fleet]")
+{
+    FilledFleet fleet(6);
+    for (int round = 0; round < 20; ++round) {
+        for (int i = 0; i < 6; ++i) {
+            fleet.onOutcome(fleet.server(i), Outcome::Failed, start);
+        }
+    }
+    int suspects = 0;
+    for (int i = 0; i < 6; ++i) {
+        suspects += fleet.standingOf(fleet.server(i), start) == Standing::Suspect ? 1 : 0;
+    }
+    CHECK(suspects <= 2);
+}
+
+TEST_CASE("a backend server that is silent under requests is suspect", "[gateway][fleet]")
+{
+    FilledFleet fleet(2);
+    fleet.server(0).outstanding = 1;
+    fleet.server(0).unheardSince = start;
+    CHECK(fleet.standingOf(fleet.server(0), start + 300ms) == Standing::Usable);
+    CHECK(fleet.standingOf(fleet.server(0), start + 2s) == Standing::Suspect);
+}
+
+TEST_CASE("loads of a peer that fell silent are not counted", "[gateway][fleet]")
+{
+    FilledFleet fleet(1);
+    fleet.onPeerLoads("vm-2", {{"s0", 5}}, start);
+    CHECK(Fleet::loadOf(fleet.server(0), start) == 5);
+    CHECK(Fleet::loadOf(fleet.server(0), start + 5s) == 0);
+}
