The cache of a spilled or moved history is fetched from its holder

A fetch costs a sixth of the read. Ruled out: eviction (a third of the memory is in use), the split of prompts (the last part but one is what requests share: 33, 62 and 52 of them).

--- a/src/cyclamenspool/gateway/backendpool.h
+++ b/src/cyclamenspool/gateway/backendpool.h
@@ -31,7 +31,8 @@
      */
     [[nodiscard]] std::optional<Socket> take(const std::string &server, std::chrono::milliseconds longestIdle);
 
-    /** @brief Keeps a connection. @param server Id of the backend server. @param socket Connection. @param idleTimeout Time until the backend server closes it. */
+    /** @brief Keeps a connection. @param server Id of the backend server. @param socket Connection. @param idleTimeout Time until the backend server closes it.
+     */
     void keep(const std::string &server, Socket socket, std::chrono::milliseconds idleTimeout);
 
     /** @brief Closes all connections. */
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -8,6 +8,7 @@
 
 namespace internal {
 
+constexpr std::size_t historiesKept = 20000; /* 3 MB; a gateway of the largest fleet sees 6,250 chats that may return */
 constexpr double budgetMargin = 0.8; /* of the retry budget; the rest covers gateways that are not known yet */
 
 core::MonotonicTime now()
@@ -81,6 +82,7 @@
 Dispatcher::Dispatcher(const config::GatewaySettings &settings)
     : settings_(settings)
     , shares_(settings.vm, std::max<std::size_t>(settings.seedPeers.size(), 1))
+    , histories_(internal::historiesKept)
 {
 }
 
@@ -148,17 +150,28 @@
     const auto now = internal::now();
     const bool isRepeat = !tried.empty();
     if (isRepeat && !mayRepeat(admission.service, now)) {
-        return {nullptr, core::ErrorKind::RetryBudget, "the retry budget is spent"};
+        return {nullptr, {}, core::ErrorKind::RetryBudget, "the retry budget is spent"};
     }
     const auto placement = gateway::place(fleet_, shares_, {admission.service, admission.historyKey, tried}, bounds, now);
     if (placement.server == nullptr) {
-        return {nullptr, placement.refusal, placement.reason};
+        return {nullptr, {}, placement.refusal, placement.reason};
     }
     auto &use = useOf(admission.service);
     (isRepeat ? use.repeats : use.requests).add(now);
     ++(isRepeat ? counts_.repeats : counts_.admitted);
     open(*placement.server);
-    return {std::make_unique<Ticket>(*this, placement.server), core::ErrorKind::NoCandidate, placement.reason};
+    const auto source = noteHistory(admission.historyKey, *placement.server, now);
+    return {std::make_unique<Ticket>(*this, placement.server), source, core::ErrorKind::NoCandidate, placement.reason};
+}
+
+std::string Dispatcher::noteHistory(std::uint64_t historyKey, const ServerState &server, core::MonotonicTime now)
+{
+    if (historyKey == 0) {
+        return {};
+    }
+    const auto source = findHistorySource(fleet_, historyKey, server, histories_.holdersOf(historyKey), now);
+    histories_.add(historyKey, server.record.id);
+    return source == nullptr ? std::string() : source->record.address;
 }
 
 Dispatcher::ServiceUse &Dispatcher::useOf(const std::string &service)
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -3,6 +3,7 @@
 #include <cyclamenspool/config/gatewaysettings.h>
 #include <cyclamenspool/core/errorkind.h>
 #include <cyclamenspool/gateway/fleet.h>
+#include <cyclamenspool/gateway/historydirectory.h>
 #include <cyclamenspool/gateway/placement.h>
 #include <cyclamenspool/gateway/routetable.h>
 #include <cyclamenspool/gateway/shares.h>
@@ -65,6 +66,7 @@
 /** @brief Result of a placement: a ticket, or why there is none. */
 struct PlacementAnswer {
     std::unique_ptr<Ticket> ticket;
+    std::string historySource; /**< Address of a backend server that holds the prompt's cache; empty: none is needed or known. */
     core::ErrorKind refusal = core::ErrorKind::NoCandidate;
     const char *reason = "";
 };
@@ -145,6 +147,7 @@
     void open(ServerState &server);
     void heard(ServerState &server);
     void close(ServerState &server, Outcome outcome);
+    [[nodiscard]] std::string noteHistory(std::uint64_t historyKey, const ServerState &server, core::MonotonicTime now);
     [[nodiscard]] ServiceUse &useOf(const std::string &service);
     [[nodiscard]] bool mayRepeat(const std::string &service, core::MonotonicTime now);
 
@@ -153,6 +156,7 @@
     std::shared_ptr<const RouteTable> routes_;
     Fleet fleet_;
     Shares shares_;
+    HistoryDirectory histories_;
     std::map<std::string, ServiceUse> uses_;
     DispatchCounts counts_;
 };
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -134,6 +134,8 @@
         return;
     }
     ticket_ = std::move(answer.ticket);
+    historySource_ = answer.historySource;
+    placementReason_ = answer.reason;
     const auto &server = ticket_->server();
     tried_.push_back(server.id);
     send(server);
@@ -160,6 +162,7 @@
         added.urgency = std::clamp(admission_->urgency, 0, internal::highestUrgency);
     }
     added.lastEvent = scanner_.lastId();
+    added.historySource = historySource_;
     platform::appendForwarded(out.bytes, request_.base(), added);
     const bool hasBody = !request_.body().empty() || request_.has_content_length() || request_.chunked();
     if (hasBody) {
@@ -228,6 +231,9 @@
 bool Exchange::onAnswerBody(std::string bytes)
 {
     ticket_->heard();
+    const auto now = std::chrono::steady_clock::now();
+    longestPause_ = std::max(longestPause_, now - std::max(lastBody_, headCame_));
+    lastBody_ = now;
     if (mode_ == Mode::Whole) {
         body_ += bytes;
         if (body_.size() > internal::wholeBytes) {
@@ -405,7 +411,15 @@
         line["version"] = admission_->table->routing().version;
         line["service"] = admission_->service;
     }
+    if (headCame_ > arrived_) {
+        line["pause_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(longestPause_).count();
+        line["history"] = admission_->historyKey;
+    }
+    if (!historySource_.empty()) {
+        line["history_source"] = historySource_;
+    }
     if (!tried_.empty()) {
+        line["reason"] = placementReason_;
         line["servers"] = boost::json::array(tried_.begin(), tried_.end());
         line["head_ms"] = headCame_ > arrived_ ? internal::elapsedSince(arrived_).count() - internal::elapsedSince(headCame_).count() : -1;
     }
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -25,7 +25,8 @@
 class Exchange : public BackendEvents, public std::enable_shared_from_this<Exchange>
 {
 public:
-    /** @brief Creates an exchange. @param worker Worker. @param session Caller's connection. @param request Request. @param arrived Arrival of its first byte. */
+    /** @brief Creates an exchange. @param worker Worker. @param session Caller's connection. @param request Request. @param arrived Arrival of its first byte.
+     */
     Exchange(Worker &worker, CallerSession &session, CallerRequest request, core::MonotonicTime arrived);
     ~Exchange() override;
     Exchange(const Exchange &) = delete;
@@ -86,6 +87,8 @@
     std::shared_ptr<BackendCall> call_;
     std::unique_ptr<Ticket> ticket_;
     std::vector<std::string> tried_; /* backend servers that the request was placed at */
+    std::string historySource_; /* of the last placement */
+    const char *placementReason_ = "";
     int sent_ = 0; /* backend servers that the request was sent to */
     bool mayHaveRun_ = false;
     unsigned status_ = 0;
@@ -96,6 +99,8 @@
     bool headWritten_ = false;
     bool isReadingPaused_ = false;
     core::MonotonicTime headCame_{};
+    core::MonotonicTime lastBody_{};
+    core::MonotonicTime::duration longestPause_{}; /* between two parts of the answer, as they came */
 };
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds silenceLimit{700}; /* longer than the prefill of a long prompt */
 constexpr Milliseconds peerLoadAge{1500}; /* a peer that is silent for longer is taken for down, and its connections with it */
 constexpr Milliseconds lapseGrace{2200}; /* entries come back within 2 s after the store's return */
+constexpr Milliseconds firstListTime{1000}; /* in which the first list is read */
 constexpr double failureWeight = 0.15; /* of the newest answer in the moving average */
 constexpr double failureLimit = 0.25;
 constexpr double ejectedPart = 0.34; /* of a service's backend servers that may be suspect for failures */
@@ -38,6 +39,9 @@
             server->isGone = true;
         }
         server = std::make_shared<ServerState>(listed);
+        firstListed_ = firstListed_.value_or(now);
+        const bool wasThere = now < *firstListed_ + internal::firstListTime && listed.coldRemaining.count() == 0;
+        server->joined = wasThere ? core::MonotonicTime::min() : now;
         index();
     }
     const bool isChange = isNew || server->record.leaving != listed.leaving || server->coldUnknown || server->lapsed;
@@ -251,6 +255,12 @@
     return load;
 }
 
+ServerPtr Fleet::find(const std::string &id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : found->second;
+}
+
 const std::vector<ServerPtr> &Fleet::serversOf(const std::string &service) const
 {
     static const std::vector<ServerPtr> none;
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -69,6 +69,9 @@
     /** @brief Finds the backend servers of a service. @param service Service. @return Those that are listed or lapsed. */
     [[nodiscard]] const std::vector<ServerPtr> &serversOf(const std::string &service) const;
 
+    /** @brief Finds a backend server. @param id Its id. @return State; null: not listed. */
+    [[nodiscard]] ServerPtr find(const std::string &id) const;
+
     /** @brief Counts the backend servers. @return Count. */
     [[nodiscard]] std::size_t size() const noexcept
     {
@@ -84,6 +87,7 @@
     std::map<std::string, ServerPtr> servers_; /* by id */
     std::map<std::string, std::vector<ServerPtr>, std::less<>> byService_;
     std::set<std::string> leavingZones_;
+    std::optional<core::MonotonicTime> firstListed_;
     std::optional<core::MonotonicTime> lastIll_;
     std::optional<core::MonotonicTime> wellSince_;
 };
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -11,6 +11,7 @@
 
 constexpr double boundMargin = 0.75; /* of the load factor; the rest covers loads that peers have not told yet */
 constexpr double boundSlack = 2.0; /* requests above the multiple of the mean, of the 3 that are allowed */
+constexpr std::chrono::seconds settleTime{10}; /* after it joined, a backend server holds the histories that rank it first */
 constexpr double coldMargin = 0.8; /* of what a cold backend server bears */
 
 /** @brief A backend server that may be asked. */
@@ -50,6 +51,34 @@
     return static_cast<std::size_t>(server.outstanding) < std::max<std::size_t>(part, 1);
 }
 
+/** @brief Tells whether a backend server can be asked for its cache; one that leaves still can. */
+bool canGive(const Fleet &fleet, const ServerState &server, core::MonotonicTime now)
+{
+    const auto standing = fleet.standingOf(server, now);
+    return !server.isGone && !server.lapsed && standing != Standing::Suspect && standing != Standing::OnTrial;
+}
+
+/**
+ * @brief Guesses who holds a history that this gateway has not seen: others have sent it to the first of the order that is not new.
+ * @return That one; if it is the chosen one, the next, which takes what is above the load bound.
+ */
+ServerPtr likelyHolder(const Fleet &fleet, std::uint64_t historyKey, const ServerState &chosen, core::MonotonicTime now)
+{
+    ServerPtr first;
+    std::uint64_t firstRank = 0;
+    for (const auto &server : fleet.serversOf(chosen.record.service)) {
+        const auto rank = core::hash64(server->record.id, historyKey);
+        const bool isSettled = server->joined == core::MonotonicTime::min() || now - server->joined > settleTime;
+        const bool isFirst = first == nullptr || rank < firstRank;
+        const bool isOther = server->record.id != chosen.record.id;
+        if (isOther && isSettled && isFirst && canGive(fleet, *server, now)) {
+            first = server;
+            firstRank = rank;
+        }
+    }
+    return first;
+}
+
 bool isRefusing(Standing standing)
 {
     return standing == Standing::Leaving || standing == Standing::Evacuated;
@@ -111,4 +140,22 @@
     return {nullptr, coldRefused ? core::ErrorKind::ColdStart : core::ErrorKind::NoCandidate, "no backend server may be asked now"};
 }
 
+ServerPtr findHistorySource(const Fleet &fleet,
+                            std::uint64_t historyKey,
+                            const ServerState &chosen,
+                            const std::vector<std::string> &holders,
+                            core::MonotonicTime now)
+{
+    if (std::find(holders.begin(), holders.end(), chosen.record.id) != holders.end()) {
+        return nullptr;
+    }
+    for (const auto &id : holders) {
+        const auto holder = fleet.find(id);
+        if (holder != nullptr && internal::canGive(fleet, *holder, now)) {
+            return holder;
+        }
+    }
+    return internal::likelyHolder(fleet, historyKey, chosen, now);
+}
+
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/placement.h
+++ b/src/cyclamenspool/gateway/placement.h
@@ -25,6 +25,21 @@
     int connections = 100; /**< Connections to a backend server. */
 };
 
+/**
+ * @brief Finds a backend server from which a history's cache may be fetched.
+ * @param fleet Fleet.
+ * @param historyKey Hash of the prompt part; not 0.
+ * @param chosen Backend server that the request goes to.
+ * @param holders Backend servers that were sent the history, the newest first.
+ * @param now Time.
+ * @return Source; null: the chosen one holds it already, or nobody does.
+ */
+[[nodiscard]] ServerPtr findHistorySource(const Fleet &fleet,
+                                          std::uint64_t historyKey,
+                                          const ServerState &chosen,
+                                          const std::vector<std::string> &holders,
+                                          core::MonotonicTime now);
+
 /** @brief Result of a placement: a backend server, or why there is none. */
 struct Placement {
     ServerPtr server;
--- a/src/cyclamenspool/gateway/routetable.h
+++ b/src/cyclamenspool/gateway/routetable.h
@@ -17,7 +17,8 @@
     /** @brief Creates a table. @param routing Routing. */
     explicit RouteTable(world::Routing routing);
 
-    /** @brief Finds the route with the longest matching prefix. @param host Host, lower case. @param target Path, perhaps with a query. @return Route; null: none. */
+    /** @brief Finds the route with the longest matching prefix. @param host Host, lower case. @param target Path, perhaps with a query. @return Route; null:
+     * none. */
     [[nodiscard]] const world::Route *find(std::string_view host, std::string_view target) const;
 
     /** @brief Finds the holder of an API key. @param key API key. @return Holder; null: unknown. */
--- a/src/cyclamenspool/gateway/serverstate.h
+++ b/src/cyclamenspool/gateway/serverstate.h
@@ -49,6 +49,7 @@
     }
 
     world::BackendServer record;
+    core::MonotonicTime joined{}; /**< First seen; the minimum if it was there before this process. */
     std::optional<core::MonotonicTime> lapsed; /**< Its entry vanished while the store was ill. */
     bool isGone = false; /**< Its entry vanished while the store was well. */
     bool coldUnknown = false; /**< Treated as cold until its next report. */
--- a/src/cyclamenspool/gateway/shares.h
+++ b/src/cyclamenspool/gateway/shares.h
@@ -19,7 +19,8 @@
     /** @brief Takes the news that a gateway is alive. @param vm Its VM. @param now Time. */
     void onGateway(const std::string &vm, core::MonotonicTime now);
 
-    /** @brief Counts the gateways that were alive lately, this one included. @param now Time. @return Count; never too low while peers are silent for moments. */
+    /** @brief Counts the gateways that were alive lately, this one included. @param now Time. @return Count; never too low while peers are silent for moments.
+     */
     [[nodiscard]] std::size_t gateways(core::MonotonicTime now) const;
 
     /**
--- a/src/cyclamenspool/platform/documents.h
+++ b/src/cyclamenspool/platform/documents.h
@@ -31,7 +31,8 @@
 };
 
 /** @brief An item that the system does not use. */
-struct Unused {};
+struct Unused {
+};
 
 using Document = std::variant<world::Routing, world::BackendServer, GoneServer, ZoneMark, Unused>;
 
--- a/src/cyclamenspool/platform/headers.cpp
+++ b/src/cyclamenspool/platform/headers.cpp
@@ -23,6 +23,7 @@
 constexpr std::string_view expectName = "Cyclamenspool-Expect-Instance";
 constexpr std::string_view workspaceName = "Cyclamenspool-Tenant";
 constexpr std::string_view urgencyName = "Cyclamenspool-Request-Urgency";
+constexpr std::string_view fetchName = "Kv-Fetch"; /* an address, not a cache */
 constexpr std::string_view sealName = "Cyclamenspool-Response-Seal";
 constexpr std::string_view notRunName = "Cyclamenspool-Not-Executed";
 constexpr std::string_view serverName = "Cyclamenspool-Instance-Id";
@@ -33,12 +34,29 @@
 constexpr unsigned misdirected = 421;
 
 /* Headers of one connection. */
-constexpr std::array<std::string_view, 11> hopNames{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
-                                                    "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"};
+constexpr std::array<std::string_view, 11> hopNames{"Connection",
+                                                    "Keep-Alive",
+                                                    "Proxy-Connection",
+                                                    "Proxy-Authenticate",
+                                                    "Proxy-Authorization",
+                                                    "TE",
+                                                    "Trailer",
+                                                    "Transfer-Encoding",
+                                                    "Upgrade",
+                                                    "Content-Length",
+                                                    "Expect"};
 
 /* Headers that only the system sets towards a backend server. */
-constexpr std::array<std::string_view, 11> systemNames{"Authorization", workspaceName, expectName, urgencyName, callerTimeName, "Cyclamenspool-Hold",
-                                                       "Cyclamenspool-Pin-Ms", "Cyclamenspool-Kv-Backup", "Kv-From", "Kv-Fetch",
+constexpr std::array<std::string_view, 11> systemNames{"Authorization",
+                                                       workspaceName,
+                                                       expectName,
+                                                       urgencyName,
+                                                       callerTimeName,
+                                                       "Cyclamenspool-Hold",
+                                                       "Cyclamenspool-Pin-Ms",
+                                                       "Cyclamenspool-Kv-Backup",
+                                                       "Kv-From",
+                                                       fetchName,
                                                        "Cyclamenspool-Expect-Version"};
 
 bool isListed(std::string_view name, const std::string_view *first, const std::string_view *last)
@@ -230,6 +248,9 @@
     if (!head.lastEvent.empty()) {
         internal::appendLine(out, internal::lastEventName, head.lastEvent);
     }
+    if (!head.historySource.empty()) {
+        internal::appendLine(out, internal::fetchName, head.historySource);
+    }
 }
 
 void appendAnswered(std::string &out, const Fields &fields)
--- a/src/cyclamenspool/platform/headers.h
+++ b/src/cyclamenspool/platform/headers.h
@@ -41,6 +41,7 @@
     std::chrono::milliseconds timeLeft{0};
     std::optional<int> urgency; /**< 0 to 9, 0 first. */
     std::string lastEvent; /**< Goes before the caller's. */
+    std::string historySource; /**< Address from which the prompt's cache is fetched first; empty: none. */
 };
 
 /** @brief Load as a backend server tells it. */
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -182,8 +182,7 @@
 asio::awaitable<void> StoreClient::watch()
 {
     const auto wait = hasFailed_ ? internal::firstWait : times_.wait;
-    const std::string target =
-        "/-/kv-watch?prefix=" + prefix_ + "&after=" + std::to_string(events_.revision()) + "&wait_ms=" + std::to_string(wait.count());
+    const std::string target = "/-/kv-watch?prefix=" + prefix_ + "&after=" + std::to_string(events_.revision()) + "&wait_ms=" + std::to_string(wait.count());
     const auto answer = co_await call(target, wait + internal::callTimeout);
     hasFailed_ = false;
     const auto &object = answer.as_object();
--- /dev/null
+++ b/test/gateway/placement.cpp
@@ -0,0 +1,184 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/gateway/historydirectory.h>
+#include <cyclamenspool/gateway/placement.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using gateway::Fleet;
+using gateway::Outcome;
+using gateway::Placement;
+using gateway::PlacementBounds;
+using gateway::PlacementQuery;
+using gateway::Shares;
+
+namespace {
+
+const core::MonotonicTime start = core::MonotonicTime() + 1h;
+
+/** @brief Twelve backend servers in three zones, and this gateway alone. */
+struct Pool {
+    Pool()
+    {
+        for (int i = 0; i < 12; ++i) {
+            add("s" + std::to_string(i), "az-" + std::to_string(i % 3), start);
+        }
+        bounds.zone = "az-0";
+    }
+
+    void add(const std::string &id, const std::string &zone, core::MonotonicTime now, std::chrono::milliseconds cold = 0ms)
+    {
+        world::BackendServer entry;
+        entry.id = id;
+        entry.service = "pool";
+        entry.address = id;
+        entry.zone = zone;
+        entry.coldRemaining = cold;
+        fleet.onListed(entry, now);
+    }
+
+    Placement choose(std::uint64_t history, core::MonotonicTime now = start, const std::vector<std::string> &tried = {})
+    {
+        auto placement = gateway::place(fleet, shares, {"pool", history, tried}, bounds, now);
+        if (placement.server != nullptr) {
+            ++placement.server->outstanding;
+            placement.server->recentSends.add(now);
+        }
+        return placement;
+    }
+
+    Fleet fleet;
+    Shares shares{"vm-1", 1};
+    PlacementBounds bounds;
+};
+
+} // namespace
+
+TEST_CASE("a history goes to the same backend server while that is under the bound", "[gateway][placement]")
+{
+    Pool pool;
+    const auto first = pool.choose(7).server;
+    --first->outstanding;
+    for (int i = 0; i < 20; ++i) {
+        const auto again = pool.choose(7).server;
+        CHECK(again->record.id == first->record.id);
+        --again->outstanding;
+    }
+}
+
+TEST_CASE("hot key: what is above the load bound goes elsewhere, and no backend server holds more than the factor allows", "[gateway][placement]")
+{
+    Pool pool;
+    for (int i = 0; i < 240; ++i) {
+        pool.choose(i % 4 == 0 ? static_cast<std::uint64_t>(i) : 7);
+    }
+    int most = 0;
+    for (const auto &server : pool.fleet.serversOf("pool")) {
+        most = std::max(most, server->outstanding);
+    }
+    constexpr double mean = 20;
+    CHECK(most <= pool.bounds.loadFactor * mean + 3);
+}
+
+TEST_CASE("requests without a history stay in the zone until the bound is reached", "[gateway][placement]")
+{
+    Pool pool;
+    CHECK(pool.choose(0).server->record.zone == "az-0");
+    std::set<std::string> zones;
+    for (int i = 0; i < 60; ++i) {
+        zones.insert(pool.choose(0).server->record.zone);
+    }
+    CHECK(zones.size() == 3);
+}
+
+TEST_CASE("cold start: all gateways together send a cold backend server no more than it bears", "[gateway][placement]")
+{
+    constexpr int gateways = 30;
+    int sent = 0;
+    for (int number = 0; number < gateways; ++number) {
+        Pool pool;
+        pool.bounds.coldRequests = 23;
+        pool.shares = Shares("vm-" + std::to_string(number), 1);
+        for (int peer = 0; peer < gateways; ++peer) {
+            pool.shares.onGateway("vm-" + std::to_string(peer), start);
+        }
+        pool.add("cold", "az-0", start, 3s);
+        for (int i = 0; i < 12; ++i) {
+            pool.fleet.onOutcome(*pool.fleet.serversOf("pool").at(static_cast<std::size_t>(i)), Outcome::Elsewhere, start);
+        }
+        pool.fleet.onListed(pool.fleet.find("cold")->record, start);
+        for (int i = 0; i < 50; ++i) {
+            const auto chosen = pool.choose(static_cast<std::uint64_t>(i + 1)).server;
+            sent += chosen != nullptr && chosen->record.id == "cold" ? 1 : 0;
+        }
+    }
+    CHECK(sent <= 23);
+    CHECK(sent > 10);
+}
+
+TEST_CASE("a backend server that was tried is not chosen again", "[gateway][placement]")
+{
+    Pool pool;
+    const auto first = pool.choose(7).server->record.id;
+    CHECK(pool.choose(7, start, {first}).server->record.id != first);
+}
+
+TEST_CASE("a crash in the peak: suspects get nothing while others work, and a trial when nobody else is left", "[gateway][placement]")
+{
+    Pool pool;
+    const auto crashed = pool.choose(7).server;
+    pool.fleet.onOutcome(*crashed, Outcome::Unreachable, start);
+    CHECK(pool.choose(7).server->record.id != crashed->record.id);
+    for (const auto &server : pool.fleet.serversOf("pool")) {
+        pool.fleet.onOutcome(*server, Outcome::Unreachable, start);
+    }
+    CHECK(pool.choose(7).server != nullptr);
+}
+
+TEST_CASE("a spilled history is fetched from its holder, also while that leaves, but not once it is gone", "[gateway][history]")
+{
+    Pool pool;
+    const auto holder = pool.choose(7).server;
+    const auto other = pool.choose(7, start, {holder->record.id}).server;
+    const std::vector<std::string> holders{holder->record.id};
+    CHECK(gateway::findHistorySource(pool.fleet, 7, *other, holders, start) == holder);
+    CHECK(gateway::findHistorySource(pool.fleet, 7, *holder, holders, start) == nullptr);
+    auto leaving = holder->record;
+    leaving.leaving = true;
+    pool.fleet.onListed(leaving, start);
+    CHECK(gateway::findHistorySource(pool.fleet, 7, *other, holders, start) == holder);
+    pool.fleet.onUnlisted(leaving.id, start);
+    CHECK(gateway::findHistorySource(pool.fleet, 7, *other, holders, start) != holder);
+}
+
+TEST_CASE("a new backend server fetches a history that this gateway has not seen from the one that ranked first before", "[gateway][history]")
+{
+    Pool pool;
+    const auto before = pool.choose(7).server;
+    int joined = 0;
+    std::string id;
+    do {
+        id = "new" + std::to_string(joined++);
+        pool.add(id, "az-0", start + 1min);
+        --before->outstanding;
+    } while (pool.choose(7, start + 1min).server == before && joined < 1000);
+    const auto chosen = pool.fleet.find(id);
+    CHECK(gateway::findHistorySource(pool.fleet, 7, *chosen, {}, start + 1min) == before);
+}
+
+TEST_CASE("the directory keeps the newest holders and drops the history used longest ago", "[gateway][history]")
+{
+    gateway::HistoryDirectory directory(2);
+    directory.add(1, "a");
+    directory.add(1, "b");
+    CHECK(directory.holdersOf(1) == std::vector<std::string>{"b", "a"});
+    directory.add(2, "c");
+    directory.add(1, "b");
+    directory.add(3, "d");
+    CHECK(directory.holdersOf(2).empty());
+    CHECK(directory.holdersOf(1).size() == 2);
+}
