Gateways tell each other which backend server was sent a history; a history stays with its holder

Cause: half of the remaining reads again went to a server whose source this gateway had to guess, as another gateway had spilled the history.

--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -9,6 +9,7 @@
 namespace internal {
 
 constexpr std::size_t historiesKept = 20000; /* 3 MB; a gateway of the largest fleet sees 6,250 chats that may return */
+constexpr std::size_t placementsKept = 256; /* told to a peer at once: 8 KB */
 constexpr double budgetMargin = 0.8; /* of the retry budget; the rest covers gateways that are not known yet */
 
 core::MonotonicTime now()
@@ -152,7 +153,8 @@
     if (isRepeat && !mayRepeat(admission.service, now)) {
         return {nullptr, {}, core::ErrorKind::RetryBudget, "the retry budget is spent"};
     }
-    const auto placement = gateway::place(fleet_, shares_, {admission.service, admission.historyKey, tried}, bounds, now);
+    const PlacementQuery query{admission.service, admission.historyKey, histories_.holdersOf(admission.historyKey, now), tried};
+    const auto placement = gateway::place(fleet_, shares_, query, bounds, now);
     if (placement.server == nullptr) {
         return {nullptr, {}, placement.refusal, placement.reason};
     }
@@ -160,20 +162,44 @@
     (isRepeat ? use.repeats : use.requests).add(now);
     ++(isRepeat ? counts_.repeats : counts_.admitted);
     open(*placement.server);
-    const auto source = noteHistory(admission.historyKey, *placement.server, now);
+    const auto source = noteHistory(query, *placement.server, now);
     return {std::make_unique<Ticket>(*this, placement.server), source, core::ErrorKind::NoCandidate, placement.reason};
 }
 
-std::string Dispatcher::noteHistory(std::uint64_t historyKey, const ServerState &server, core::MonotonicTime now)
+std::string Dispatcher::noteHistory(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now)
 {
-    if (historyKey == 0) {
+    if (query.historyKey == 0) {
         return {};
     }
-    const auto source = findHistorySource(fleet_, historyKey, server, histories_.holdersOf(historyKey), now);
-    histories_.add(historyKey, server.record.id);
+    const auto source = findHistorySource(fleet_, query.historyKey, server, query.holders, now);
+    const HistoryPlacement placement{query.historyKey, server.record.id};
+    if (histories_.add(placement, now)) {
+        ++placementCount_;
+        placements_.push_back(placement);
+    }
+    if (placements_.size() > internal::placementsKept) {
+        placements_.pop_front();
+    }
     return source == nullptr ? std::string() : source->record.address;
 }
 
+void Dispatcher::onPeerPlacements(const std::vector<HistoryPlacement> &placements)
+{
+    const std::lock_guard lock(mutex_);
+    const auto now = internal::now();
+    for (const auto &placement : placements) {
+        histories_.add(placement, now);
+    }
+}
+
+std::vector<HistoryPlacement> Dispatcher::placementsSince(std::uint64_t &position) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto missing = std::min<std::uint64_t>(placementCount_ - position, placements_.size());
+    position = placementCount_;
+    return {placements_.end() - static_cast<std::ptrdiff_t>(missing), placements_.end()};
+}
+
 Dispatcher::ServiceUse &Dispatcher::useOf(const std::string &service)
 {
     const auto window = std::chrono::duration_cast<std::chrono::nanoseconds>(settings_.retryWindow);
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -124,6 +125,16 @@
      */
     [[nodiscard]] PlacementAnswer place(const Admission &admission, const std::vector<std::string> &tried);
 
+    /** @brief Takes another gateway's placements. @param placements Placements. */
+    void onPeerPlacements(const std::vector<HistoryPlacement> &placements);
+
+    /**
+     * @brief Lists histories that this gateway has sent to backend servers that did not hold them.
+     * @param position Number of placements that were listed before; takes the number of all.
+     * @return Placements since then, the newest of them if there were many.
+     */
+    [[nodiscard]] std::vector<HistoryPlacement> placementsSince(std::uint64_t &position) const;
+
     /** @brief Counts a refusal. @param kind Kind. */
     void onRefusal(core::ErrorKind kind);
 
@@ -147,7 +158,7 @@
     void open(ServerState &server);
     void heard(ServerState &server);
     void close(ServerState &server, Outcome outcome);
-    [[nodiscard]] std::string noteHistory(std::uint64_t historyKey, const ServerState &server, core::MonotonicTime now);
+    [[nodiscard]] std::string noteHistory(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now);
     [[nodiscard]] ServiceUse &useOf(const std::string &service);
     [[nodiscard]] bool mayRepeat(const std::string &service, core::MonotonicTime now);
 
@@ -157,6 +168,8 @@
     Fleet fleet_;
     Shares shares_;
     HistoryDirectory histories_;
+    std::deque<HistoryPlacement> placements_; /* newest last */
+    std::uint64_t placementCount_ = 0; /* since the start */
     std::map<std::string, ServiceUse> uses_;
     DispatchCounts counts_;
 };
--- a/src/cyclamenspool/gateway/historydirectory.cpp
+++ b/src/cyclamenspool/gateway/historydirectory.cpp
@@ -7,6 +7,7 @@
 namespace internal {
 
 constexpr std::size_t holdersKept = 4;
+constexpr std::chrono::seconds holderMemory{60}; /* after it, an engine may have evicted the history */
 
 } // namespace internal
 
@@ -15,18 +16,24 @@
 {
 }
 
-void HistoryDirectory::add(std::uint64_t history, const std::string &server)
+bool HistoryDirectory::add(const HistoryPlacement &placement, core::MonotonicTime now)
 {
-    const auto found = entries_.find(history);
+    const auto found = entries_.find(placement.history);
     if (found != entries_.end()) {
         order_.splice(order_.begin(), order_, found->second.place);
     } else {
-        order_.push_front(history);
-        entries_[history].place = order_.begin();
+        order_.push_front(placement.history);
+        entries_[placement.history].place = order_.begin();
+    }
+    auto &holders = entries_[placement.history].holders;
+    const auto known = std::find_if(holders.begin(), holders.end(), [&placement](const Holder &holder) {
+        return holder.server == placement.server;
+    });
+    const bool isNew = known == holders.end() || now - known->used > internal::holderMemory;
+    if (known != holders.end()) {
+        holders.erase(known);
     }
-    auto &holders = entries_[history].holders;
-    holders.erase(std::remove(holders.begin(), holders.end(), server), holders.end());
-    holders.insert(holders.begin(), server);
+    holders.insert(holders.begin(), {placement.server, now});
     if (holders.size() > internal::holdersKept) {
         holders.pop_back();
     }
@@ -34,13 +41,22 @@
         entries_.erase(order_.back());
         order_.pop_back();
     }
+    return isNew;
 }
 
-const std::vector<std::string> &HistoryDirectory::holdersOf(std::uint64_t history) const
+std::vector<std::string> HistoryDirectory::holdersOf(std::uint64_t history, core::MonotonicTime now) const
 {
-    static const std::vector<std::string> none;
+    std::vector<std::string> servers;
     const auto found = entries_.find(history);
-    return found == entries_.end() ? none : found->second.holders;
+    if (found == entries_.end()) {
+        return servers;
+    }
+    for (const auto &holder : found->second.holders) {
+        if (now - holder.used <= internal::holderMemory) {
+            servers.push_back(holder.server);
+        }
+    }
+    return servers;
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/peernews.cpp
+++ b/src/cyclamenspool/gateway/peernews.cpp
@@ -160,10 +160,10 @@
             found->second.isAsked = false;
         }
     };
-    pool_.submit(address, internal::newsPath, ownNews(), std::move(events));
+    pool_.submit(address, internal::newsPath, ownNews(peer), std::move(events));
 }
 
-std::string PeerNews::ownNews() const
+std::string PeerNews::ownNews(Peer &listener) const
 {
     const auto now = std::chrono::steady_clock::now();
     wire::GatewayNews news;
@@ -189,6 +189,11 @@
             entry->set_lasts_ms(suspicion.lasts.count());
         }
     });
+    for (const auto &placement : dispatcher_.placementsSince(listener.placementsTold)) {
+        auto *entry = news.add_placed();
+        entry->set_history(placement.history);
+        entry->set_backend_server(placement.server);
+    }
     news.set_operator_revision(catalog_.revision(Catalog::Section::Operators));
     news.set_server_revision(catalog_.revision(Catalog::Section::Servers));
     return news.SerializeAsString();
@@ -217,6 +222,11 @@
             fleet.onPeerSuspicion({suspicion.backend_server(), core::Milliseconds(suspicion.lasts_ms())}, time);
         }
     });
+    std::vector<HistoryPlacement> placements;
+    for (const auto &placed : news.placed()) {
+        placements.push_back({placed.history(), placed.backend_server()});
+    }
+    dispatcher_.onPeerPlacements(placements);
     for (const auto &known : news.peers()) {
         if (known.address() != settings_.peerAddress && peers_.count(known.address()) == 0) {
             peers_[known.address()].heard = now - core::Milliseconds(known.heard_age_ms());
@@ -252,8 +262,8 @@
         wire::GatewayNews news;
         if (news.ParseFromString(message)) {
             onNews(news);
+            stream->send(ownNews(peers_[news.address()]), true);
         }
-        stream->send(ownNews(), true);
         return;
     }
     wire::ItemPull pull;
--- a/src/cyclamenspool/gateway/peernews.h
+++ b/src/cyclamenspool/gateway/peernews.h
@@ -48,6 +48,7 @@
         bool isAsked = false; /* its reply is awaited */
         bool isSeed = false;
         std::uint64_t exchange = 0;
+        std::uint64_t placementsTold = 0;
     };
 
     void tick();
@@ -56,7 +57,7 @@
     void pullIfBehind(const std::string &address, Catalog::Section section, std::uint64_t revision);
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message);
     void forgetSilent(core::MonotonicTime now);
-    [[nodiscard]] std::string ownNews() const;
+    [[nodiscard]] std::string ownNews(Peer &peer) const;
     [[nodiscard]] std::chrono::milliseconds period() const;
 
     boost::asio::io_context &context_;
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -9,8 +9,8 @@
 
 namespace internal {
 
-constexpr double boundMargin = 0.75; /* of the load factor; the rest covers loads that peers have not told yet */
-constexpr double boundSlack = 2.0; /* requests above the multiple of the mean, of the 3 that are allowed */
+constexpr double boundMargin = 0.9; /* of the load factor; the rest covers loads that peers have not told yet */
+constexpr double boundSlack = 2.5; /* requests above the multiple of the mean, of the 3 that are allowed */
 constexpr std::chrono::seconds settleTime{10}; /* after it joined, a backend server holds the histories that rank it first */
 constexpr double coldMargin = 0.8; /* of what a cold backend server bears */
 
@@ -22,15 +22,16 @@
     std::uint64_t rank = 0; /* lowest first */
 };
 
-bool isTried(const PlacementQuery &query, const std::string &id)
+bool isListed(const std::vector<std::string> &ids, const std::string &id)
 {
-    return std::find(query.tried.begin(), query.tried.end(), id) != query.tried.end();
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
 std::uint64_t rankOf(const ServerState &server, int load, const PlacementQuery &query, const PlacementBounds &bounds)
 {
     if (query.historyKey != 0) {
-        return core::hash64(server.record.id, query.historyKey);
+        const std::uint64_t lacks = isListed(query.holders, server.record.id) ? 0 : 1;
+        return lacks << 63U | core::hash64(server.record.id, query.historyKey) >> 1U;
     }
     const std::uint64_t otherZone = server.record.zone == bounds.zone ? 0 : 1;
     return otherZone << 32U | static_cast<std::uint64_t>(load);
@@ -112,7 +113,7 @@
     bool coldRefused = false;
     for (const auto &candidate : candidates) {
         auto &server = *candidate.server;
-        if (internal::isTried(query, server.record.id) || !internal::connectionsAllow(server, shares, bounds, now)) {
+        if (internal::isListed(query.tried, server.record.id) || !internal::connectionsAllow(server, shares, bounds, now)) {
             continue;
         }
         const bool mayBeCold = candidate.standing == Standing::Cold || candidate.standing == Standing::OnTrial;
@@ -146,7 +147,7 @@
                             const std::vector<std::string> &holders,
                             core::MonotonicTime now)
 {
-    if (std::find(holders.begin(), holders.end(), chosen.record.id) != holders.end()) {
+    if (internal::isListed(holders, chosen.record.id)) {
         return nullptr;
     }
     for (const auto &id : holders) {
--- a/src/cyclamenspool/gateway/placement.h
+++ b/src/cyclamenspool/gateway/placement.h
@@ -14,6 +14,7 @@
 struct PlacementQuery {
     std::string service;
     std::uint64_t historyKey = 0; /**< Hash of the prompt part that should be warm; 0: none. */
+    std::vector<std::string> holders; /**< Backend servers that were sent the history lately. */
     std::vector<std::string> tried; /**< Backend servers that were asked already. */
 };
 
@@ -50,7 +51,8 @@
 /**
  * @brief Chooses a backend server.
  *
- * A prompt goes to the first of its rendezvous order that is under the load bound; other requests stay in the zone while the bound allows.
+ * A prompt goes to the first of its rendezvous order that is under the load bound, those that hold its history before all others; other requests stay in the
+ * zone while the bound allows.
  * @param fleet Fleet.
  * @param shares Split of the bounds.
  * @param query Query.
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -43,7 +43,7 @@
 
     Placement choose(std::uint64_t history, core::MonotonicTime now = start, const std::vector<std::string> &tried = {})
     {
-        auto placement = gateway::place(fleet, shares, {"pool", history, tried}, bounds, now);
+        auto placement = gateway::place(fleet, shares, {"pool", history, {}, tried}, bounds, now);
         if (placement.server != nullptr) {
             ++placement.server->outstanding;
             placement.server->recentSends.add(now);
@@ -173,12 +173,25 @@
 TEST_CASE("the directory keeps the newest holders and drops the history used longest ago", "[gateway][history]")
 {
     gateway::HistoryDirectory directory(2);
-    directory.add(1, "a");
-    directory.add(1, "b");
-    CHECK(directory.holdersOf(1) == std::vector<std::string>{"b", "a"});
-    directory.add(2, "c");
-    directory.add(1, "b");
-    directory.add(3, "d");
-    CHECK(directory.holdersOf(2).empty());
-    CHECK(directory.holdersOf(1).size() == 2);
+    CHECK(directory.add({1, "a"}, start));
+    CHECK(directory.add({1, "b"}, start));
+    CHECK_FALSE(directory.add({1, "b"}, start + 1s));
+    CHECK(directory.holdersOf(1, start + 1s) == std::vector<std::string>{"b", "a"});
+    directory.add({2, "c"}, start);
+    directory.add({1, "b"}, start + 1s);
+    directory.add({3, "d"}, start);
+    CHECK(directory.holdersOf(2, start).empty());
+    CHECK(directory.holdersOf(1, start + 1s).size() == 2);
+    CHECK(directory.holdersOf(1, start + 10min).empty());
+}
+
+TEST_CASE("cold zone return: a history stays with the backend server that holds it while that is under the bound", "[gateway][history]")
+{
+    Pool pool;
+    const auto holder = pool.choose(7).server->record.id;
+    for (int i = 0; i < 40; ++i) {
+        pool.add("new" + std::to_string(i), "az-0", start);
+    }
+    const PlacementQuery query{"pool", 7, {holder}, {}};
+    CHECK(gateway::place(pool.fleet, pool.shares, query, pool.bounds, start).server->record.id == holder);
 }
