Silent backend servers are left by requests that may be repeated; connections wait for the first configuration

Cause: after the loss of all gateways 41 requests met a process that listened before it knew a configuration (60 ms); a dark backend server kept requests until the acknowledgement time-out of 2.5 s. Now a server is silent after six times its usual time to an answer (150 to 700 ms): new work avoids it, peers are told, idempotent requests and resumable streams go elsewhere.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -12,7 +12,7 @@
 
 namespace internal {
 
-constexpr std::chrono::milliseconds connectTimeout{300}; /* several round trips between zones */
+constexpr std::chrono::milliseconds connectTimeout{200}; /* several round trips between zones */
 constexpr std::size_t readBytes = 16UL * 1024;
 constexpr std::chrono::milliseconds defaultIdleTimeout{4000};
 constexpr double idleMargin = 0.7; /* of the time after which the backend server closes an idle connection */
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -57,6 +57,7 @@
     : dispatcher_(dispatcher)
     , server_(std::move(server))
     , record_(server_->record)
+    , opened_(internal::now())
 {
 }
 
@@ -72,6 +73,18 @@
     }
 }
 
+void Ticket::begun()
+{
+    if (isOpen_) {
+        dispatcher_.begun(*server_, opened_);
+    }
+}
+
+bool Ticket::isServerSilent() const
+{
+    return dispatcher_.isSilent(*server_);
+}
+
 void Ticket::finish(Outcome outcome)
 {
     if (isOpen_) {
@@ -231,6 +244,20 @@
     server.unheardSince = internal::now();
 }
 
+void Dispatcher::begun(ServerState &server, core::MonotonicTime opened)
+{
+    const std::lock_guard lock(mutex_);
+    const auto now = internal::now();
+    server.unheardSince = now;
+    Fleet::onHeadTime(server, now - opened);
+}
+
+bool Dispatcher::isSilent(const ServerState &server) const
+{
+    const std::lock_guard lock(mutex_);
+    return Fleet::isSilent(server, internal::now());
+}
+
 void Dispatcher::close(ServerState &server, Outcome outcome)
 {
     const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -48,6 +48,12 @@
     /** @brief Notes that bytes came from the backend server. */
     void heard();
 
+    /** @brief Notes that the answer begins. */
+    void begun();
+
+    /** @brief Tells whether the backend server is silent towards this gateway. @return True if so. */
+    [[nodiscard]] bool isServerSilent() const;
+
     /** @brief Gives the place back. @param outcome How the request ended. */
     void finish(Outcome outcome);
 
@@ -61,6 +67,7 @@
     Dispatcher &dispatcher_;
     ServerPtr server_;
     world::BackendServer record_;
+    core::MonotonicTime opened_;
     bool isOpen_ = true;
 };
 
@@ -157,6 +164,8 @@
 
     void open(ServerState &server);
     void heard(ServerState &server);
+    void begun(ServerState &server, core::MonotonicTime opened);
+    [[nodiscard]] bool isSilent(const ServerState &server) const;
     void close(ServerState &server, Outcome outcome);
     [[nodiscard]] std::string noteHistory(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now);
     [[nodiscard]] ServiceUse &useOf(const std::string &service);
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::milliseconds leastTime{5}; /* an attempt with less time left is not worth sending */
 constexpr std::chrono::milliseconds repeatableIdle{10000};
 constexpr std::chrono::milliseconds onceIdle{1500}; /* a connection that was idle for long may be closed under a request that must not be repeated */
+constexpr std::chrono::milliseconds silencePeriod{100}; /* between two looks at a backend server that may be silent */
 constexpr std::chrono::milliseconds unknownTime{1000}; /* taken for a caller that does not say how long it waits */
 constexpr int highestUrgency = 9;
 
@@ -70,6 +71,7 @@
     , request_(std::move(request))
     , arrived_(arrived)
     , timer_(worker.context())
+    , silenceTimer_(worker.context())
 {
 }
 
@@ -96,6 +98,39 @@
         }
     });
     attempt();
+    if (session_ != nullptr && admission_->route->mayRepeat()) {
+        watchSilence();
+    }
+}
+
+void Exchange::watchSilence()
+{
+    silenceTimer_.expires_after(internal::silencePeriod);
+    auto self = weak_from_this();
+    silenceTimer_.async_wait([self](const boost::system::error_code &error) {
+        const auto exchange = self.lock();
+        if (!error && exchange != nullptr && exchange->session_ != nullptr) {
+            exchange->onSilence();
+        }
+    });
+}
+
+void Exchange::onSilence()
+{
+    const bool isResumable = !isAnswerBegun() || mode_ == Mode::Events;
+    const bool mayMove = isResumable && sent_ < admission_->route->maxAttempts;
+    const auto quiet = std::chrono::steady_clock::now() - std::max(lastSent_, lastBody_);
+    const bool isStalled = quiet > internal::silencePeriod && ticket_ != nullptr && ticket_->isServerSilent();
+    if (!mayMove || !isStalled || isReadingPaused_) {
+        watchSilence();
+        return;
+    }
+    const auto self = shared_from_this();
+    call_->cancel();
+    onBroken("the backend server is silent");
+    if (session_ != nullptr) {
+        watchSilence();
+    }
 }
 
 void Exchange::admit()
@@ -171,6 +206,7 @@
     out.bytes += "\r\n";
     out.bytes += request_.body();
     ++sent_;
+    lastSent_ = std::chrono::steady_clock::now();
     call_ = std::make_shared<BackendCall>(worker_.pool(), std::move(out), *this);
     call_->start();
 }
@@ -193,7 +229,7 @@
 
 void Exchange::onAnswerHead(unsigned status, const platform::Fields &fields, const platform::AnswerHead &head)
 {
-    ticket_->heard();
+    ticket_->begun();
     const auto &route = *admission_->route;
     if (head.notRun) {
         constexpr unsigned misdirected = 421;
@@ -350,6 +386,7 @@
     worker_.dispatcher().onRefusal(kind);
     log(core::ruleOf(kind).name.data(), detail);
     timer_.cancel();
+    silenceTimer_.cancel();
     auto *session = std::exchange(session_, nullptr);
     session->abort();
 }
@@ -373,6 +410,7 @@
 {
     log(outcome, detail);
     timer_.cancel();
+    silenceTimer_.cancel();
     auto *session = std::exchange(session_, nullptr);
     session->endAnswer();
 }
@@ -385,6 +423,7 @@
     log("caller_gone", "");
     session_ = nullptr;
     timer_.cancel();
+    silenceTimer_.cancel();
     if (call_ != nullptr) {
         call_->cancel();
     }
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -67,6 +67,8 @@
     void refuse(core::ErrorKind kind, const std::string &detail);
     void cut(core::ErrorKind kind, const std::string &detail);
     void onDeadline();
+    void watchSilence();
+    void onSilence();
     void finish(const char *outcome, const std::string &detail);
     void log(const char *outcome, const std::string &detail) const;
     [[nodiscard]] std::chrono::milliseconds timeLeft() const;
@@ -84,6 +86,7 @@
     platform::RequestHead head_;
     std::optional<Admission> admission_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer silenceTimer_;
     std::shared_ptr<BackendCall> call_;
     std::unique_ptr<Ticket> ticket_;
     std::vector<std::string> tried_; /* backend servers that the request was placed at */
@@ -99,6 +102,7 @@
     bool headWritten_ = false;
     bool isReadingPaused_ = false;
     core::MonotonicTime headCame_{};
+    core::MonotonicTime lastSent_{};
     core::MonotonicTime lastBody_{};
     core::MonotonicTime::duration longestPause_{}; /* between two parts of the answer, as they came */
 };
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -12,7 +12,11 @@
 constexpr Milliseconds longestSuspicion{2400};
 constexpr Milliseconds movedSuspicion{2000}; /* another backend server has the address; its next report is due sooner */
 constexpr Milliseconds fullPause{150};
-constexpr Milliseconds silenceLimit{700}; /* longer than the prefill of a long prompt */
+constexpr Milliseconds longestSilence{700}; /* longer than the prefill of a long prompt */
+constexpr Milliseconds shortestSilence{150};
+constexpr Milliseconds silentSuspicion{300}; /* told to peers; repeated while the silence lasts */
+constexpr double silenceFactor = 6.0; /* of the usual time until an answer begins */
+constexpr double headTimeWeight = 0.1; /* of the newest answer in the moving average */
 constexpr Milliseconds peerLoadAge{1500}; /* a peer that is silent for longer is taken for down, and its connections with it */
 constexpr Milliseconds lapseGrace{2200}; /* entries come back within 2 s after the store's return */
 constexpr Milliseconds firstListTime{1000}; /* in which the first list is read */
@@ -209,6 +213,8 @@
     for (const auto &[id, server] : servers_) {
         if (server->failuresInRow > 0 && server->suspectUntil > now) {
             news.push_back({id, std::chrono::duration_cast<core::Milliseconds>(server->suspectUntil - now)});
+        } else if (isSilent(*server, now)) {
+            news.push_back({id, internal::silentSuspicion});
         }
     }
     return news;
@@ -234,8 +240,7 @@
     if (leavingZones_.count(server.record.zone) > 0) {
         return Standing::Evacuated;
     }
-    const bool isSilent = server.unheardSince && now - *server.unheardSince > internal::silenceLimit;
-    if (server.suspectUntil > now || isSilent) {
+    if (server.suspectUntil > now || isSilent(server, now)) {
         return Standing::Suspect;
     }
     if (server.onTrial) {
@@ -244,6 +249,24 @@
     return server.coldUnknown || server.coldUntil > now ? Standing::Cold : Standing::Usable;
 }
 
+bool Fleet::isSilent(const ServerState &server, core::MonotonicTime now)
+{
+    using Seconds = std::chrono::duration<double>;
+    if (!server.unheardSince) {
+        return false;
+    }
+    const Seconds usual = server.headTime.value_or(internal::longestSilence) * internal::silenceFactor;
+    const Seconds limit = std::clamp<Seconds>(usual, internal::shortestSilence, internal::longestSilence);
+    return now - *server.unheardSince > limit;
+}
+
+void Fleet::onHeadTime(ServerState &server, core::MonotonicTime::duration time)
+{
+    const std::chrono::duration<double> newest = time;
+    const auto known = server.headTime.value_or(newest);
+    server.headTime = known + (newest - known) * internal::headTimeWeight;
+}
+
 int Fleet::loadOf(const ServerState &server, core::MonotonicTime now)
 {
     int load = server.outstanding;
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -63,6 +63,13 @@
     /** @brief Judges the evidence. @param server Backend server. @param now Time. @return What it allows. */
     [[nodiscard]] Standing standingOf(const ServerState &server, core::MonotonicTime now) const;
 
+    /** @brief Tells whether requests wait and nothing has come for longer than answers take. @param server Backend server. @param now Time. @return True if so.
+     */
+    [[nodiscard]] static bool isSilent(const ServerState &server, core::MonotonicTime now);
+
+    /** @brief Takes the time until an answer began. @param server Backend server. @param time Time. */
+    static void onHeadTime(ServerState &server, core::MonotonicTime::duration time);
+
     /** @brief Adds up the requests of all gateways. @param server Backend server. @param now Time. @return Requests outstanding. */
     [[nodiscard]] static int loadOf(const ServerState &server, core::MonotonicTime now);
 
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -17,6 +17,8 @@
 namespace internal {
 
 constexpr std::chrono::milliseconds introductionTime{1500}; /* for the peers to be heard before callers come */
+constexpr std::chrono::milliseconds informTime{400}; /* connections wait so long for the first configuration before they are refused */
+constexpr std::chrono::milliseconds informPeriod{5};
 constexpr std::chrono::milliseconds balancerTime{2300}; /* the balancer asks once a second and believes the second miss */
 constexpr std::chrono::milliseconds refuseTime{3000}; /* after it, a request could outlast the grace period */
 constexpr std::chrono::milliseconds endMargin{500}; /* before the grace period is over */
@@ -45,7 +47,7 @@
     , peers_(control(), settings_, dispatcher_, catalog_)
     , acceptor_(control())
     , signals_(control(), SIGTERM, SIGINT, SIGHUP)
-    , drainTimer_(control())
+    , phaseTimer_(control())
     , started_(std::chrono::steady_clock::now())
 {
 }
@@ -81,7 +83,7 @@
     acceptor_.set_option(asio::socket_base::reuse_address(true));
     acceptor_.bind(endpoint);
     acceptor_.listen();
-    accept();
+    acceptWhenInformed();
     const auto onReady = [this](const http::Request &request, http::Responder &responder) {
         return answerReady(request, responder);
     };
@@ -99,6 +101,21 @@
     }
 }
 
+void GatewayNode::acceptWhenInformed()
+{
+    const auto passed = std::chrono::steady_clock::now() - started_;
+    if (catalog_.isComplete() || passed > internal::informTime) {
+        accept();
+        return;
+    }
+    phaseTimer_.expires_after(internal::informPeriod);
+    phaseTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            acceptWhenInformed();
+        }
+    });
+}
+
 void GatewayNode::accept()
 {
     auto &worker = *workers_[nextWorker_++ % workers_.size()];
@@ -191,8 +208,8 @@
         stop();
         return;
     }
-    drainTimer_.expires_after(internal::drainPeriod);
-    drainTimer_.async_wait([this](const boost::system::error_code &error) {
+    phaseTimer_.expires_after(internal::drainPeriod);
+    phaseTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             drainStep();
         }
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -31,6 +31,7 @@
 
 private:
     void listen();
+    void acceptWhenInformed();
     void accept();
     void follow(Catalog::Section section, std::chrono::milliseconds pause);
     void waitForSignal();
@@ -59,7 +60,7 @@
     std::unique_ptr<http::Server> metricsServer_;
     telemetry::Metrics metrics_;
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer drainTimer_;
+    boost::asio::steady_timer phaseTimer_; /* of the start, then of the shutdown */
     core::MonotonicTime started_;
     core::MonotonicTime drainBegun_{};
     std::atomic<bool> draining_{false};
--- a/src/cyclamenspool/gateway/serverstate.h
+++ b/src/cyclamenspool/gateway/serverstate.h
@@ -60,6 +60,7 @@
     int failuresInRow = 0;
     double failureRatio = 0.0; /**< Moving average over its answers. */
     int outstanding = 0; /**< Requests of this gateway. */
+    std::optional<std::chrono::duration<double>> headTime; /**< Moving average of the time until an answer begins. */
     std::optional<core::MonotonicTime> unheardSince; /**< Requests wait, and no byte has come since. */
     std::map<std::string, PeerLoad> peers; /**< By VM. */
     policy::SlidingCounter recentSends{std::chrono::seconds(1)};
--- a/test/gateway/fleet.cpp
+++ b/test/gateway/fleet.cpp
@@ -159,3 +159,16 @@
     CHECK(Fleet::loadOf(fleet.server(0), start) == 5);
     CHECK(Fleet::loadOf(fleet.server(0), start + 5s) == 0);
 }
+
+TEST_CASE("silence is judged by the usual time until an answer begins, and told to peers", "[gateway][fleet]")
+{
+    FilledFleet fleet(2);
+    auto &server = fleet.server(0);
+    Fleet::onHeadTime(server, 20ms);
+    server.outstanding = 1;
+    server.unheardSince = start;
+    CHECK_FALSE(Fleet::isSilent(server, start + 100ms));
+    CHECK(Fleet::isSilent(server, start + 200ms));
+    REQUIRE(fleet.suspicions(start + 200ms).size() == 1);
+    CHECK(fleet.suspicions(start + 200ms).front().server == "s0");
+}
