Ports of processes under test lie outside the range of outgoing connections

Cause of the process tests that failed beside load (failure.cpp:156 and, reproduced with logs kept, configuration.cpp:58 and failure.cpp:255): the harness took ports from the kernel's range for outgoing connections, and before the process under test bound its port another process's outgoing connection had it; its log holds one line, 'bind: Address already in use'. Under load the gap is longer. Ruled out: slow dissemination (7 of 8 processes were at revision 5 in time, the eighth had never started), the zone mark.

--- a/test/harness/localfleet.cpp
+++ b/test/harness/localfleet.cpp
@@ -1,7 +1,7 @@
 #include "localfleet.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "ports.h"
+
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
@@ -96,14 +96,6 @@
     }
 }
 
-std::string LocalFleet::nextAddress()
-{
-    boost::asio::io_context context;
-    const auto any = boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0);
-    const boost::asio::ip::tcp::acceptor acceptor(context, any);
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 std::string LocalFleet::logOf(const std::string &vm) const
 {
     return directory_ + "/" + vm + ".log";
@@ -130,9 +122,9 @@
 
 void LocalFleet::startPlatform()
 {
-    configurationService = nextAddress();
+    configurationService = freeAddress();
     configuration_ = Process(program("test/standin_platform"), {"--listen", configurationService}, logOf("configuration"));
-    vmList = nextAddress();
+    vmList = freeAddress();
     list_ = Process(program("test/standin_platform"), {"--listen", vmList}, logOf("vms"));
     for (const auto &address : {configurationService, vmList}) {
         const bool up = await([&address] {
@@ -149,8 +141,8 @@
     RouterProcess router;
     router.vm = "vm-router-" + std::to_string(index);
     router.zone = shape_.zones[static_cast<std::size_t>(index) % shape_.zones.size()];
-    router.peerAddress = nextAddress();
-    router.httpAddress = nextAddress();
+    router.peerAddress = freeAddress();
+    router.httpAddress = freeAddress();
     router.settingsFile = writeSettings(router.vm, {{"zone", router.zone}, {"peer_address", router.peerAddress}, {"http_address", router.httpAddress}});
     routers.push_back(std::move(router));
 }
@@ -162,9 +154,9 @@
     agent.vm = "vm-" + agent.server;
     agent.zone = zone;
     agent.group = kind + "s-" + zone;
-    agent.peerAddress = nextAddress();
-    agent.httpAddress = nextAddress();
-    agent.backendAddress = nextAddress();
+    agent.peerAddress = freeAddress();
+    agent.httpAddress = freeAddress();
+    agent.backendAddress = freeAddress();
     agent.settingsFile = writeSettings(agent.vm,
                                        {{"zone", zone},
                                         {"peer_address", agent.peerAddress},
--- a/test/harness/localfleet.h
+++ b/test/harness/localfleet.h
@@ -110,7 +110,6 @@
     std::string vmList;
 
 private:
-    [[nodiscard]] std::string nextAddress();
     [[nodiscard]] std::string writeSettings(const std::string &vm, const std::map<std::string, std::string> &values);
     [[nodiscard]] std::string logOf(const std::string &vm) const;
     void startPlatform();
