--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -20,8 +20,9 @@
 constexpr Milliseconds peerLoadAge{1500}; /* a peer that is silent for longer is taken for down, and its connections with it */
 constexpr Milliseconds lapseGrace{2200}; /* entries come back within 2 s after the store's return */
 constexpr Milliseconds firstListTime{1000}; /* in which the first list is read */
-constexpr double failureWeight = 0.15; /* of the newest answer in the moving average */
-constexpr double failureLimit = 0.25;
+constexpr double failureWeight = 0.06; /* of the newest answer in the moving average */
+constexpr double failureLimit = 0.18; /* ratio of failures above what the service's others have */
+constexpr double othersFactor = 1.5; /* on the ratio of the others */
 constexpr double ejectedPart = 0.34; /* of a service's backend servers that may be suspect for failures */
 
 } // namespace internal
@@ -143,18 +144,12 @@
         server.onTrial = false;
         server.failureRatio *= 1 - internal::failureWeight;
         break;
-    case Outcome::Failed: {
+    case Outcome::Failed:
         server.failureRatio += internal::failureWeight * (1 - server.failureRatio);
-        const auto &servers = serversOf(server.record.service);
-        const auto suspects = std::count_if(servers.begin(), servers.end(), [&](const ServerPtr &other) {
-            return standingOf(*other, now) == Standing::Suspect;
-        });
-        const bool mayEject = static_cast<double>(suspects + 1) <= internal::ejectedPart * static_cast<double>(servers.size());
-        if (server.failureRatio > internal::failureLimit && mayEject) {
+        if (failsMoreThanOthers(server, now)) {
             suspect(server, internal::longestSuspicion, now);
         }
         break;
-    }
     case Outcome::Broken:
         ++server.failuresInRow;
         if (server.failuresInRow > 1) {
@@ -207,6 +202,21 @@
     }
 }
 
+bool Fleet::failsMoreThanOthers(const ServerState &server, core::MonotonicTime now) const
+{
+    const auto &servers = serversOf(server.record.service);
+    int suspects = 0;
+    double others = 0;
+    for (const auto &other : servers) {
+        suspects += standingOf(*other, now) == Standing::Suspect ? 1 : 0;
+        others += other.get() == &server ? 0 : other->failureRatio;
+    }
+    const auto count = static_cast<double>(servers.size());
+    const double mean = others / std::max(count - 1, 1.0);
+    const bool mayEject = suspects + 1 <= internal::ejectedPart * count;
+    return mayEject && server.failureRatio > internal::failureLimit + internal::othersFactor * mean;
+}
+
 std::vector<SuspicionNews> Fleet::suspicions(core::MonotonicTime now) const
 {
     std::vector<SuspicionNews> news;
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -88,6 +88,7 @@
 private:
     void index();
     void suspect(ServerState &server, core::Milliseconds time, core::MonotonicTime now) const;
+    [[nodiscard]] bool failsMoreThanOthers(const ServerState &server, core::MonotonicTime now) const;
     void dropLapsed(core::MonotonicTime now);
     [[nodiscard]] bool storeWasIll(core::MonotonicTime now) const;
 
--- a/test/gateway/fleet.cpp
+++ b/test/gateway/fleet.cpp
@@ -172,3 +172,25 @@
     REQUIRE(fleet.suspicions(start + 200ms).size() == 1);
     CHECK(fleet.suspicions(start + 200ms).front().server == "s0");
 }
+
+TEST_CASE("requests that fail everywhere put no backend server aside; one that fails more than the others is put aside", "[gateway][fleet]")
+{
+    FilledFleet fleet(6);
+    const auto answerAll = [&fleet](int round, int worst) {
+        for (int i = 0; i < 6; ++i) {
+            const bool fails = (round + i) % 20 < 3 || (i == worst && round % 2 == 0);
+            fleet.onOutcome(fleet.server(i), fails ? Outcome::Failed : Outcome::Answered, start);
+        }
+    };
+    for (int round = 0; round < 100; ++round) {
+        answerAll(round, -1);
+        for (int i = 0; i < 6; ++i) {
+            CHECK(fleet.standingOf(fleet.server(i), start) == Standing::Usable);
+        }
+    }
+    for (int round = 0; round < 60; ++round) {
+        answerAll(round, 2);
+    }
+    CHECK(fleet.standingOf(fleet.server(2), start) == Standing::Suspect);
+    CHECK(fleet.standingOf(fleet.server(3), start) == Standing::Usable);
+}
