--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -33,6 +33,15 @@
     return hashOf(head.parts[shared].id);
 }
 
+std::uint32_t historyTokensOf(const platform::RequestHead &head)
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < head.parts.size(); ++i) {
+        tokens += head.parts[i].tokens;
+    }
+    return tokens;
+}
+
 /** @brief Splits a route's traffic by weight so that one history always goes the same way. */
 const std::string &serviceOf(const world::Route &route, std::uint64_t key)
 {
@@ -145,6 +154,7 @@
         admission.urgency = holder->priority >= 0 ? holder->priority : route.priority;
     }
     admission.historyKey = internal::historyKeyOf(route, head);
+    admission.historyTokens = internal::historyTokensOf(head);
     const auto splitKey = admission.historyKey != 0 ? admission.historyKey : core::hash64(head.id);
     admission.service = internal::serviceOf(route, splitKey);
     return admission;
@@ -166,7 +176,12 @@
     if (isRepeat && !mayRepeat(admission.service, now)) {
         return {nullptr, {}, core::ErrorKind::RetryBudget, "the retry budget is spent"};
     }
-    const PlacementQuery query{admission.service, admission.historyKey, histories_.holdersOf(admission.historyKey, now), tried};
+    PlacementQuery query;
+    query.service = admission.service;
+    query.historyKey = admission.historyKey;
+    query.historyTokens = admission.historyTokens;
+    query.holders = histories_.holdersOf(admission.historyKey, now);
+    query.tried = tried;
     const auto placement = gateway::place(fleet_, shares_, query, bounds, now);
     if (placement.server == nullptr) {
         return {nullptr, {}, placement.refusal, placement.reason};
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -30,6 +30,7 @@
     std::string service;
     std::string workspace; /**< Empty: none. */
     std::uint64_t historyKey = 0; /**< Prompt part that should be warm; 0: none. */
+    std::uint32_t historyTokens = 0; /**< Tokens of the prompt up to that part. */
     int urgency = 0; /**< 0 is the most urgent. */
 };
 
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -11,6 +11,7 @@
 
 constexpr double boundMargin = 0.9; /* of the load factor; the rest covers loads that peers have not told yet */
 constexpr double boundSlack = 2.5; /* requests above the multiple of the mean, of the 3 that are allowed */
+constexpr std::uint32_t smallHistory = 1000; /* tokens; the copy is worth about one request of its kind across zones */
 constexpr std::chrono::seconds settleTime{10}; /* after it joined, a backend server holds the histories that rank it first */
 constexpr double coldMargin = 0.8; /* of what a cold backend server bears */
 
@@ -29,12 +30,16 @@
 
 std::uint64_t rankOf(const ServerState &server, int load, const PlacementQuery &query, const PlacementBounds &bounds)
 {
-    if (query.historyKey != 0) {
-        const std::uint64_t lacks = isListed(query.holders, server.record.id) ? 0 : 1;
-        return lacks << 63U | core::hash64(server.record.id, query.historyKey) >> 1U;
-    }
     const std::uint64_t otherZone = server.record.zone == bounds.zone ? 0 : 1;
-    return otherZone << 32U | static_cast<std::uint64_t>(load);
+    if (query.historyKey == 0) {
+        return otherZone << 32U | static_cast<std::uint64_t>(load);
+    }
+    constexpr unsigned classShift = 62;
+    const std::uint64_t lacks = isListed(query.holders, server.record.id) ? 0 : 1;
+    const bool isSmall = query.historyTokens <= smallHistory;
+    // Of a large history, only holders are told apart by zone: a copy for the zone alone would cost more than it saves.
+    const auto order = isSmall ? otherZone << 1U | lacks : lacks << 1U | (otherZone & ~lacks);
+    return order << classShift | core::hash64(server.record.id, query.historyKey) >> (64U - classShift);
 }
 
 bool coldAllows(ServerState &server, const Shares &shares, const PlacementBounds &bounds, core::MonotonicTime now)
--- a/src/cyclamenspool/gateway/placement.h
+++ b/src/cyclamenspool/gateway/placement.h
@@ -14,6 +14,7 @@
 struct PlacementQuery {
     std::string service;
     std::uint64_t historyKey = 0; /**< Hash of the prompt part that should be warm; 0: none. */
+    std::uint32_t historyTokens = 0; /**< Size of the prompt up to that part. */
     std::vector<std::string> holders; /**< Backend servers that were sent the history lately. */
     std::vector<std::string> tried; /**< Backend servers that were asked already. */
 };
@@ -51,8 +52,8 @@
 /**
  * @brief Chooses a backend server.
  *
- * A prompt goes to the first of its rendezvous order that is under the load bound, those that hold its history before all others; other requests stay in the
- * zone while the bound allows.
+ * A prompt goes to the first of its rendezvous order that is under the load bound, those that hold its history before all others. A small history is
+ * kept once in each zone, as its copy costs less than the requests that would cross zones. Other requests stay in the zone while the bound allows.
  * @param fleet Fleet.
  * @param shares Split of the bounds.
  * @param query Query.
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -43,7 +43,7 @@
 
     Placement choose(std::uint64_t history, core::MonotonicTime now = start, const std::vector<std::string> &tried = {})
     {
-        auto placement = gateway::place(fleet, shares, {"pool", history, {}, tried}, bounds, now);
+        auto placement = gateway::place(fleet, shares, {"pool", history, tokens, {}, tried}, bounds, now);
         if (placement.server != nullptr) {
             ++placement.server->outstanding;
             placement.server->recentSends.add(now);
@@ -54,6 +54,7 @@
     Fleet fleet;
     Shares shares{"vm-1", 1};
     PlacementBounds bounds;
+    std::uint32_t tokens = 10000; /* of each history */
 };
 
 } // namespace
@@ -192,6 +193,21 @@
     for (int i = 0; i < 40; ++i) {
         pool.add("new" + std::to_string(i), "az-0", start);
     }
-    const PlacementQuery query{"pool", 7, {holder}, {}};
+    const PlacementQuery query{"pool", 7, 10000, {holder}, {}};
     CHECK(gateway::place(pool.fleet, pool.shares, query, pool.bounds, start).server->record.id == holder);
 }
+
+TEST_CASE("a small history is kept in the caller's zone, a large one with its holder", "[gateway][history]")
+{
+    Pool pool;
+    pool.tokens = 700;
+    for (std::uint64_t history = 1; history < 50; ++history) {
+        const auto chosen = pool.choose(history).server;
+        CHECK(chosen->record.zone == "az-0");
+        --chosen->outstanding;
+    }
+    const PlacementQuery query{"pool", 7, 10000, {"s1"}, {}};
+    CHECK(gateway::place(pool.fleet, pool.shares, query, pool.bounds, start).server->record.id == "s1");
+    const PlacementQuery twice{"pool", 7, 10000, {"s1", "s3"}, {}};
+    CHECK(gateway::place(pool.fleet, pool.shares, twice, pool.bounds, start).server->record.id == "s3");
+}
