--- /dev/null
+++ b/test/harness/gatewayfleet.cpp
@@ -0,0 +1,139 @@
+#include "gatewayfleet.h"
+
+#include "localfleet.h"
+#include "ports.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace cyclamenspool::harness {
+
+namespace fs = std::filesystem;
+namespace json = boost::json;
+
+namespace {
+
+json::object routeOf(const std::string &name, const std::string &kind, const std::string &service)
+{
+    return {{"name", name},
+            {"host", "desk.example"},
+            {"prefix", "/" + name + "/"},
+            {"kind", kind},
+            {"timeout_ms", 3000},
+            {"target_latency_ms", 300},
+            {"priority", 1},
+            {"service", service},
+            {"max_attempts", 2},
+            {"anonymous", false},
+            {"sticky_sessions", false},
+            {"resumable", name == "resumed"},
+            {"gap_aim_ms", 400}};
+}
+
+} // namespace
+
+GatewayFleet::GatewayFleet(int gatewayCount, int runnerCount)
+{
+    std::string pattern = (fs::temp_directory_path() / "cyclamenspool-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("cannot make a temporary directory");
+    }
+    directory_ = pattern;
+    publishRouting(1);
+    for (int i = 0; i < runnerCount; ++i) {
+        runners.push_back(std::make_unique<FakeRunner>("i-" + std::to_string(i)));
+        store.put("servers/" + runners.back()->id(), runners.back()->entry("pool"));
+    }
+    std::string seeds;
+    for (int i = 0; i < gatewayCount; ++i) {
+        auto &gateway = gateways.emplace_back();
+        gateway.caller = freeAddress();
+        gateway.ready = freeAddress();
+        gateway.peer = freeAddress();
+        gateway.metrics = freeAddress();
+        seeds += (seeds.empty() ? "'" : ", '") + gateway.peer + "'";
+    }
+    for (std::size_t i = 0; i < gateways.size(); ++i) {
+        auto &gateway = gateways[i];
+        const auto name = "gateway-" + std::to_string(i);
+        gateway.settingsFile = directory_ + "/" + name + ".yaml";
+        gateway.logFile = directory_ + "/" + name + ".log";
+        std::ofstream(gateway.settingsFile) << "vm: " << name << "\nzone: az-a\ncaller_address: " << gateway.caller << "\nready_address: " << gateway.ready
+                                            << "\npeer_address: " << gateway.peer << "\nmetrics_address: " << gateway.metrics
+                                            << "\nstore_address: " << store.address() << "\nseed_peers: [" << seeds << "]\ngrace_s: 6\n";
+        start(gateway);
+    }
+    for (const auto &gateway : gateways) {
+        if (!LocalFleet::await([&gateway] {
+                return isReady(gateway);
+            })) {
+            throw std::runtime_error("a gateway is not ready, logs in " + directory_);
+        }
+    }
+}
+
+GatewayFleet::~GatewayFleet()
+{
+    for (auto &gateway : gateways) {
+        gateway.process.kill();
+    }
+    if (std::getenv("CYCLAMENSPOOL_KEEP_LOGS") == nullptr) {
+        std::error_code ignored;
+        fs::remove_all(directory_, ignored);
+    }
+}
+
+void GatewayFleet::start(Gateway &gateway)
+{
+    gateway.process = Process(std::string(CYCLAMENSPOOL_BINARY_DIR) + "/cyclamenspool", {"gateway", "--settings", gateway.settingsFile}, gateway.logFile);
+}
+
+void GatewayFleet::publishRouting(int version, const std::string &service, const std::vector<std::string> &keys)
+{
+    json::object routing{{"version", version}};
+    routing["routes"] = json::array{routeOf("once", "non_idempotent", service),
+                                    routeOf("again", "idempotent", service),
+                                    routeOf("stream", "streaming", service),
+                                    routeOf("resumed", "streaming", service)};
+    routing["services"] = json::array{json::object{{"name", service}, {"max_connections", 100}}};
+    routing["limits"] = json::object{{"max_header_bytes", 8192}, {"max_body_bytes", 100000}, {"header_timeout_ms", 500}, {"idle_timeout_ms", 5000}};
+    json::array apiKeys;
+    for (const auto &key : keys) {
+        apiKeys.emplace_back(key);
+    }
+    routing["tenants"] = json::array{json::object{{"name", "desk"}, {"api_keys", apiKeys}}};
+    store.put("op/config", json::serialize(routing));
+}
+
+Call GatewayFleet::call(const std::string &id, const std::string &path, std::size_t gateway) const
+{
+    Call call;
+    call.address = gateways.at(gateway).caller;
+    call.method = "POST";
+    call.target = path;
+    call.headers = {{"Host", "desk.example"}, {"Cyclamenspool-Request-Id", id}, {"Cyclamenspool-Deadline-Ms", "2500"}, {"Authorization", "Bearer key-1"}};
+    call.body = "{}";
+    return call;
+}
+
+bool GatewayFleet::isReady(const Gateway &gateway)
+{
+    return run({gateway.ready, "GET", "/-/ready"}).status == 200;
+}
+
+std::string GatewayFleet::logOf(const Gateway &gateway)
+{
+    std::ifstream file(gateway.logFile);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace cyclamenspool::harness
--- /dev/null
+++ b/test/harness/platformfakes.cpp
@@ -0,0 +1,296 @@
+#include "platformfakes.h"
+
+#include "ports.h"
+
+#include <cyclamenspool/wire/endpoint.h>
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace cyclamenspool::harness {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t pageItems = 3; /* small, so that every list has pages */
+
+std::string encodeBase64(const std::string &bytes)
+{
+    namespace iterators = boost::archive::iterators;
+    using Encoder = iterators::base64_from_binary<iterators::transform_width<std::string::const_iterator, 6, 8>>;
+    constexpr std::size_t group = 3;
+    std::string text(Encoder(bytes.begin()), Encoder(bytes.end()));
+    text.append((group - bytes.size() % group) % group, '=');
+    return text;
+}
+
+/** @brief Returns a value of a query; the tests' keys need no decoding. */
+std::string queryValue(const std::string &target, const std::string &name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos) {
+        return "";
+    }
+    const auto start = at + name.size() + 1;
+    return target.substr(start, target.find('&', start) - start);
+}
+
+bool hasPrefix(const std::string &key, const std::string &prefix)
+{
+    return key.compare(0, prefix.size(), prefix) == 0;
+}
+
+void resetSocket(PlainSocket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.shutdown(PlainSocket::shutdown_both, ignored);
+}
+
+} // namespace
+
+bool writeAll(PlainSocket &socket, const std::string &bytes)
+{
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    return !error;
+}
+
+std::string sealed(const PlainRequest &request, const std::string &body, const std::string &status)
+{
+    const std::string id(request["Cyclamenspool-Request-Id"]);
+    return "HTTP/1.1 " + status + "\r\nCyclamenspool-Request-Id: " + id
+        + "\r\nCyclamenspool-Response-Seal: seal\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+ThreadServer::ThreadServer(Handler handler)
+    : address_(freeAddress())
+    , handler_(std::move(handler))
+    , acceptor_(context_, wire::endpointOf(address_))
+    , listener_([this] {
+        listen();
+    })
+{
+}
+
+ThreadServer::~ThreadServer()
+{
+    stopping_ = true;
+    boost::system::error_code ignored;
+    // Wakes the listener.
+    PlainSocket(context_).connect(acceptor_.local_endpoint(), ignored);
+    listener_.join();
+    resetAll();
+    for (auto &thread : threads_) {
+        thread.join();
+    }
+}
+
+void ThreadServer::resetAll()
+{
+    const std::lock_guard lock(mutex_);
+    for (auto &socket : sockets_) {
+        resetSocket(socket);
+    }
+}
+
+void ThreadServer::listen()
+{
+    while (!stopping_) {
+        boost::system::error_code error;
+        auto socket = acceptor_.accept(error);
+        if (error || stopping_) {
+            continue;
+        }
+        const std::lock_guard lock(mutex_);
+        auto &kept = sockets_.emplace_back(std::move(socket));
+        threads_.emplace_back([this, &kept] {
+            serve(kept);
+        });
+    }
+}
+
+void ThreadServer::serve(PlainSocket &socket)
+{
+    boost::beast::flat_buffer buffer;
+    bool isOpen = true;
+    while (isOpen && !stopping_) {
+        PlainRequest request;
+        boost::system::error_code error;
+        boost::beast::http::read(socket, buffer, request, error);
+        isOpen = !error && handler_(request, socket);
+    }
+    boost::system::error_code ignored;
+    socket.shutdown(PlainSocket::shutdown_both, ignored);
+}
+
+FakeStore::FakeStore()
+    : server_([this](const PlainRequest &request, PlainSocket &socket) {
+        return answer(request, socket);
+    })
+{
+}
+
+void FakeStore::record(const Change &change)
+{
+    history_.push_back(change);
+    changed_.notify_all();
+}
+
+void FakeStore::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(mutex_);
+    items_[key] = {key, value, ++revision_, false};
+    record(items_[key]);
+}
+
+void FakeStore::remove(const std::string &key)
+{
+    const std::lock_guard lock(mutex_);
+    items_.erase(key);
+    record({key, {}, ++revision_, true});
+}
+
+void FakeStore::setStatus(int status)
+{
+    status_ = status;
+    changed_.notify_all();
+}
+
+void FakeStore::compact()
+{
+    const std::lock_guard lock(mutex_);
+    history_.clear();
+    firstKept_ = revision_;
+}
+
+std::string FakeStore::range(const std::string &prefix, const std::string &after)
+{
+    const std::lock_guard lock(mutex_);
+    json::array items;
+    bool more = false;
+    for (const auto &[key, item] : items_) {
+        if (!hasPrefix(key, prefix) || key <= after) {
+            continue;
+        }
+        if (items.size() == pageItems) {
+            more = true;
+            break;
+        }
+        items.push_back(json::object{{"key", key}, {"value", encodeBase64(item.value)}, {"revision", item.revision}});
+    }
+    return json::serialize(json::object{{"items", std::move(items)}, {"more_pages", more}, {"store_revision", revision_}});
+}
+
+std::string FakeStore::watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds wait)
+{
+    std::unique_lock lock(mutex_);
+    if (after < firstKept_) {
+        return "";
+    }
+    json::array events;
+    const auto collect = [&] {
+        for (const auto &change : history_) {
+            if (change.revision <= after || !hasPrefix(change.key, prefix)) {
+                continue;
+            }
+            json::object event{{"key", change.key}, {"revision", change.revision}};
+            if (change.isDeleted) {
+                event["deleted"] = true;
+            } else {
+                event["value"] = encodeBase64(change.value);
+            }
+            events.push_back(std::move(event));
+        }
+        return !events.empty() || status_ != 200;
+    };
+    changed_.wait_for(lock, std::min(wait, std::chrono::milliseconds(1000)), collect);
+    return json::serialize(json::object{{"events", std::move(events)}, {"store_revision", revision_}});
+}
+
+bool FakeStore::answer(const PlainRequest &request, PlainSocket &socket)
+{
+    const std::string target(request.target());
+    std::string body;
+    if (target.find("/-/kv-range") == 0) {
+        body = range(queryValue(target, "prefix"), queryValue(target, "after"));
+    } else {
+        const std::chrono::milliseconds wait(std::stol(queryValue(target, "wait_ms")));
+        body = watch(queryValue(target, "prefix"), std::stoull(queryValue(target, "after")), wait);
+    }
+    const int status = status_ != 200 ? status_.load() : (body.empty() ? 410 : 200);
+    const auto head = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: ";
+    return writeAll(socket, head + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+FakeRunner::FakeRunner(std::string id)
+    : id_(std::move(id))
+    , handler_([](const PlainRequest &request, PlainSocket &socket) {
+        return writeAll(socket, sealed(request, "hello"));
+    })
+    , server_([this](const PlainRequest &request, PlainSocket &socket) {
+        return answer(request, socket);
+    })
+{
+}
+
+void FakeRunner::onRequest(ThreadServer::Handler answer)
+{
+    const std::lock_guard lock(mutex_);
+    handler_ = std::move(answer);
+}
+
+std::string FakeRunner::entry(const std::string &service, const std::string &state) const
+{
+    return json::serialize(json::object{
+        {"service", service}, {"address", server_.address()}, {"zone", "az-a"}, {"slots", 8}, {"state", state}, {"cold_remaining_ms", 0}, {"sequence", 1}});
+}
+
+int FakeRunner::runsOf(const std::string &requestId)
+{
+    const std::lock_guard lock(mutex_);
+    return runs_[requestId];
+}
+
+int FakeRunner::runs()
+{
+    const std::lock_guard lock(mutex_);
+    int total = 0;
+    for (const auto &[id, count] : runs_) {
+        total += count;
+    }
+    return total;
+}
+
+PlainRequest FakeRunner::last()
+{
+    const std::lock_guard lock(mutex_);
+    return last_;
+}
+
+bool FakeRunner::answer(const PlainRequest &request, PlainSocket &socket)
+{
+    if (request["Cyclamenspool-Expect-Instance"] != id_) {
+        return writeAll(socket, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+    }
+    ThreadServer::Handler handler;
+    {
+        const std::lock_guard lock(mutex_);
+        ++runs_[std::string(request["Cyclamenspool-Request-Id"])];
+        last_ = request;
+        handler = handler_;
+    }
+    return handler(request, socket);
+}
+
+} // namespace cyclamenspool::harness
