--- a/src/cyclamenspool/cli/check.cpp
+++ b/src/cyclamenspool/cli/check.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/cli/options.h>
 #include <cyclamenspool/config/document.h>
+#include <cyclamenspool/config/gatewaysettings.h>
 #include <cyclamenspool/config/settings.h>
 #include <cyclamenspool/config/table.h>
 
@@ -21,10 +22,12 @@
     try {
         if (kind == "settings") {
             static_cast<void>(config::Settings::parse(readFile(file), file));
+        } else if (kind == "gateway") {
+            static_cast<void>(config::GatewaySettings::parse(readFile(file), file));
         } else if (kind == "table") {
             checkTable(file);
         } else {
-            std::cerr << "check takes 'settings' or 'table', not '" << kind << "'\n";
+            std::cerr << "check takes 'settings', 'gateway' or 'table', not '" << kind << "'\n";
             return ExitCode::Usage;
         }
     } catch (const config::InvalidInput &error) {
@@ -40,10 +43,10 @@
 int runCheck(const Arguments &arguments)
 {
     po::options_description options("options");
-    options.add_options()("kind", po::value<std::string>()->required(), "settings or table")("file", po::value<std::string>()->required(), "file");
+    options.add_options()("kind", po::value<std::string>()->required(), "settings, gateway or table")("file", po::value<std::string>()->required(), "file");
     po::positional_options_description positional;
     positional.add("kind", 1).add("file", 1);
-    return runWithOptions("check settings|table FILE", options, positional, arguments, [](const po::variables_map &values) {
+    return runWithOptions("check settings|gateway|table FILE", options, positional, arguments, [](const po::variables_map &values) {
         return internal::checkFile(values["kind"].as<std::string>(), values["file"].as<std::string>());
     });
 }
--- a/src/cyclamenspool/cli/gateway.cpp
+++ b/src/cyclamenspool/cli/gateway.cpp
@@ -18,7 +18,9 @@
     options.add_options()("settings", file, "settings file (YAML)");
     return runWithOptions("gateway --settings FILE", options, {}, arguments, [](const po::variables_map &values) {
         const auto &name = values["settings"].as<std::string>();
-        gateway::GatewayNode node(config::GatewaySettings::parse(readFile(name), name));
+        gateway::GatewayNode node([name] {
+            return config::GatewaySettings::parse(readFile(name), name);
+        });
         return node.run();
     });
 }
--- a/src/cyclamenspool/config/gatewaysettings.cpp
+++ b/src/cyclamenspool/config/gatewaysettings.cpp
@@ -3,6 +3,8 @@
 #include <cyclamenspool/config/fieldreader.h>
 #include <cyclamenspool/config/settings.h>
 
+#include <tuple>
+
 namespace cyclamenspool::config {
 
 namespace internal {
@@ -39,6 +41,14 @@
 
 } // namespace internal
 
+bool GatewaySettings::hasSameAddresses(const GatewaySettings &other) const
+{
+    const auto addressesOf = [](const GatewaySettings &settings) {
+        return std::tie(settings.callerAddress, settings.readyAddress, settings.peerAddress, settings.metricsAddress, settings.storeAddress);
+    };
+    return addressesOf(*this) == addressesOf(other);
+}
+
 GatewaySettings GatewaySettings::parse(const std::string &text, const std::string &file)
 {
     Diagnostics diagnostics(file);
--- a/src/cyclamenspool/config/gatewaysettings.h
+++ b/src/cyclamenspool/config/gatewaysettings.h
@@ -28,6 +28,11 @@
     double coldSlack = 5; /**< Requests in a second beside the factor. */
     double loadFactor = 2.0; /**< Largest multiple of the mean load of a service. */
 
+    [[nodiscard]] bool operator==(const GatewaySettings &) const = default;
+
+    /** @brief Compares what a running process cannot change. @param other Settings. @return True if it is equal. */
+    [[nodiscard]] bool hasSameAddresses(const GatewaySettings &other) const;
+
     /**
      * @brief Reads settings.
      * @param text YAML text.
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -110,6 +110,12 @@
 {
 }
 
+void Dispatcher::setBounds(const config::GatewaySettings &settings)
+{
+    const std::lock_guard lock(mutex_);
+    settings_ = settings;
+}
+
 bool Dispatcher::onRouting(world::Routing routing)
 {
     const std::lock_guard lock(mutex_);
@@ -161,7 +167,7 @@
     return admission;
 }
 
-PlacementAnswer Dispatcher::place(const Admission &admission, const std::vector<std::string> &tried)
+PlacementBounds Dispatcher::boundsOf(const Admission &admission) const
 {
     const auto &traits = admission.table->traitsOf(admission.service);
     PlacementBounds bounds;
@@ -171,6 +177,11 @@
     if (traits.coldRequestsPerSecond > 0) {
         bounds.coldRequests = traits.coldRequestsPerSecond * settings_.coldFactor + settings_.coldSlack;
     }
+    return bounds;
+}
+
+PlacementAnswer Dispatcher::place(const Admission &admission, const std::vector<std::string> &tried)
+{
     const std::lock_guard lock(mutex_);
     const auto now = internal::now();
     const bool isRepeat = !tried.empty();
@@ -183,7 +194,7 @@
     query.historyTokens = admission.historyTokens;
     query.holders = histories_.holdersOf(admission.historyKey, now);
     query.tried = tried;
-    const auto placement = gateway::place(fleet_, shares_, query, bounds, now);
+    const auto placement = gateway::place(fleet_, shares_, query, boundsOf(admission), now);
     if (placement.server == nullptr) {
         return {nullptr, {}, placement.refusal, placement.reason};
     }
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -101,6 +101,9 @@
     /** @brief Creates a dispatcher without a routing. @param settings Settings. */
     explicit Dispatcher(const config::GatewaySettings &settings);
 
+    /** @brief Puts other bounds in force. @param settings Settings. */
+    void setBounds(const config::GatewaySettings &settings);
+
     /** @brief Takes a version of the routing; an older one is passed over. @param routing Routing. @return True if it is now in force. */
     bool onRouting(world::Routing routing);
 
@@ -172,11 +175,12 @@
     void close(ServerState &server, Outcome outcome);
     [[nodiscard]] std::optional<boost::json::object> takeOutcome(ServerState &server, Outcome outcome);
     [[nodiscard]] std::string noteHistory(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now);
+    [[nodiscard]] PlacementBounds boundsOf(const Admission &admission) const;
     [[nodiscard]] ServiceUse &useOf(const std::string &service);
     [[nodiscard]] bool mayRepeat(const std::string &service, core::MonotonicTime now);
 
-    const config::GatewaySettings settings_;
     mutable std::mutex mutex_; /* guards the members below; innermost */
+    config::GatewaySettings settings_;
     std::shared_ptr<const RouteTable> routes_;
     Fleet fleet_;
     Shares shares_;
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -22,10 +22,11 @@
 constexpr std::chrono::milliseconds balancerTime{2300}; /* the balancer asks once a second and believes the second miss */
 constexpr std::chrono::milliseconds refuseTime{3000}; /* after it, a request could outlast the grace period */
 constexpr std::chrono::milliseconds endMargin{500}; /* before the grace period is over */
+constexpr std::chrono::milliseconds settingsPeriod{5000}; /* the settings may change without a signal */
 constexpr std::chrono::milliseconds drainPeriod{100};
 constexpr std::chrono::milliseconds operatorWait{20000};
 constexpr std::chrono::milliseconds serverWait{5000};
-constexpr int serverPausePart = 4; /* of the time after which a leaving backend server gets nothing */
+constexpr int serverPausePart = 3; /* of the time after which a leaving backend server gets nothing */
 
 std::vector<std::unique_ptr<Worker>> makeWorkers(Dispatcher &dispatcher, int count)
 {
@@ -39,14 +40,17 @@
 
 } // namespace internal
 
-GatewayNode::GatewayNode(config::GatewaySettings settings)
-    : settings_(std::move(settings))
+GatewayNode::GatewayNode(SettingsReader reader)
+    : reader_(std::move(reader))
+    , settings_(reader_())
+    , current_(settings_)
     , dispatcher_(settings_)
     , workers_(internal::makeWorkers(dispatcher_, settings_.workers))
     , catalog_(dispatcher_)
     , peers_(control(), settings_, dispatcher_, catalog_)
     , acceptor_(control())
     , signals_(control(), SIGTERM, SIGINT, SIGHUP)
+    , settingsTimer_(control())
     , phaseTimer_(control())
     , started_(std::chrono::steady_clock::now())
 {
@@ -57,6 +61,7 @@
     telemetry::openLog("-", settings_.vm);
     telemetry::logLine("started", {{"zone", settings_.zone}, {"caller_address", settings_.callerAddress}});
     waitForSignal();
+    watchSettings();
     peers_.start();
     follow(Catalog::Section::Operators, std::chrono::milliseconds(0));
     follow(Catalog::Section::Servers, settings_.leaveTime / internal::serverPausePart);
@@ -172,7 +177,7 @@
 void GatewayNode::onSignal(int signal)
 {
     if (signal == SIGHUP) {
-        telemetry::logLine("reload", {});
+        reload();
         return;
     }
     if (!draining_.exchange(true)) {
@@ -180,6 +185,34 @@
     }
 }
 
+void GatewayNode::reload()
+{
+    try {
+        auto settings = reader_();
+        if (settings == current_) {
+            return;
+        }
+        const bool needsRestart = !settings.hasSameAddresses(settings_);
+        current_ = std::move(settings);
+        dispatcher_.setBounds(current_);
+        peers_.addSeeds(current_.seedPeers);
+        telemetry::logLine("reload", {{"outcome", "in force"}, {"addresses_need_restart", needsRestart}});
+    } catch (const std::exception &error) {
+        telemetry::logLine("reload", {{"outcome", "refused, the settings before stay in force"}, {"reason", error.what()}});
+    }
+}
+
+void GatewayNode::watchSettings()
+{
+    settingsTimer_.expires_after(internal::settingsPeriod);
+    settingsTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            reload();
+            watchSettings();
+        }
+    });
+}
+
 void GatewayNode::beginDrain()
 {
     telemetry::logLine("shutdown_begun", {});
@@ -202,7 +235,7 @@
         }
         open += worker->sessions();
     }
-    const bool isOver = passed > settings_.grace - internal::endMargin;
+    const bool isOver = passed > current_.grace - internal::endMargin;
     if (isOver || (passed > internal::refuseTime && open == 0)) {
         telemetry::logLine("drained", {{"open_connections", open}});
         stop();
@@ -221,6 +254,7 @@
     for (const auto &follower : followers_) {
         follower->stop();
     }
+    settingsTimer_.cancel();
     peers_.stop();
     for (const auto &worker : workers_) {
         worker->stop();
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -23,8 +24,12 @@
 class GatewayNode
 {
 public:
-    /** @brief Creates a node. @param settings Settings. */
-    explicit GatewayNode(config::GatewaySettings settings);
+    /** @brief Reads the settings again. Throws config::InvalidInput or std::ios_base::failure. */
+    using SettingsReader = std::function<config::GatewaySettings()>;
+
+    /** @brief Creates a node. @param reader Reads its settings, now and when they may have changed. @throws config::InvalidInput With every error and its
+     * place. */
+    explicit GatewayNode(SettingsReader reader);
 
     /** @brief Runs until the shutdown has ended. @return Exit code. */
     int run();
@@ -36,6 +41,8 @@
     void follow(Catalog::Section section, std::chrono::milliseconds pause);
     void waitForSignal();
     void onSignal(int signal);
+    void reload();
+    void watchSettings();
     void beginDrain();
     void drainStep();
     void stop();
@@ -48,7 +55,9 @@
         return workers_.front()->context();
     }
 
-    const config::GatewaySettings settings_;
+    SettingsReader reader_;
+    const config::GatewaySettings settings_; /* as at the start */
+    config::GatewaySettings current_; /* bounds, grace period and seeds in force */
     Dispatcher dispatcher_;
     std::vector<std::unique_ptr<Worker>> workers_; /* the first one also is the control thread */
     Catalog catalog_;
@@ -60,6 +69,7 @@
     std::unique_ptr<http::Server> metricsServer_;
     telemetry::Metrics metrics_;
     boost::asio::signal_set signals_;
+    boost::asio::steady_timer settingsTimer_;
     boost::asio::steady_timer phaseTimer_; /* of the start, then of the shutdown */
     core::MonotonicTime started_;
     core::MonotonicTime drainBegun_{};
--- a/src/cyclamenspool/gateway/peernews.cpp
+++ b/src/cyclamenspool/gateway/peernews.cpp
@@ -67,7 +67,12 @@
     , pool_(context, internal::sessionLimits())
     , timer_(context)
 {
-    for (const auto &seed : settings_.seedPeers) {
+    addSeeds(settings_.seedPeers);
+}
+
+void PeerNews::addSeeds(const std::vector<std::string> &seeds)
+{
+    for (const auto &seed : seeds) {
         if (seed != settings_.peerAddress) {
             peers_[seed].isSeed = true;
         }
--- a/src/cyclamenspool/gateway/peernews.h
+++ b/src/cyclamenspool/gateway/peernews.h
@@ -31,6 +31,9 @@
     /** @brief Listens, and starts to talk to the seeds. @throws boost::system::system_error If the address cannot be bound. */
     void start();
 
+    /** @brief Adds seeds; those known stay. @param seeds Addresses. */
+    void addSeeds(const std::vector<std::string> &seeds);
+
     /** @brief Tells the others that this gateway leaves. */
     void beginDrain();
 
--- /dev/null
+++ b/test/gateway/routetable.cpp
@@ -0,0 +1,92 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/gateway/dispatcher.h>
+#include <cyclamenspool/gateway/routetable.h>
+
+using namespace cyclamenspool;
+
+namespace {
+
+world::Route routeOf(const std::string &name, const std::string &prefix)
+{
+    world::Route route;
+    route.name = name;
+    route.host = "desk.example";
+    route.prefix = prefix;
+    route.services = {{"pool", 1.0}};
+    return route;
+}
+
+world::Routing routingOf(std::uint64_t version)
+{
+    world::Routing routing;
+    routing.version = version;
+    routing.routes = {routeOf("short", "/a/"), routeOf("long", "/a/b/")};
+    routing.hasWorkspaces = true;
+    routing.keys["key-1"] = {"desk", -1};
+    return routing;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host wins", "[gateway]")
+{
+    const gateway::RouteTable table(routingOf(1));
+    CHECK(table.find("desk.example", "/a/b/c?x=/a/")->name == "long");
+    CHECK(table.find("desk.example", "/a/x")->name == "short");
+    CHECK(table.find("desk.example", "/b/") == nullptr);
+    CHECK(table.find("other.example", "/a/x") == nullptr);
+}
+
+TEST_CASE("an older configuration never comes back, and none at all is no 404", "[gateway]")
+{
+    gateway::Dispatcher dispatcher{config::GatewaySettings()};
+    platform::RequestHead head;
+    head.host = "desk.example";
+    head.apiKey = "key-1";
+    try {
+        static_cast<void>(dispatcher.admit(head, "/a/x"));
+        FAIL("admitted");
+    } catch (const core::Error &error) {
+        CHECK(core::ruleOf(error.kind()).status == 503);
+    }
+    CHECK(dispatcher.onRouting(routingOf(5)));
+    CHECK_FALSE(dispatcher.onRouting(routingOf(4)));
+    CHECK_FALSE(dispatcher.onRouting(routingOf(5)));
+    CHECK(dispatcher.admit(head, "/a/x").workspace == "desk");
+    head.apiKey = "other";
+    CHECK_THROWS_AS(dispatcher.admit(head, "/a/x"), core::Error);
+}
+
+TEST_CASE("retry abuse: repeats stay within the budget of all gateways together", "[gateway]")
+{
+    config::GatewaySettings settings;
+    settings.retryRatio = 0.2;
+    settings.retrySlack = 20;
+    gateway::Dispatcher dispatcher(settings);
+    dispatcher.onRouting(routingOf(1));
+    dispatcher.onGateway("vm-2");
+    dispatcher.onFleet([](gateway::Fleet &fleet, core::MonotonicTime now) {
+        world::BackendServer server;
+        server.id = "s0";
+        server.service = "pool";
+        fleet.onListed(server, now);
+    });
+    platform::RequestHead head;
+    head.host = "desk.example";
+    head.apiKey = "key-1";
+    const auto admission = dispatcher.admit(head, "/a/x");
+    for (int i = 0; i < 50; ++i) {
+        dispatcher.place(admission, {}).ticket->finish(gateway::Outcome::Answered);
+    }
+    int repeats = 0;
+    for (int i = 0; i < 200; ++i) {
+        const auto answer = dispatcher.place(admission, {"another"});
+        repeats += answer.ticket != nullptr ? 1 : 0;
+        if (answer.ticket != nullptr) {
+            answer.ticket->finish(gateway::Outcome::Answered);
+        }
+    }
+    CHECK(repeats <= 0.2 * 50 + 20 / 2);
+    CHECK(repeats >= 10);
+}
--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -37,6 +37,14 @@
             {"gap_aim_ms", 400}};
 }
 
+std::string textOf(const std::string &name)
+{
+    std::ifstream file(name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 } // namespace
 
 GatewayFleet::GatewayFleet(int gatewayCount, int runnerCount)
@@ -130,10 +138,17 @@
 
 std::string GatewayFleet::logOf(const Gateway &gateway)
 {
-    std::ifstream file(gateway.logFile);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
+    return textOf(gateway.logFile);
+}
+
+std::string GatewayFleet::readSettings(const Gateway &gateway)
+{
+    return textOf(gateway.settingsFile);
+}
+
+void GatewayFleet::writeSettings(const Gateway &gateway, const std::string &text)
+{
+    std::ofstream(gateway.settingsFile) << text;
 }
 
 } // namespace cyclamenspool::harness
--- a/test/harness/gatewayfleet.h
+++ b/test/harness/gatewayfleet.h
@@ -46,6 +46,12 @@
     /** @brief Reads a gateway's log. @param gateway Gateway. @return Text. */
     [[nodiscard]] static std::string logOf(const Gateway &gateway);
 
+    /** @brief Reads a gateway's settings. @param gateway Gateway. @return YAML text. */
+    [[nodiscard]] static std::string readSettings(const Gateway &gateway);
+
+    /** @brief Replaces a gateway's settings. @param gateway Gateway. @param text YAML text. */
+    static void writeSettings(const Gateway &gateway, const std::string &text);
+
     FakeStore store;
     std::vector<std::unique_ptr<FakeRunner>> runners;
     std::vector<Gateway> gateways;
--- /dev/null
+++ b/test/member/mirror.cpp
@@ -0,0 +1,29 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/member/mirror.h>
+
+using cyclamenspool::member::Item;
+using cyclamenspool::member::Mirror;
+
+TEST_CASE("a copy takes changes once and never goes back", "[member][mirror]")
+{
+    Mirror mirror;
+    CHECK(mirror.replace({{{"a", "1", 3, false}, {"b", "1", 4, false}}, 5}).size() == 2);
+    CHECK(mirror.merge({{"a", "2", 6, false}}, 6).size() == 1);
+    CHECK(mirror.merge({{"a", "1", 3, false}}, 6).empty());
+    CHECK(mirror.replace({{{"a", "1", 3, false}}, 5}).empty());
+    CHECK(mirror.list().items.size() == 2);
+    CHECK(mirror.revision() == 6);
+}
+
+TEST_CASE("a list tells what is gone; a page that is newer than the list's revision stays", "[member][mirror]")
+{
+    Mirror mirror;
+    static_cast<void>(mirror.replace({{{"a", "1", 3, false}, {"b", "1", 4, false}}, 5}));
+    static_cast<void>(mirror.merge({{"c", "1", 9, false}}, 6));
+    const auto news = mirror.replace({{{"a", "1", 3, false}}, 7});
+    REQUIRE(news.size() == 1);
+    CHECK(news.front().key == "b");
+    CHECK(news.front().isDeleted);
+    CHECK(mirror.list().items.size() == 2);
+}
--- /dev/null
+++ b/test/platform/headers.cpp
@@ -0,0 +1,85 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/platform/headers.h>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+
+TEST_CASE("a caller's headers are read", "[platform]")
+{
+    platform::Fields fields;
+    fields.set("Host", "Desk.Example:8080");
+    fields.set("Authorization", "Bearer key-1");
+    fields.set("Cyclamenspool-Request-Id", "r1");
+    fields.set("Cyclamenspool-Deadline-Ms", "1200");
+    fields.set("Cyclamenspool-Token-Usage", "1460,80");
+    fields.set("Cyclamenspool-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    const auto head = platform::readRequestHead(fields);
+    CHECK(head.host == "desk.example");
+    CHECK(head.apiKey == "key-1");
+    CHECK(head.callerTime == 1200ms);
+    CHECK(head.answerTokens == 80);
+    REQUIRE(head.parts.size() == 3);
+    CHECK(head.parts[1].id == 0x91bd3f06);
+    CHECK(head.parts[1].tokens == 410);
+}
+
+TEST_CASE("a malformed header is refused with its name", "[platform]")
+{
+    platform::Fields fields;
+    const auto [name, value] = GENERATE(table<std::string, std::string>({{"Cyclamenspool-Deadline-Ms", "soon"},
+                                                                         {"Cyclamenspool-Deadline-Ms", "-5"},
+                                                                         {"Cyclamenspool-Token-Usage", "7"},
+                                                                         {"Cyclamenspool-Prompt-Prefix", "xyz:1"},
+                                                                         {"Cyclamenspool-Prompt-Prefix", "5c1e"}}));
+    fields.set(name, value);
+    try {
+        static_cast<void>(platform::readRequestHead(fields));
+        FAIL("not refused");
+    } catch (const core::Error &error) {
+        CHECK(error.kind() == core::ErrorKind::BadRequest);
+        CHECK(std::string(error.what()).find(name) != std::string::npos);
+    }
+}
+
+TEST_CASE("what belongs to one connection or to the system is not forwarded", "[platform]")
+{
+    platform::Fields fields;
+    fields.set("Connection", "keep-alive, X-Hop");
+    fields.set("X-Hop", "1");
+    fields.set("X-Kept", "2");
+    fields.set("Authorization", "Bearer key-1");
+    fields.set("cyclamenspool-tenant", "forged");
+    fields.set("Kv-Fetch", "forged");
+    fields.set("Last-Event-Id", "3");
+    std::string out;
+    platform::ForwardHead head;
+    head.server = "i-1";
+    head.workspace = "desk";
+    head.timeLeft = 900ms;
+    head.lastEvent = "8";
+    platform::appendForwarded(out, fields, head);
+    CHECK(out == "X-Kept: 2\r\nCyclamenspool-Deadline-Ms: 900\r\nCyclamenspool-Expect-Instance: i-1\r\nCyclamenspool-Tenant: desk\r\nLast-Event-Id: 8\r\n");
+}
+
+TEST_CASE("the headers of an answer are read", "[platform]")
+{
+    platform::Fields fields;
+    fields.set("Cyclamenspool-Response-Seal", "s");
+    fields.set("Cyclamenspool-Server-Load", "3,1,8");
+    fields.set("Keep-Alive", "timeout=5, max=9");
+    const auto head = platform::readAnswerHead(200, fields);
+    CHECK(head.sealed);
+    CHECK_FALSE(head.notRun);
+    REQUIRE(head.load);
+    CHECK(head.load->waiting == 1);
+    CHECK(head.idleTimeout == 5s);
+    CHECK(platform::readAnswerHead(421, platform::Fields()).notRun);
+}
+
+TEST_CASE("a refusal tells the time to come back in seconds with fractions", "[platform]")
+{
+    std::string out;
+    platform::appendRefusal(out, "r1", 250ms);
+    CHECK(out == "Cyclamenspool-Request-Id: r1\r\nRetry-After: 0.250\r\n");
+}
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -359,3 +359,23 @@
     CHECK(answer.whole);
     CHECK(answer.body == (path == "/again/x" ? "late" : event(1) + event(2)));
 }
+
+TEST_CASE("settings that changed are taken, bad ones are refused and named, and no request is cut", "[process][gateway]")
+{
+    GatewayFleet fleet(1, 1);
+    auto &gateway = fleet.gateways[0];
+    const auto before = fleet.readSettings(gateway);
+    fleet.writeSettings(gateway, before + "retry_slack: many\n");
+    gateway.process.signal(SIGHUP);
+    REQUIRE(LocalFleet::await([&gateway] {
+        return GatewayFleet::logOf(gateway).find("refused, the settings before stay in force") != std::string::npos;
+    }));
+    CHECK(GatewayFleet::logOf(gateway).find("retry_slack") != std::string::npos);
+    CHECK(run(fleet.call("r1")).status == 200);
+    fleet.writeSettings(gateway, before + "retry_slack: 7\n");
+    gateway.process.signal(SIGHUP);
+    REQUIRE(LocalFleet::await([&gateway] {
+        return GatewayFleet::logOf(gateway).find("in force\"") != std::string::npos;
+    }));
+    CHECK(run(fleet.call("r2")).status == 200);
+}
