A backend server that fails more than the others is put aside within a few answers, and peers hear of it

Cause: each of four gateways had to see the failures by itself, about 11 requests at 1.5 a second. A weight of 0.12 put servers aside when all fail alike (183 checks of the older test); 0.08 keeps both tests.

--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -23,7 +23,7 @@
 constexpr double trendSeconds = 2.0; /* window of the sends that stand for those of peers */
 constexpr Milliseconds lapseGrace{2200}; /* entries come back within 2 s after the store's return */
 constexpr Milliseconds firstListTime{1000}; /* in which the first list is read */
-constexpr double failureWeight = 0.06; /* of the newest answer in the moving average */
+constexpr double failureWeight = 0.08; /* of the newest answer in the moving average */
 constexpr double failureLimit = 0.18; /* ratio of failures above what the service's others have */
 constexpr double othersFactor = 1.5; /* on the ratio of the others */
 constexpr double ejectedPart = 0.34; /* of a service's backend servers that may be suspect for failures */
@@ -223,7 +223,7 @@
 {
     std::vector<SuspicionNews> news;
     for (const auto &[id, server] : servers_) {
-        if (server->failuresInRow > 0 && server->suspectUntil > now) {
+        if (server->onTrial && server->suspectUntil > now) {
             news.push_back({id, std::chrono::duration_cast<core::Milliseconds>(server->suspectUntil - now)});
         } else if (server->outstanding >= internal::sureSilence && isSilent(*server, now)) {
             news.push_back({id, internal::silentSuspicion});
--- a/test/gateway/fleet.cpp
+++ b/test/gateway/fleet.cpp
@@ -214,3 +214,18 @@
     CHECK(fleet.suspicions(start + 2s).empty());
     CHECK(fleet.standingOf(server, start + 2s) == Standing::Suspect);
 }
+
+TEST_CASE("a backend server that fails a part of its requests is put aside within a few of them, and peers hear of it", "[gateway][fleet]")
+{
+    FilledFleet fleet(12);
+    for (int round = 0; round < 8; ++round) {
+        for (int i = 0; i < 12; ++i) {
+            const bool fails = i == 4 && round % 2 == 0;
+            fleet.onOutcome(fleet.server(i), fails ? Outcome::Failed : Outcome::Answered, start);
+        }
+    }
+    CHECK(fleet.standingOf(fleet.server(4), start) == Standing::Suspect);
+    const auto told = fleet.suspicions(start);
+    REQUIRE(told.size() == 1);
+    CHECK(told.front().server == fleet.server(4).record.id);
+}
