--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -308,10 +308,8 @@
     if (server.suspectUntil <= before) {
         return std::nullopt;
     }
-    return boost::json::object{{"server", server.record.id},
-                               {"outcome", static_cast<int>(outcome)},
-                               {"failures_in_row", server.failuresInRow},
-                               {"failure_ratio", server.failureRatio}};
+    return boost::json::object{
+        {"server", server.record.id}, {"outcome", nameOf(outcome)}, {"failures_in_row", server.failuresInRow}, {"failure_ratio", server.failureRatio}};
 }
 
 void Dispatcher::onRefusal(core::ErrorKind kind)
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -287,18 +287,19 @@
         body_ += bytes;
         if (body_.size() > internal::wholeBytes) {
             mode_ = Mode::Stream;
-            relay(std::exchange(body_, std::string()));
+            relay(body_);
+            body_.clear();
         }
     } else if (mode_ == Mode::Events) {
         relay(scanner_.take(bytes));
     } else {
-        relay(std::move(bytes));
+        relay(bytes);
     }
     isReadingPaused_ = session_ != nullptr && session_->waitingBytes() > internal::waitingBytes;
     return !isReadingPaused_;
 }
 
-void Exchange::relay(std::string bytes)
+void Exchange::relay(const std::string &bytes)
 {
     if (bytes.empty()) {
         return;
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -61,7 +61,7 @@
     void send(const world::BackendServer &server);
     void retryOrFail(core::ErrorKind kind, const std::string &reason, bool maySendAgain);
     void finishAttempt(Outcome outcome);
-    void relay(std::string bytes);
+    void relay(const std::string &bytes);
     void beginStream();
     void endStream();
     void sendWhole();
--- a/src/cyclamenspool/gateway/fwd.h
+++ b/src/cyclamenspool/gateway/fwd.h
@@ -3,7 +3,6 @@
 namespace cyclamenspool::gateway {
 class RouteTable;
 class Fleet;
-class ServerState;
 class Shares;
 class Dispatcher;
 class Ticket;
@@ -13,5 +12,6 @@
 class BackendPool;
 class PeerNews;
 class GatewayNode;
-struct Job;
+struct Admission;
+struct ServerState;
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -32,6 +32,7 @@
 {
     std::random_device seeds;
     std::vector<std::unique_ptr<Worker>> workers;
+    workers.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         workers.push_back(std::make_unique<Worker>(dispatcher, seeds()));
     }
@@ -274,6 +275,10 @@
     metrics_.set("cyclamenspool_peers", static_cast<double>(peers_.heardPeers()));
     metrics_.set("cyclamenspool_admitted_total", static_cast<double>(counts.admitted));
     metrics_.set("cyclamenspool_repeats_total", static_cast<double>(counts.repeats));
+    for (std::size_t outcome = 0; outcome < counts.outcomes.size(); ++outcome) {
+        const std::string name(nameOf(static_cast<Outcome>(outcome)));
+        metrics_.set("cyclamenspool_outcomes_total{outcome=\"" + name + "\"}", static_cast<double>(counts.outcomes[outcome]));
+    }
     for (std::size_t kind = 0; kind < counts.refusals.size(); ++kind) {
         const std::string name(core::ruleOf(static_cast<core::ErrorKind>(kind)).name);
         metrics_.set("cyclamenspool_refusals_total{kind=\"" + name + "\"}", static_cast<double>(counts.refusals[kind]));
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -158,7 +158,7 @@
         return nullptr;
     }
     for (const auto &id : holders) {
-        const auto holder = fleet.find(id);
+        auto holder = fleet.find(id);
         if (holder != nullptr && internal::canGive(fleet, *holder, now)) {
             return holder;
         }
--- a/src/cyclamenspool/gateway/serverstate.h
+++ b/src/cyclamenspool/gateway/serverstate.h
@@ -4,10 +4,12 @@
 #include <cyclamenspool/policy/slidingcounter.h>
 #include <cyclamenspool/world/backendserver.h>
 
+#include <array>
 #include <chrono>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cyclamenspool::gateway {
 
@@ -34,6 +36,15 @@
     Count
 };
 
+/** @brief Names an outcome in logs and metrics. @param outcome Outcome. @return Name. */
+[[nodiscard]] constexpr std::string_view nameOf(Outcome outcome) noexcept
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(Outcome::Count)> names{
+        "answered", "failed", "broken", "unreachable", "full", "elsewhere", "abandoned"};
+    const auto index = static_cast<std::size_t>(outcome);
+    return index < names.size() ? names[index] : "unknown";
+}
+
 /** @brief Requests of another gateway at a backend server. */
 struct PeerLoad {
     int outstanding = 0;
--- a/src/cyclamenspool/telemetry/log.cpp
+++ b/src/cyclamenspool/telemetry/log.cpp
@@ -49,7 +49,8 @@
     int leftOut = 0;
 };
 
-/** @brief Counts a line. @param event Event. @param leftOut Takes the number of lines that were left out in the second before. @return True if it may be written. */
+/** @brief Counts a line. @param event Event. @param leftOut Takes the number of lines that were left out in the second before. @return True if it may be
+ * written. */
 bool takeLine(const std::string &event, int &leftOut)
 {
     static std::mutex mutex;
