Idle connections stay open until new requests are refused, and nothing is read after their close

Now such a request is answered until 3 s, and after that the connection is closed unread, so that the caller may send it again. Ruled out: the balancer (the channel was open before), the grace period (4.5 s were left). The new test failed before.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -254,8 +254,9 @@
 void CallerSession::closeIfIdle()
 {
     const bool isIdle = exchange_ == nullptr && !parser_ && waitingBytes() == 0 && in_.size() == 0;
+    // Nothing more is read: a request that crosses this close has not been taken, and its caller may send it again.
     if (isIdle && !isLingering_) {
-        linger();
+        close();
     }
 }
 
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -229,10 +229,10 @@
     for (const auto &worker : workers_) {
         if (passed >= internal::balancerTime) {
             worker->beginDrain();
-            worker->closeIdle();
         }
         if (passed >= internal::refuseTime) {
             worker->refuseNew();
+            worker->closeIdle();
         }
         open += worker->sessions();
     }
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -3,6 +3,11 @@
 #include <harness/gatewayfleet.h>
 #include <harness/localfleet.h>
 
+#include <cyclamenspool/wire/endpoint.h>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
 #include <atomic>
 #include <csignal>
 #include <future>
@@ -379,3 +384,26 @@
     }));
     CHECK(run(fleet.call("r2")).status == 200);
 }
+
+TEST_CASE("a planned stop answers a request that comes on an idle connection while the balancer still counts on it", "[process][gateway]")
+{
+    GatewayFleet fleet(1, 1);
+    boost::asio::io_context context;
+    PlainSocket socket(context);
+    socket.connect(wire::endpointOf(fleet.gateways[0].caller));
+    const auto ask = [&socket](const std::string &id) {
+        writeAll(socket,
+                 "POST /once/x HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-1\r\nCyclamenspool-Request-Id: " + id
+                     + "\r\nContent-Length: 0\r\n\r\n");
+        boost::beast::flat_buffer buffer;
+        boost::beast::http::response<boost::beast::http::string_body> response;
+        boost::system::error_code error;
+        boost::beast::http::read(socket, buffer, response, error);
+        return error ? 0U : response.result_int();
+    };
+    CHECK(ask("r1") == 200);
+    fleet.gateways[0].process.signal(SIGTERM);
+    std::this_thread::sleep_for(2700ms);
+    CHECK(ask("r2") == 200);
+    CHECK(fleet.gateways[0].process.wait(5s) == 0);
+}
