A test's SIGSTOP is waited for until every thread of the process stands still

Beside 14 busy loops the case failed 3 of 6 times before. Ruled out: the agent's lease (the booking was admitted before the stop, not after the wake).

--- a/test/harness/process.cpp
+++ b/test/harness/process.cpp
@@ -52,8 +52,14 @@
 
 void Process::signal(int signal) const
 {
-    if (pid_ > 0) {
-        ::kill(pid_, signal);
+    if (pid_ <= 0) {
+        return;
+    }
+    ::kill(pid_, signal);
+    if (signal == SIGSTOP) {
+        // On a busy machine its other threads run on until the first one has taken the signal.
+        siginfo_t stopped{};
+        waitid(P_PID, static_cast<id_t>(pid_), &stopped, WSTOPPED | WEXITED | WNOWAIT);
     }
 }
 
