Twins and dead members of the gateway removed

Found by reading the whole change: the caller's loss was handled twice in CallerSession, Shares walked its peers three times for one part, and Fleet::size, Exchange::beginStream and the time of the store's last failure were never read.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -82,10 +82,7 @@
         return;
     }
     if (error) {
-        if (exchange_ != nullptr) {
-            exchange_->onCallerGone();
-        }
-        close();
+        loseCaller();
         return;
     }
     if (isLingering_) {
@@ -209,10 +206,7 @@
         return;
     }
     if (error) {
-        if (exchange_ != nullptr) {
-            exchange_->onCallerGone();
-        }
-        close();
+        loseCaller();
         return;
     }
     if (!out_.empty()) {
@@ -271,6 +265,14 @@
     read();
 }
 
+void CallerSession::loseCaller()
+{
+    if (exchange_ != nullptr) {
+        exchange_->onCallerGone();
+    }
+    close();
+}
+
 void CallerSession::close()
 {
     isClosed_ = true;
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -67,6 +67,7 @@
     void flush();
     void onWritten(const boost::system::error_code &error);
     void linger();
+    void loseCaller();
     void close();
     void waitUntil(core::MonotonicTime time);
     void watch();
--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -146,8 +146,8 @@
     telemetry::logLine("store_lost", {{"section", std::string(prefixOf(section))}, {"reason", reason}, {"revision", known.mirror.revision()}});
     known.isIll = true;
     if (section == Section::Servers) {
-        dispatcher_.onFleet([](Fleet &fleet, core::MonotonicTime now) {
-            fleet.onStoreIll(now);
+        dispatcher_.onFleet([](Fleet &fleet, core::MonotonicTime) {
+            fleet.onStoreIll();
         });
     }
 }
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -62,7 +62,6 @@
     void retryOrFail(core::ErrorKind kind, const std::string &reason, bool maySendAgain);
     void finishAttempt(Outcome outcome);
     void relay(const std::string &bytes);
-    void beginStream();
     void endStream();
     void sendWhole();
     void refuse(core::ErrorKind kind, const std::string &detail);
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -95,12 +95,12 @@
 
 bool Fleet::storeWasIll(core::MonotonicTime now) const
 {
-    return lastIll_ && (!wellSince_ || now < *wellSince_ + internal::lapseGrace);
+    return wasIll_ && (!wellSince_ || now < *wellSince_ + internal::lapseGrace);
 }
 
-void Fleet::onStoreIll(core::MonotonicTime now)
+void Fleet::onStoreIll()
 {
-    lastIll_ = now;
+    wasIll_ = true;
     wellSince_.reset();
 }
 
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -39,8 +39,8 @@
     /** @brief Takes a zone's evacuation or its end. @param zone Zone. @param isLeaving True if it gets nothing new. */
     void onZone(const std::string &zone, bool isLeaving);
 
-    /** @brief Takes a failed call to the store. @param now Time. */
-    void onStoreIll(core::MonotonicTime now);
+    /** @brief Takes a failed call to the store. */
+    void onStoreIll();
 
     /** @brief Takes a complete answer of the store. @param now Time. */
     void onStoreWell(core::MonotonicTime now);
@@ -87,12 +87,6 @@
     /** @brief Finds a backend server. @param id Its id. @return State; null: not listed. */
     [[nodiscard]] ServerPtr find(const std::string &id) const;
 
-    /** @brief Counts the backend servers. @return Count. */
-    [[nodiscard]] std::size_t size() const noexcept
-    {
-        return servers_.size();
-    }
-
 private:
     void index();
     void suspect(ServerState &server, core::Milliseconds time, core::MonotonicTime now) const;
@@ -104,7 +98,7 @@
     std::map<std::string, std::vector<ServerPtr>, std::less<>> byService_;
     std::set<std::string> leavingZones_;
     std::optional<core::MonotonicTime> firstListed_;
-    std::optional<core::MonotonicTime> lastIll_;
+    bool wasIll_ = false; /* a call to the store has failed */
     std::optional<core::MonotonicTime> wellSince_;
 };
 
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -3,7 +3,6 @@
 #include <cyclamenspool/core/hash.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace cyclamenspool::gateway {
 
--- a/src/cyclamenspool/gateway/shares.cpp
+++ b/src/cyclamenspool/gateway/shares.cpp
@@ -24,42 +24,35 @@
     heard_[vm] = now;
 }
 
-bool Shares::isAlive(core::MonotonicTime heard, core::MonotonicTime now) const
+std::vector<std::string> Shares::othersAlive(core::MonotonicTime now) const
 {
-    return heard + internal::memory > now;
+    std::vector<std::string> others;
+    for (const auto &[vm, heard] : heard_) {
+        if (vm != self_ && heard + internal::memory > now) {
+            others.push_back(vm);
+        }
+    }
+    return others;
 }
 
 std::size_t Shares::gateways(core::MonotonicTime now) const
 {
-    std::size_t count = 1;
-    for (const auto &[vm, heard] : heard_) {
-        if (vm != self_ && isAlive(heard, now)) {
-            ++count;
-        }
-    }
-    return std::max(count, leastGateways_);
+    return std::max(othersAlive(now).size() + 1, leastGateways_);
 }
 
 std::size_t Shares::part(std::size_t whole, const std::string &subject, core::MonotonicTime now) const
 {
-    const auto count = gateways(now);
-    const auto rest = whole % count;
-    const auto rankOf = [&subject](const std::string &vm) {
-        return core::hash64(vm, core::hash64(subject));
-    };
-    std::size_t before = 0;
-    for (const auto &[vm, heard] : heard_) {
-        if (vm != self_ && isAlive(heard, now) && rankOf(vm) < rankOf(self_)) {
-            ++before;
-        }
-    }
+    const auto others = othersAlive(now);
+    const auto known = others.size() + 1;
+    const auto count = std::max(known, leastGateways_);
+    const auto seed = core::hash64(subject);
+    const auto own = core::hash64(self_, seed);
+    const auto ranksBefore = std::count_if(others.begin(), others.end(), [seed, own](const std::string &vm) {
+        return core::hash64(vm, seed) < own;
+    });
     // Gateways that are not known may rank before this one.
-    std::size_t known = 1;
-    for (const auto &[vm, heard] : heard_) {
-        known += vm != self_ && isAlive(heard, now) ? 1 : 0;
-    }
-    before += count - std::min(count, known);
-    return whole / count + (before < rest ? 1 : 0);
+    const auto before = static_cast<std::size_t>(ranksBefore) + count - known;
+    return whole / count + (before < whole % count ? 1 : 0);
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/shares.h
+++ b/src/cyclamenspool/gateway/shares.h
@@ -33,7 +33,7 @@
     [[nodiscard]] std::size_t part(std::size_t whole, const std::string &subject, core::MonotonicTime now) const;
 
 private:
-    [[nodiscard]] bool isAlive(core::MonotonicTime heard, core::MonotonicTime now) const;
+    [[nodiscard]] std::vector<std::string> othersAlive(core::MonotonicTime now) const;
 
     std::string self_;
     std::size_t leastGateways_;
--- a/test/gateway/fleet.cpp
+++ b/test/gateway/fleet.cpp
@@ -65,7 +65,7 @@
 TEST_CASE("an entry that lapsed during an outage is used until two seconds after the store's return, without further news", "[gateway][fleet]")
 {
     FilledFleet fleet(3);
-    fleet.onStoreIll(start + 1s);
+    fleet.onStoreIll();
     fleet.onUnlisted("s1", start + 2s);
     CHECK(fleet.uses("s1", start + 9s));
     fleet.onStoreWell(start + 10s);
@@ -76,7 +76,7 @@
 TEST_CASE("an entry that vanishes right after an outage is not kept beyond the grace of lapsed entries", "[gateway][fleet]")
 {
     FilledFleet fleet(3);
-    fleet.onStoreIll(start + 1s);
+    fleet.onStoreIll();
     fleet.onStoreWell(start + 10s);
     fleet.onUnlisted("s1", start + 10500ms);
     CHECK_FALSE(fleet.uses("s1", start + 12300ms));
@@ -87,7 +87,7 @@
 TEST_CASE("a lapsed entry that comes back is used", "[gateway][fleet]")
 {
     FilledFleet fleet(2);
-    fleet.onStoreIll(start + 1s);
+    fleet.onStoreIll();
     fleet.onUnlisted("s1", start + 2s);
     fleet.onStoreWell(start + 10s);
     fleet.onListed(entryOf("s1", 9), start + 11s);
