The log never delays a request; metrics and status show what the gateway believes

Ruled out: standard output in non-blocking mode (the flag belongs to whoever shares the file). Also: latency histograms by route kind, counts by workspace and backend server, age and revision of the store's copies, processor time; /status for cyclamenspool status; settings log_lines. News of a peer that cannot be read, or with an address that is none, was dropped without a word or taken for a peer: named in the log now.

--- a/src/cyclamenspool/config/gatewaysettings.cpp
+++ b/src/cyclamenspool/config/gatewaysettings.cpp
@@ -34,6 +34,7 @@
         {"retry_window_s", &S::retryWindow, false, seconds},
         {"cold_factor", &S::coldFactor, false, {0.1, 100}},
         {"cold_slack", &S::coldSlack, false, {0, 1000000}},
+        {"log_lines", &S::logLines, false, {0, 100000}},
         {"load_factor", &S::loadFactor, false, {1, 100}},
     };
     return fields;
--- a/src/cyclamenspool/config/gatewaysettings.h
+++ b/src/cyclamenspool/config/gatewaysettings.h
@@ -26,6 +26,7 @@
     std::chrono::duration<double> retryWindow{10.0};
     double coldFactor = 1.5; /**< On what a cold backend server bears in a second, over all gateways. */
     double coldSlack = 5; /**< Requests in a second beside the factor. */
+    int logLines = 200; /**< Lines of one event that are written in a second; 0: none. */
     double loadFactor = 2.0; /**< Largest multiple of the mean load of a service. */
 
     [[nodiscard]] bool operator==(const GatewaySettings &) const = default;
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -303,6 +303,8 @@
         server.unheardSince.reset();
     }
     ++counts_.outcomes[static_cast<std::size_t>(outcome)];
+    server.answered += outcome == Outcome::Answered ? 1 : 0;
+    server.failed += outcome == Outcome::Answered || outcome == Outcome::Abandoned ? 0 : 1;
     const auto before = server.suspectUntil;
     fleet_.onOutcome(server, outcome, internal::now());
     if (server.suspectUntil <= before) {
@@ -318,6 +320,12 @@
     ++counts_.refusals[static_cast<std::size_t>(kind)];
 }
 
+std::vector<ServerView> Dispatcher::servers() const
+{
+    const std::lock_guard lock(mutex_);
+    return fleet_.views(internal::now());
+}
+
 DispatchCounts Dispatcher::counts() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -5,6 +5,7 @@
 #include <cyclamenspool/gateway/fleet.h>
 #include <cyclamenspool/gateway/historydirectory.h>
 #include <cyclamenspool/gateway/placement.h>
+#include <cyclamenspool/gateway/requestmeter.h>
 #include <cyclamenspool/gateway/routetable.h>
 #include <cyclamenspool/gateway/shares.h>
 #include <cyclamenspool/platform/headers.h>
@@ -154,6 +155,21 @@
     /** @brief Returns the counts. @return Copy. */
     [[nodiscard]] DispatchCounts counts() const;
 
+    /** @brief Lists the backend servers. @return Copy with the evidence on each. */
+    [[nodiscard]] std::vector<ServerView> servers() const;
+
+    /** @brief Returns the latencies and the workspaces' counts. @return Meter. */
+    [[nodiscard]] RequestMeter &meter() noexcept
+    {
+        return meter_;
+    }
+
+    /** @copydoc meter() */
+    [[nodiscard]] const RequestMeter &meter() const noexcept
+    {
+        return meter_;
+    }
+
 private:
     friend class Ticket;
 
@@ -179,6 +195,7 @@
     [[nodiscard]] ServiceUse &useOf(const std::string &service);
     [[nodiscard]] bool mayRepeat(const std::string &service, core::MonotonicTime now);
 
+    RequestMeter meter_; /* has a lock of its own */
     mutable std::mutex mutex_; /* guards the members below; innermost */
     config::GatewaySettings settings_;
     std::shared_ptr<const RouteTable> routes_;
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -23,6 +23,7 @@
 constexpr int pauseFactor = 2; /* of the longest pause wanted: a stream that is silent for so long is late already */
 constexpr std::chrono::milliseconds unknownTime{1000}; /* taken for a caller that does not say how long it waits */
 constexpr int highestUrgency = 9;
+constexpr std::string_view answered = "answered"; /* outcome of a request in the log */
 
 bool isSuccess(unsigned status)
 {
@@ -340,7 +341,7 @@
         out += body_;
     }
     session_->write(std::move(out));
-    finish("answered", std::to_string(status_));
+    finish(internal::answered, std::to_string(status_));
 }
 
 void Exchange::endStream()
@@ -354,7 +355,7 @@
     if (request_.version() >= 11) {
         session_->write("0\r\n\r\n");
     }
-    finish("answered", std::to_string(status_));
+    finish(internal::answered, std::to_string(status_));
 }
 
 void Exchange::onBroken(const std::string &reason)
@@ -392,13 +393,14 @@
     refusal.isHead = request_.method() == bhttp::verb::head;
     worker_.dispatcher().onRefusal(kind);
     session_->write(formatRefusal(refusal));
-    finish(core::ruleOf(kind).name.data(), detail);
+    finish(core::ruleOf(kind).name, detail);
 }
 
 void Exchange::cut(core::ErrorKind kind, const std::string &detail)
 {
     worker_.dispatcher().onRefusal(kind);
-    log(core::ruleOf(kind).name.data(), detail);
+    log(core::ruleOf(kind).name, detail);
+    measure(false);
     timer_.cancel();
     silenceTimer_.cancel();
     auto *session = std::exchange(session_, nullptr);
@@ -420,9 +422,10 @@
     refuse(mayHaveRun_ ? core::ErrorKind::DeadlineAfterSend : core::ErrorKind::NoCandidate, "the time is up");
 }
 
-void Exchange::finish(const char *outcome, const std::string &detail)
+void Exchange::finish(std::string_view outcome, const std::string &detail)
 {
     log(outcome, detail);
+    measure(outcome == internal::answered);
     timer_.cancel();
     silenceTimer_.cancel();
     auto *session = std::exchange(session_, nullptr);
@@ -452,7 +455,23 @@
     }
 }
 
-void Exchange::log(const char *outcome, const std::string &detail) const
+void Exchange::measure(bool isAnswered)
+{
+    if (!admission_) {
+        return;
+    }
+    EndedRequest ended;
+    ended.kind = admission_->route->kind;
+    ended.workspace = admission_->workspace;
+    ended.isAnswered = isAnswered;
+    ended.took = std::chrono::steady_clock::now() - arrived_;
+    if (headCame_ > arrived_) {
+        ended.beforeHead = headCame_ - arrived_;
+    }
+    worker_.dispatcher().meter().onEnded(ended);
+}
+
+void Exchange::log(std::string_view outcome, const std::string &detail) const
 {
     boost::json::object line;
     line["request"] = head_.id;
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenspool::gateway {
@@ -69,8 +70,9 @@
     void onDeadline();
     void watchSilence();
     void onSilence();
-    void finish(const char *outcome, const std::string &detail);
-    void log(const char *outcome, const std::string &detail) const;
+    void finish(std::string_view outcome, const std::string &detail);
+    void measure(bool isAnswered);
+    void log(std::string_view outcome, const std::string &detail) const;
     [[nodiscard]] bool isStalled() const;
     [[nodiscard]] std::chrono::milliseconds timeLeft() const;
     [[nodiscard]] std::chrono::milliseconds longestIdle() const;
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -55,6 +55,7 @@
     const bool isChange = isNew || server->record.leaving != listed.leaving || server->coldUnknown || server->lapsed;
     const bool isMoved = server->record.service != listed.service;
     server->record = listed;
+    server->listed = now;
     server->lapsed.reset();
     server->coldUnknown = false;
     server->coldUntil = now + listed.coldRemaining;
@@ -313,6 +314,26 @@
     return found == servers_.end() ? nullptr : found->second;
 }
 
+std::vector<ServerView> Fleet::views(core::MonotonicTime now) const
+{
+    std::vector<ServerView> views;
+    views.reserve(servers_.size());
+    for (const auto &[id, server] : servers_) {
+        ServerView view;
+        view.record = server->record;
+        view.standing = standingOf(*server, now);
+        view.reportAge = std::chrono::duration_cast<core::Milliseconds>(now - server->listed);
+        view.outstanding = server->outstanding;
+        view.load = loadOf(*server, now);
+        view.failuresInRow = server->failuresInRow;
+        view.failureRatio = server->failureRatio;
+        view.answered = server->answered;
+        view.failed = server->failed;
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
 const std::vector<ServerPtr> &Fleet::serversOf(const std::string &service) const
 {
     static const std::vector<ServerPtr> none;
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -26,6 +26,19 @@
     int outstanding = 0;
 };
 
+/** @brief A backend server with the evidence on it, as operators see it. */
+struct ServerView {
+    world::BackendServer record;
+    Standing standing = Standing::Usable;
+    core::Milliseconds reportAge{0}; /**< Since its last report was taken. */
+    int outstanding = 0; /**< Requests of this gateway. */
+    int load = 0; /**< Requests of all gateways. */
+    int failuresInRow = 0;
+    double failureRatio = 0.0;
+    std::uint64_t answered = 0;
+    std::uint64_t failed = 0;
+};
+
 /** @brief Every backend server that is listed, with the evidence on it. Not thread safe. */
 class Fleet
 {
@@ -84,6 +97,9 @@
     /** @brief Finds the backend servers of a service. @param service Service. @return Those that are listed or lapsed. */
     [[nodiscard]] const std::vector<ServerPtr> &serversOf(const std::string &service) const;
 
+    /** @brief Lists every backend server with the evidence on it. @param now Time. @return Views, by id. */
+    [[nodiscard]] std::vector<ServerView> views(core::MonotonicTime now) const;
+
     /** @brief Finds a backend server. @param id Its id. @return State; null: not listed. */
     [[nodiscard]] ServerPtr find(const std::string &id) const;
 
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -26,6 +26,7 @@
 constexpr std::chrono::milliseconds drainPeriod{100};
 constexpr std::chrono::milliseconds operatorWait{20000};
 constexpr std::chrono::milliseconds serverWait{5000};
+constexpr std::string_view statusPath = "/status"; /* every other path of the metrics address gives the metrics */
 constexpr int serverPausePart = 3; /* of the time after which a leaving backend server gets nothing */
 
 std::vector<std::unique_ptr<Worker>> makeWorkers(Dispatcher &dispatcher, int count)
@@ -60,6 +61,7 @@
 int GatewayNode::run()
 {
     telemetry::openLog("-", settings_.vm);
+    telemetry::setLineLimit(settings_.logLines);
     telemetry::logLine("started", {{"zone", settings_.zone}, {"caller_address", settings_.callerAddress}});
     waitForSignal();
     watchSettings();
@@ -78,7 +80,7 @@
         thread.join();
     }
     telemetry::logLine("stopped", {});
-    telemetry::closeLog();
+    telemetry::closeLog(0);
     return 0;
 }
 
@@ -97,11 +99,11 @@
     if (settings_.metricsAddress.empty()) {
         return;
     }
-    const auto onMetrics = [this](const http::Request &request, http::Responder &responder) {
-        return answerMetrics(request, responder);
+    const auto onOperator = [this](const http::Request &request, http::Responder &responder) {
+        return answerOperator(request, responder);
     };
     try {
-        metricsServer_ = std::make_unique<http::Server>(control(), settings_.metricsAddress, http::ServerLimits(), onMetrics, http::refuseUnread);
+        operatorServer_ = std::make_unique<http::Server>(control(), settings_.metricsAddress, http::ServerLimits(), onOperator, http::refuseUnread);
     } catch (const boost::system::system_error &error) {
         telemetry::logLine("metrics_off", {{"address", settings_.metricsAddress}, {"reason", error.what()}});
     }
@@ -196,6 +198,7 @@
         const bool needsRestart = !settings.hasSameAddresses(settings_);
         current_ = std::move(settings);
         dispatcher_.setBounds(current_);
+        telemetry::setLineLimit(current_.logLines);
         peers_.addSeeds(current_.seedPeers);
         telemetry::logLine("reload", {{"outcome", "in force"}, {"addresses_need_restart", needsRestart}});
     } catch (const std::exception &error) {
@@ -268,22 +271,9 @@
     return !draining_ && catalog_.isComplete() && isIntroduced && dispatcher_.routes() != nullptr;
 }
 
-std::string GatewayNode::metricsPage()
+OperatorView GatewayNode::view() const
 {
-    const auto counts = dispatcher_.counts();
-    metrics_.set("cyclamenspool_ready", isReady() ? 1 : 0);
-    metrics_.set("cyclamenspool_peers", static_cast<double>(peers_.heardPeers()));
-    metrics_.set("cyclamenspool_admitted_total", static_cast<double>(counts.admitted));
-    metrics_.set("cyclamenspool_repeats_total", static_cast<double>(counts.repeats));
-    for (std::size_t outcome = 0; outcome < counts.outcomes.size(); ++outcome) {
-        const std::string name(nameOf(static_cast<Outcome>(outcome)));
-        metrics_.set("cyclamenspool_outcomes_total{outcome=\"" + name + "\"}", static_cast<double>(counts.outcomes[outcome]));
-    }
-    for (std::size_t kind = 0; kind < counts.refusals.size(); ++kind) {
-        const std::string name(core::ruleOf(static_cast<core::ErrorKind>(kind)).name);
-        metrics_.set("cyclamenspool_refusals_total{kind=\"" + name + "\"}", static_cast<double>(counts.refusals[kind]));
-    }
-    return metrics_.text();
+    return {dispatcher_, catalog_, peers_, isReady()};
 }
 
 asio::awaitable<void> GatewayNode::answerReady(const http::Request &request, http::Responder &responder)
@@ -296,10 +286,12 @@
     co_await responder.send(status, headers, body);
 }
 
-asio::awaitable<void> GatewayNode::answerMetrics(const http::Request &, http::Responder &responder)
+asio::awaitable<void> GatewayNode::answerOperator(const http::Request &request, http::Responder &responder)
 {
-    const http::Headers headers{{"Content-Type", "text/plain; version=0.0.4"}};
-    const std::string body = metricsPage();
+    const std::string_view target(request.target().data(), request.target().size());
+    const bool isStatus = target == internal::statusPath;
+    const http::Headers headers{{"Content-Type", isStatus ? "application/json" : "text/plain; version=0.0.4"}};
+    const std::string body = isStatus ? formatStatus(view()) : formatMetrics(view());
     co_await responder.send(200, headers, body);
 }
 
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -3,11 +3,11 @@
 #include <cyclamenspool/config/gatewaysettings.h>
 #include <cyclamenspool/gateway/catalog.h>
 #include <cyclamenspool/gateway/dispatcher.h>
+#include <cyclamenspool/gateway/operatorpage.h>
 #include <cyclamenspool/gateway/peernews.h>
 #include <cyclamenspool/gateway/worker.h>
 #include <cyclamenspool/http/server.h>
 #include <cyclamenspool/platform/storeclient.h>
-#include <cyclamenspool/telemetry/metrics.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -47,9 +47,9 @@
     void drainStep();
     void stop();
     [[nodiscard]] bool isReady() const;
-    [[nodiscard]] std::string metricsPage();
+    [[nodiscard]] OperatorView view() const;
     boost::asio::awaitable<void> answerReady(const http::Request &request, http::Responder &responder);
-    boost::asio::awaitable<void> answerMetrics(const http::Request &request, http::Responder &responder);
+    boost::asio::awaitable<void> answerOperator(const http::Request &request, http::Responder &responder);
     [[nodiscard]] boost::asio::io_context &control() noexcept
     {
         return workers_.front()->context();
@@ -66,8 +66,7 @@
     std::size_t nextWorker_ = 0;
     std::vector<std::unique_ptr<platform::StoreClient>> followers_;
     std::unique_ptr<http::Server> readyServer_;
-    std::unique_ptr<http::Server> metricsServer_;
-    telemetry::Metrics metrics_;
+    std::unique_ptr<http::Server> operatorServer_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer settingsTimer_;
     boost::asio::steady_timer phaseTimer_; /* of the start, then of the shutdown */
--- /dev/null
+++ b/src/cyclamenspool/gateway/operatorpage.cpp
@@ -0,0 +1,148 @@
+#include <cyclamenspool/gateway/operatorpage.h>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <sys/resource.h>
+
+#include <sstream>
+
+namespace cyclamenspool::gateway {
+
+namespace internal {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr std::array<Catalog::Section, 2> sections{Catalog::Section::Operators, Catalog::Section::Servers};
+
+/** @brief Formats a label. @param name Name. @param value Value; named by the platform or by this program. @return Label in braces. */
+std::string label(const char *name, std::string_view value)
+{
+    std::string text = std::string("{") + name + "=\"";
+    for (const char letter : value) {
+        if (letter == '"' || letter == '\\') {
+            text += '\\';
+        }
+        text += letter == '\n' ? ' ' : letter;
+    }
+    return text + "\"}";
+}
+
+void writeProcess(std::ostream &out)
+{
+    rusage use{};
+    if (getrusage(RUSAGE_SELF, &use) != 0) {
+        return;
+    }
+    const auto secondsOf = [](const timeval &time) {
+        return Seconds(std::chrono::seconds(time.tv_sec)) + std::chrono::microseconds(time.tv_usec);
+    };
+    constexpr long kilobyte = 1024;
+    out << "process_cpu_seconds_total " << (secondsOf(use.ru_utime) + secondsOf(use.ru_stime)).count() << '\n';
+    out << "cyclamenspool_peak_memory_bytes " << use.ru_maxrss * kilobyte << '\n';
+}
+
+void writeCounts(std::ostream &out, const DispatchCounts &counts)
+{
+    out << "cyclamenspool_admitted_total " << counts.admitted << '\n';
+    out << "cyclamenspool_repeats_total " << counts.repeats << '\n';
+    for (std::size_t outcome = 0; outcome < counts.outcomes.size(); ++outcome) {
+        out << "cyclamenspool_outcomes_total" << label("outcome", nameOf(static_cast<Outcome>(outcome))) << ' ' << counts.outcomes[outcome] << '\n';
+    }
+    for (std::size_t kind = 0; kind < counts.refusals.size(); ++kind) {
+        const auto name = core::ruleOf(static_cast<core::ErrorKind>(kind)).name;
+        out << "cyclamenspool_refusals_total" << label("kind", name) << ' ' << counts.refusals[kind] << '\n';
+    }
+}
+
+void writeServers(std::ostream &out, const std::vector<ServerView> &servers)
+{
+    std::array<std::size_t, static_cast<std::size_t>(Standing::Count)> standings{};
+    for (const auto &server : servers) {
+        ++standings[static_cast<std::size_t>(server.standing)];
+        const auto labels = label("server", server.record.id);
+        out << "cyclamenspool_server_answered_total" << labels << ' ' << server.answered << '\n';
+        out << "cyclamenspool_server_failed_total" << labels << ' ' << server.failed << '\n';
+        out << "cyclamenspool_server_outstanding" << labels << ' ' << server.outstanding << '\n';
+    }
+    for (std::size_t i = 0; i < standings.size(); ++i) {
+        out << "cyclamenspool_servers" << label("standing", nameOf(static_cast<Standing>(i))) << ' ' << standings[i] << '\n';
+    }
+}
+
+boost::json::object objectOf(const ServerView &server)
+{
+    boost::json::object object;
+    object["server"] = server.record.id;
+    object["service"] = server.record.service;
+    object["address"] = server.record.address;
+    object["zone"] = server.record.zone;
+    object["standing"] = nameOf(server.standing);
+    object["revision"] = server.record.revision;
+    object["report_age_ms"] = server.reportAge.count();
+    object["outstanding"] = server.outstanding;
+    object["outstanding_everywhere"] = server.load;
+    object["failures_in_row"] = server.failuresInRow;
+    object["failure_ratio"] = server.failureRatio;
+    object["answered"] = server.answered;
+    object["failed"] = server.failed;
+    return object;
+}
+
+boost::json::object storeOf(const Catalog &catalog, Catalog::Section section)
+{
+    boost::json::object object;
+    object["revision"] = catalog.revision(section);
+    object["age_ms"] = catalog.revision(section) == 0 ? boost::json::value(nullptr) : boost::json::value(catalog.age(section).count());
+    object["answers"] = !catalog.isIll(section);
+    return object;
+}
+
+} // namespace internal
+
+std::string formatMetrics(const OperatorView &view)
+{
+    std::ostringstream out;
+    out << "cyclamenspool_ready " << (view.isReady ? 1 : 0) << '\n';
+    out << "cyclamenspool_peers " << view.peers.heardPeers() << '\n';
+    const auto routes = view.dispatcher.routes();
+    out << "cyclamenspool_routing_version " << (routes == nullptr ? 0 : routes->routing().version) << '\n';
+    for (const auto section : internal::sections) {
+        const auto labels = internal::label("section", Catalog::prefixOf(section));
+        out << "cyclamenspool_store_revision" << labels << ' ' << view.catalog.revision(section) << '\n';
+        out << "cyclamenspool_store_answers" << labels << ' ' << (view.catalog.isIll(section) ? 0 : 1) << '\n';
+        if (view.catalog.revision(section) > 0) {
+            out << "cyclamenspool_store_age_seconds" << labels << ' ' << internal::Seconds(view.catalog.age(section)).count() << '\n';
+        }
+    }
+    internal::writeProcess(out);
+    internal::writeCounts(out, view.dispatcher.counts());
+    internal::writeServers(out, view.dispatcher.servers());
+    view.dispatcher.meter().write(out);
+    return out.str();
+}
+
+std::string formatStatus(const OperatorView &view)
+{
+    boost::json::object status;
+    status["ready"] = view.isReady;
+    const auto routes = view.dispatcher.routes();
+    status["routing_version"] = routes == nullptr ? 0 : routes->routing().version;
+    for (const auto section : internal::sections) {
+        status[std::string("store ") + std::string(Catalog::prefixOf(section))] = internal::storeOf(view.catalog, section);
+    }
+    boost::json::array peers;
+    for (const auto &peer : view.peers.list()) {
+        peers.push_back(boost::json::object{{"vm", peer.vm}, {"address", peer.address}, {"age_ms", peer.age.count()}});
+    }
+    status["peers"] = std::move(peers);
+    boost::json::array servers;
+    for (const auto &server : view.dispatcher.servers()) {
+        servers.push_back(internal::objectOf(server));
+    }
+    status["backend_servers"] = std::move(servers);
+    return boost::json::serialize(status) + "\n";
+}
+
+} // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/peernews.cpp
+++ b/src/cyclamenspool/gateway/peernews.cpp
@@ -1,9 +1,11 @@
 #include <cyclamenspool/gateway/peernews.h>
 
 #include <cyclamenspool/telemetry/log.h>
+#include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/generated/messages.pb.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace cyclamenspool::gateway {
 
@@ -44,6 +46,34 @@
     return list;
 }
 
+/**
+ * @brief Reads a gateway's message; one that cannot be read is named in the log.
+ * @param path Path that it came by.
+ * @param bytes Bytes.
+ * @return Message; empty: unreadable.
+ */
+template<typename Message>
+std::optional<Message> readMessage(const std::string &path, const std::string &bytes)
+{
+    Message message;
+    if (!bytes.empty() && message.ParseFromString(bytes)) {
+        return message;
+    }
+    telemetry::logLine("peer_message_unreadable", {{"path", path}, {"bytes", bytes.size()}});
+    return std::nullopt;
+}
+
+bool isAddress(const std::string &text)
+{
+    try {
+        static_cast<void>(wire::endpointOf(text));
+        return true;
+    } catch (const std::exception &error) {
+        telemetry::logLine("peer_address_passed_over", {{"address", text}, {"reason", error.what()}});
+        return false;
+    }
+}
+
 std::string copyOf(const member::ItemList &list)
 {
     wire::ItemCopy copy;
@@ -110,6 +140,18 @@
     }));
 }
 
+std::vector<PeerView> PeerNews::list() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<PeerView> views;
+    for (const auto &[address, peer] : peers_) {
+        if (!peer.vm.empty()) {
+            views.push_back({peer.vm, address, std::chrono::duration_cast<core::Milliseconds>(now - peer.heard)});
+        }
+    }
+    return views;
+}
+
 std::chrono::milliseconds PeerNews::period() const
 {
     return internal::shortestPeriod + internal::periodForPeer * static_cast<int>(peers_.size());
@@ -154,9 +196,9 @@
     peer.exchange = ++exchanges_;
     wire::StreamEvents events;
     events.onMessage = [this](const std::string &message) {
-        wire::GatewayNews news;
-        if (news.ParseFromString(message)) {
-            onNews(news);
+        const auto news = internal::readMessage<wire::GatewayNews>(internal::newsPath, message);
+        if (news) {
+            onNews(*news);
         }
     };
     events.onEnd = [this, address, number = peer.exchange](const wire::StreamEnd &) {
@@ -204,11 +246,11 @@
     return news.SerializeAsString();
 }
 
-void PeerNews::onNews(const wire::GatewayNews &news)
+bool PeerNews::onNews(const wire::GatewayNews &news)
 {
     const auto now = std::chrono::steady_clock::now();
-    if (news.address() == settings_.peerAddress) {
-        return;
+    if (news.address() == settings_.peerAddress || !internal::isAddress(news.address())) {
+        return false;
     }
     auto &peer = peers_[news.address()];
     if (internal::sinceOf(peer.heard, now) > internal::quietLimit) {
@@ -233,12 +275,14 @@
     }
     dispatcher_.onPeerPlacements(placements);
     for (const auto &known : news.peers()) {
-        if (known.address() != settings_.peerAddress && peers_.count(known.address()) == 0) {
+        const bool isKnown = known.address() == settings_.peerAddress || peers_.count(known.address()) > 0;
+        if (!isKnown && internal::isAddress(known.address())) {
             peers_[known.address()].heard = now - core::Milliseconds(known.heard_age_ms());
         }
     }
     pullIfBehind(news.address(), Catalog::Section::Operators, news.operator_revision());
     pullIfBehind(news.address(), Catalog::Section::Servers, news.server_revision());
+    return true;
 }
 
 void PeerNews::pullIfBehind(const std::string &address, Catalog::Section section, std::uint64_t revision)
@@ -253,9 +297,9 @@
     pull.set_prefix(std::string(Catalog::prefixOf(section)));
     wire::StreamEvents events;
     events.onMessage = [this, section](const std::string &message) {
-        wire::ItemCopy copy;
-        if (copy.ParseFromString(message)) {
-            catalog_.onPeerCopy(section, internal::listOf(copy));
+        const auto copy = internal::readMessage<wire::ItemCopy>(internal::itemsPath, message);
+        if (copy) {
+            catalog_.onPeerCopy(section, internal::listOf(*copy));
         }
     };
     pool_.submit(address, internal::itemsPath, pull.SerializeAsString(), std::move(events));
@@ -264,16 +308,13 @@
 void PeerNews::onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message)
 {
     if (path == internal::newsPath) {
-        wire::GatewayNews news;
-        if (news.ParseFromString(message)) {
-            onNews(news);
-            stream->send(ownNews(peers_[news.address()]), true);
-        }
+        const auto news = internal::readMessage<wire::GatewayNews>(path, message);
+        const bool isTaken = news && onNews(*news);
+        stream->send(isTaken ? ownNews(peers_[news->address()]) : std::string(), true);
         return;
     }
-    wire::ItemPull pull;
-    const bool isPull = path == internal::itemsPath && pull.ParseFromString(message);
-    const auto section = isPull ? Catalog::sectionOf(pull.prefix()) : std::nullopt;
+    const auto pull = path == internal::itemsPath ? internal::readMessage<wire::ItemPull>(path, message) : std::nullopt;
+    const auto section = pull ? Catalog::sectionOf(pull->prefix()) : std::nullopt;
     stream->send(section ? internal::copyOf(catalog_.copy(*section)) : std::string(), true);
 }
 
--- a/src/cyclamenspool/gateway/peernews.h
+++ b/src/cyclamenspool/gateway/peernews.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cyclamenspool::wire {
 class GatewayNews;
@@ -21,6 +22,13 @@
 
 namespace cyclamenspool::gateway {
 
+/** @brief Another gateway as operators see it. */
+struct PeerView {
+    std::string vm; /**< Empty: it was never heard itself. */
+    std::string address;
+    core::Milliseconds age{0}; /**< Since it was heard. */
+};
+
 /** @brief Exchanges loads, suspicions and revisions with the other gateways; finds them from seeds. Used on the control thread only. */
 class PeerNews
 {
@@ -43,6 +51,9 @@
     /** @brief Counts the gateways that were heard lately. @return Count. */
     [[nodiscard]] std::size_t heardPeers() const;
 
+    /** @brief Lists the gateways that were heard and not forgotten since. @return Gateways, by address. */
+    [[nodiscard]] std::vector<PeerView> list() const;
+
 private:
     struct Peer {
         std::string vm;
@@ -56,7 +67,7 @@
 
     void tick();
     void exchange(const std::string &address, Peer &peer, core::MonotonicTime now);
-    void onNews(const wire::GatewayNews &news);
+    bool onNews(const wire::GatewayNews &news);
     void pullIfBehind(const std::string &address, Catalog::Section section, std::uint64_t revision);
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message);
     void forgetSilent(core::MonotonicTime now);
--- /dev/null
+++ b/src/cyclamenspool/gateway/requestmeter.cpp
@@ -0,0 +1,43 @@
+#include <cyclamenspool/gateway/requestmeter.h>
+
+namespace cyclamenspool::gateway {
+
+namespace internal {
+
+constexpr std::array<const char *, 3> kindLabels{"kind=\"non_idempotent\"", "kind=\"idempotent\"", "kind=\"streaming\""};
+
+} // namespace internal
+
+void RequestMeter::onEnded(const EndedRequest &request)
+{
+    const auto kind = static_cast<std::size_t>(request.kind);
+    const std::lock_guard lock(mutex_);
+    took_[kind].observe(request.took);
+    if (request.beforeHead) {
+        beforeHead_[kind].observe(*request.beforeHead);
+    }
+    if (!request.workspace.empty()) {
+        auto &counts = workspaces_[request.workspace];
+        ++(request.isAnswered ? counts.answered : counts.unanswered);
+    }
+}
+
+void RequestMeter::write(std::ostream &out) const
+{
+    const std::lock_guard lock(mutex_);
+    out << "# TYPE cyclamenspool_request_seconds histogram\n";
+    for (std::size_t kind = 0; kind < kinds; ++kind) {
+        took_[kind].write(out, "cyclamenspool_request_seconds", internal::kindLabels[kind]);
+    }
+    out << "# TYPE cyclamenspool_answer_head_seconds histogram\n";
+    for (std::size_t kind = 0; kind < kinds; ++kind) {
+        beforeHead_[kind].write(out, "cyclamenspool_answer_head_seconds", internal::kindLabels[kind]);
+    }
+    for (const auto &[workspace, counts] : workspaces_) {
+        const auto labels = "{workspace=\"" + workspace + "\",answered=";
+        out << "cyclamenspool_workspace_requests_total" << labels << "\"yes\"} " << counts.answered << '\n';
+        out << "cyclamenspool_workspace_requests_total" << labels << "\"no\"} " << counts.unanswered << '\n';
+    }
+}
+
+} // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/serverstate.h
+++ b/src/cyclamenspool/gateway/serverstate.h
@@ -24,6 +24,14 @@
     Count
 };
 
+/** @brief Names a standing in metrics and on the status page. @param standing Standing. @return Name. */
+[[nodiscard]] constexpr std::string_view nameOf(Standing standing) noexcept
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(Standing::Count)> names{"usable", "cold", "on_trial", "suspect", "evacuated", "leaving"};
+    const auto index = static_cast<std::size_t>(standing);
+    return index < names.size() ? names[index] : "unknown";
+}
+
 /** @brief How a request at a backend server ended. */
 enum class Outcome : int {
     Answered, /**< A whole answer that is no failure. */
@@ -60,6 +68,7 @@
     }
 
     world::BackendServer record;
+    core::MonotonicTime listed{}; /**< Its last report was taken. */
     core::MonotonicTime joined{}; /**< First seen; the minimum if it was there before this process. */
     std::optional<core::MonotonicTime> lapsed; /**< Its entry vanished while the store was ill. */
     bool isGone = false; /**< Its entry vanished while the store was well. */
@@ -71,6 +80,8 @@
     bool onTrial = false; /**< Has not answered since it was suspect. */
     int failuresInRow = 0;
     double failureRatio = 0.0; /**< Moving average over its answers. */
+    std::uint64_t answered = 0; /**< Requests of this gateway that ended with an answer that is no failure. */
+    std::uint64_t failed = 0; /**< Requests of this gateway that ended otherwise, callers' leaving apart. */
     int outstanding = 0; /**< Requests of this gateway. */
     std::optional<std::chrono::duration<double>> headTime; /**< Moving average of the time until an answer begins. */
     std::optional<core::MonotonicTime> unheardSince; /**< Requests wait, and no byte has come since. */
--- a/src/cyclamenspool/node/node.cpp
+++ b/src/cyclamenspool/node/node.cpp
@@ -90,7 +90,7 @@
         worker.join();
     }
     telemetry::logEvent("stopped", settings_.vm);
-    telemetry::closeLog();
+    telemetry::closeLog(0);
     return 0;
 }
 
@@ -136,7 +136,7 @@
 {
     if (draining_.exchange(true)) {
         telemetry::logEvent("stopped_at_once", "second signal");
-        telemetry::closeLog();
+        telemetry::closeLog(internal::exitForced);
         std::_Exit(internal::exitForced);
     }
     telemetry::logEvent("shutdown_begun", settings_.vm);
--- a/src/cyclamenspool/telemetry/log.h
+++ b/src/cyclamenspool/telemetry/log.h
@@ -8,9 +8,16 @@
 
 namespace cyclamenspool::telemetry {
 
-/** @brief Directs the log. @param file File; "-": standard output. @param vm Name of the VM, written on each line. */
+/**
+ * @brief Directs the log. A thread of its own writes the lines; what a slow reader leaves no room for is counted in place of written.
+ * @param file File; "-": standard output.
+ * @param vm Name of the VM, written on each line.
+ */
 void openLog(const std::string &file, const std::string &vm);
 
+/** @brief Bounds what logLine() writes. @param linesPerSecond Lines of one event in a second; 0: none. */
+void setLineLimit(int linesPerSecond);
+
 /** @brief Writes a routing or placement decision as one line of JSON. @param decision Decision. */
 void logDecision(const core::Decision &decision);
 
@@ -24,7 +31,7 @@
  */
 void logLine(const std::string &event, boost::json::object fields);
 
-/** @brief Flushes the log. */
-void closeLog();
+/** @brief Flushes the log; the last call of a process. @param status Exit status with which the process ends here if the log's reader stands still. */
+void closeLog(int status);
 
 } // namespace cyclamenspool::telemetry
--- /dev/null
+++ b/test/gateway/requestmeter.cpp
@@ -0,0 +1,26 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/gateway/requestmeter.h>
+
+#include <sstream>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+
+TEST_CASE("requests are measured by the kind of their route and counted by workspace", "[gateway]")
+{
+    gateway::RequestMeter meter;
+    meter.onEnded({world::RouteKind::Streaming, "desk", true, 900ms, 200ms});
+    meter.onEnded({world::RouteKind::Streaming, "desk", false, 20ms, std::nullopt});
+    meter.onEnded({world::RouteKind::Idempotent, "", true, 20ms, 10ms});
+    std::ostringstream out;
+    meter.write(out);
+    const auto text = out.str();
+    CHECK(text.find("cyclamenspool_request_seconds_count{kind=\"streaming\"} 2\n") != std::string::npos);
+    CHECK(text.find("cyclamenspool_answer_head_seconds_count{kind=\"streaming\"} 1\n") != std::string::npos);
+    CHECK(text.find("cyclamenspool_request_seconds_count{kind=\"idempotent\"} 1\n") != std::string::npos);
+    CHECK(text.find("cyclamenspool_request_seconds_count{kind=\"non_idempotent\"} 0\n") != std::string::npos);
+    CHECK(text.find("cyclamenspool_workspace_requests_total{workspace=\"desk\",answered=\"yes\"} 1\n") != std::string::npos);
+    CHECK(text.find("cyclamenspool_workspace_requests_total{workspace=\"desk\",answered=\"no\"} 1\n") != std::string::npos);
+    CHECK(text.find("workspace=\"\"") == std::string::npos);
+}
--- /dev/null
+++ b/test/process/logging.cpp
@@ -0,0 +1,169 @@
+#include <catch2/catch.hpp>
+
+#include <harness/gatewayfleet.h>
+#include <harness/localfleet.h>
+
+#include <cyclamenspool/wire/peerpool.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/parse.hpp>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <csignal>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using harness::GatewayFleet;
+using harness::LocalFleet;
+
+namespace {
+
+/** @brief A named pipe that holds a page and that nobody reads. */
+class UnreadPipe
+{
+public:
+    explicit UnreadPipe(std::string name)
+        : name_(std::move(name))
+    {
+        constexpr mode_t ownerOnly = 0600;
+        constexpr int smallest = 4096;
+        REQUIRE(mkfifo(name_.c_str(), ownerOnly) == 0);
+        descriptor_ = open(name_.c_str(), O_RDWR | O_NONBLOCK);
+        REQUIRE(descriptor_ >= 0);
+        REQUIRE(fcntl(descriptor_, F_SETPIPE_SZ, smallest) >= smallest);
+    }
+
+    ~UnreadPipe()
+    {
+        close(descriptor_);
+    }
+
+    UnreadPipe(const UnreadPipe &) = delete;
+    UnreadPipe &operator=(const UnreadPipe &) = delete;
+
+    /** @brief Reads what is there. @return Bytes. */
+    [[nodiscard]] std::string read() const
+    {
+        std::string bytes(65536, '\0');
+        const auto size = ::read(descriptor_, bytes.data(), bytes.size());
+        bytes.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+        return bytes;
+    }
+
+private:
+    std::string name_;
+    int descriptor_ = -1;
+};
+
+} // namespace
+
+TEST_CASE("a log that nobody reads delays no request and no shutdown", "[process][gateway][log]")
+{
+    GatewayFleet fleet(1, 1);
+    auto &gateway = fleet.gateways[0];
+    gateway.process.kill();
+    gateway.logFile += ".pipe";
+    const UnreadPipe pipe(gateway.logFile);
+    fleet.start(gateway);
+    REQUIRE(LocalFleet::await([&gateway] {
+        return GatewayFleet::isReady(gateway);
+    }));
+    constexpr int moreThanThePipeHolds = 300;
+    for (int i = 0; i < moreThanThePipeHolds; ++i) {
+        auto call = fleet.call("r" + std::to_string(i));
+        call.timeout = 2s;
+        REQUIRE(run(call).status == 200);
+    }
+    gateway.process.signal(SIGTERM);
+    CHECK(gateway.process.wait(6s) == 0);
+}
+
+TEST_CASE("a log that is read late names how many lines it has left out", "[process][gateway][log]")
+{
+    GatewayFleet fleet(1, 1);
+    auto &gateway = fleet.gateways[0];
+    gateway.process.kill();
+    gateway.logFile += ".pipe";
+    const UnreadPipe pipe(gateway.logFile);
+    fleet.start(gateway);
+    REQUIRE(LocalFleet::await([&gateway] {
+        return GatewayFleet::isReady(gateway);
+    }));
+    const auto end = std::chrono::steady_clock::now() + 5s; /* at the bound on lines a second, more than the queue holds */
+    for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+        auto call = fleet.call("r" + std::to_string(i));
+        call.timeout = 2s;
+        REQUIRE(run(call).status == 200);
+    }
+    std::string text;
+    CHECK(LocalFleet::await([&] {
+        text += pipe.read();
+        return text.find("\"event\":\"lines_left_out\"") != std::string::npos;
+    }));
+}
+
+TEST_CASE("metrics and status show versions, peers and backend servers with the evidence on them", "[process][gateway][log]")
+{
+    GatewayFleet fleet(2, 2);
+    for (int i = 0; i < 10; ++i) {
+        REQUIRE(run(fleet.call("r" + std::to_string(i))).status == 200);
+    }
+    REQUIRE(run(fleet.call("lost", "/unknown/x")).status == 404);
+    harness::Call call;
+    call.address = fleet.gateways[0].metrics;
+    call.target = "/metrics";
+    const auto metrics = run(call).body;
+    INFO(metrics);
+    for (const std::string line : {"cyclamenspool_ready 1",
+                                   "cyclamenspool_peers 1",
+                                   "cyclamenspool_routing_version 1",
+                                   "cyclamenspool_admitted_total 10",
+                                   "cyclamenspool_servers{standing=\"usable\"} 2",
+                                   "cyclamenspool_refusals_total{kind=\"unknown_path\"} 1",
+                                   "cyclamenspool_request_seconds_count{kind=\"non_idempotent\"} 10",
+                                   "cyclamenspool_workspace_requests_total{workspace=\"desk\",answered=\"yes\"} 10",
+                                   "cyclamenspool_store_answers{section=\"servers/\"} 1"}) {
+        CHECK(metrics.find(line + "\n") != std::string::npos);
+    }
+    CHECK(metrics.find("process_cpu_seconds_total ") != std::string::npos);
+    CHECK(metrics.find("cyclamenspool_server_answered_total{server=\"i-0\"} ") != std::string::npos);
+    call.target = "/status";
+    const auto status = boost::json::parse(run(call).body).as_object();
+    CHECK(status.at("ready").as_bool());
+    CHECK(status.at("routing_version") == 1);
+    CHECK(status.at("peers").as_array().at(0).as_object().at("vm") == "gateway-1");
+    std::int64_t answered = 0;
+    for (const auto &server : status.at("backend_servers").as_array()) {
+        CHECK(server.as_object().at("standing") == "usable");
+        CHECK(server.as_object().at("report_age_ms").as_int64() >= 0);
+        answered += server.as_object().at("answered").to_number<std::int64_t>();
+    }
+    CHECK(answered == 10);
+}
+
+TEST_CASE("a message of a peer that cannot be read is named in the log and changes nothing", "[process][gateway][log]")
+{
+    GatewayFleet fleet(2, 1);
+    const auto &gateway = fleet.gateways[0];
+    boost::asio::io_context context;
+    wire::PeerPool pool(context, {});
+    int ended = 0;
+    for (const std::string message : {"", "\xff\xff\xff", "\x12\x07nowhere"}) {
+        wire::StreamEvents events;
+        events.onEnd = [&ended](const wire::StreamEnd &) {
+            ++ended;
+        };
+        pool.submit(gateway.peer, "/news", message, std::move(events));
+    }
+    context.run_for(1s);
+    CHECK(ended == 3);
+    CHECK(LocalFleet::await([&gateway] {
+        const auto log = GatewayFleet::logOf(gateway);
+        return log.find("peer_message_unreadable") != std::string::npos && log.find("peer_address_passed_over") != std::string::npos;
+    }));
+    CHECK(run(fleet.call("r1")).status == 200);
+    CHECK(GatewayFleet::isReady(gateway));
+}
