Peers' loads are added up once; peers are named in turn; exchanges are spread over the period

Each placement added up 300 peers' loads at each of 3,000 backend servers, each peer's news wrote an entry at every backend server, each new entry of the list indexed all again. Now: sums by backend server that follow what is outstanding (PeerLoads), an index that is kept, a heap in place of a full order, loads listed once for the peers of one tick, silence judged by the news period, exchanges in slices of the period. A peer is told of all when it is met, later of two in turn.

--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -19,7 +19,6 @@
 constexpr double unsureFactor = 2.0; /* on the limit while fewer wait */
 constexpr double silenceFactor = 6.0; /* of the usual time until an answer begins */
 constexpr double headTimeWeight = 0.1; /* of the newest answer in the moving average */
-constexpr Milliseconds peerLoadAge{1500}; /* a peer that is silent for longer is taken for down, and its connections with it */
 constexpr double trendSeconds = 2.0; /* window of the sends that stand for those of peers */
 constexpr Milliseconds lapseGrace{2200}; /* entries come back within 2 s after the store's return */
 constexpr Milliseconds firstListTime{1000}; /* in which the first list is read */
@@ -30,11 +29,15 @@
 
 } // namespace internal
 
-void Fleet::index()
+void Fleet::leaveService(const ServerPtr &server)
 {
-    byService_.clear();
-    for (const auto &[id, server] : servers_) {
-        byService_[server->record.service].push_back(server);
+    const auto found = byService_.find(server->record.service);
+    if (found == byService_.end()) {
+        return;
+    }
+    std::erase(found->second, server);
+    if (found->second.empty()) {
+        byService_.erase(found);
     }
 }
 
@@ -45,23 +48,25 @@
     if (isNew) {
         if (server != nullptr) {
             server->isGone = true;
+            leaveService(server);
         }
         server = std::make_shared<ServerState>(listed);
+        server->peersOutstanding = peerLoads_.at(listed.id);
         firstListed_ = firstListed_.value_or(now);
         const bool wasThere = now < *firstListed_ + internal::firstListTime && listed.coldRemaining.count() == 0;
         server->joined = wasThere ? core::MonotonicTime::min() : now;
-        index();
+        byService_[listed.service].push_back(server);
     }
     const bool isChange = isNew || server->record.leaving != listed.leaving || server->coldUnknown || server->lapsed;
-    const bool isMoved = server->record.service != listed.service;
+    if (server->record.service != listed.service) {
+        leaveService(server);
+        byService_[listed.service].push_back(server);
+    }
     server->record = listed;
     server->listed = now;
     server->lapsed.reset();
     server->coldUnknown = false;
     server->coldUntil = now + listed.coldRemaining;
-    if (isMoved) {
-        index();
-    }
     return isChange;
 }
 
@@ -76,8 +81,8 @@
         return;
     }
     found->second->isGone = true;
+    leaveService(found->second);
     servers_.erase(found);
-    index();
 }
 
 void Fleet::onZone(const std::string &zone, bool isLeaving)
@@ -118,15 +123,14 @@
     if (now < *wellSince_ + internal::lapseGrace) {
         return;
     }
-    bool changed = false;
     for (auto known = servers_.begin(); known != servers_.end();) {
-        const bool isGone = known->second->lapsed.has_value();
-        known->second->isGone = known->second->isGone || isGone;
-        changed = changed || isGone;
-        known = isGone ? servers_.erase(known) : std::next(known);
-    }
-    if (changed) {
-        index();
+        if (!known->second->lapsed) {
+            ++known;
+            continue;
+        }
+        known->second->isGone = true;
+        leaveService(known->second);
+        known = servers_.erase(known);
     }
 }
 
@@ -181,17 +185,29 @@
 
 void Fleet::onPeerLoads(const std::string &vm, const std::vector<LoadNews> &loads, core::MonotonicTime now)
 {
-    for (const auto &[id, server] : servers_) {
-        server->peers[vm] = {0, now};
-    }
-    for (const auto &load : loads) {
-        const auto found = servers_.find(load.server);
+    refreshLoads(peerLoads_.take(vm, loads, now));
+}
+
+void Fleet::forgetSilentPeers(core::Milliseconds limit, core::MonotonicTime now)
+{
+    refreshLoads(peerLoads_.dropSilent(limit, now));
+}
+
+void Fleet::refreshLoads(const std::vector<std::string> &servers)
+{
+    for (const auto &id : servers) {
+        const auto found = servers_.find(id);
         if (found != servers_.end()) {
-            found->second->peers[vm].outstanding = load.outstanding;
+            found->second->peersOutstanding = peerLoads_.at(id);
         }
     }
 }
 
+std::chrono::duration<double> Fleet::unseenTime(core::MonotonicTime now) const
+{
+    return peerLoads_.unseenTime(now);
+}
+
 void Fleet::onPeerSuspicion(const SuspicionNews &news, core::MonotonicTime now)
 {
     const auto found = servers_.find(news.server);
@@ -284,28 +300,17 @@
     server.headTime = known + (newest - known) * internal::headTimeWeight;
 }
 
-int Fleet::loadOf(const ServerState &server, core::MonotonicTime now)
+int Fleet::loadOf(const ServerState &server) noexcept
 {
-    int load = server.outstanding;
-    for (const auto &[vm, peer] : server.peers) {
-        if (now - peer.heard < internal::peerLoadAge) {
-            load += peer.outstanding;
-        }
-    }
-    return load;
+    return server.outstanding + server.peersOutstanding;
 }
 
-double Fleet::unseenLoadOf(ServerState &server, core::MonotonicTime now)
+double Fleet::unseenLoadOf(ServerState &server, std::chrono::duration<double> unseenTime, core::MonotonicTime now)
 {
-    std::chrono::duration<double> ages{0};
-    for (const auto &[vm, peer] : server.peers) {
-        const auto age = now - peer.heard;
-        ages += age < internal::peerLoadAge ? age : core::MonotonicTime::duration::zero();
-    }
     // One send alone says nothing of the peers'.
     const auto sends = std::max<std::size_t>(server.trendSends.count(now), 1) - 1;
     const double perSecond = static_cast<double>(sends) / internal::trendSeconds;
-    return perSecond * ages.count();
+    return perSecond * unseenTime.count();
 }
 
 ServerPtr Fleet::find(const std::string &id) const
@@ -324,7 +329,7 @@
         view.standing = standingOf(*server, now);
         view.reportAge = std::chrono::duration_cast<core::Milliseconds>(now - server->listed);
         view.outstanding = server->outstanding;
-        view.load = loadOf(*server, now);
+        view.load = loadOf(*server);
         view.failuresInRow = server->failuresInRow;
         view.failureRatio = server->failureRatio;
         view.answered = server->answered;
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cyclamenspool/gateway/peerloads.h>
 #include <cyclamenspool/gateway/serverstate.h>
 #include <cyclamenspool/gateway/shares.h>
 
@@ -20,12 +21,6 @@
     core::Milliseconds lasts{0}; /**< From now. */
 };
 
-/** @brief Requests of one gateway at a backend server. */
-struct LoadNews {
-    std::string server;
-    int outstanding = 0;
-};
-
 /** @brief A backend server with the evidence on it, as operators see it. */
 struct ServerView {
     world::BackendServer record;
@@ -64,6 +59,12 @@
     /** @brief Takes another gateway's loads; those that it does not name are zero. @param vm Its VM. @param loads Loads. @param now Time. */
     void onPeerLoads(const std::string &vm, const std::vector<LoadNews> &loads, core::MonotonicTime now);
 
+    /** @brief Forgets the loads of gateways that are silent. @param limit Longest silence. @param now Time. */
+    void forgetSilentPeers(core::Milliseconds limit, core::MonotonicTime now);
+
+    /** @brief Adds up the ages of the other gateways' loads. @param now Time. @return Time in which they sent requests that are not known here. */
+    [[nodiscard]] std::chrono::duration<double> unseenTime(core::MonotonicTime now) const;
+
     /** @brief Takes another gateway's suspicion. @param news Suspicion. @param now Time. */
     void onPeerSuspicion(const SuspicionNews &news, core::MonotonicTime now);
 
@@ -83,16 +84,17 @@
     /** @brief Takes the time until an answer began. @param server Backend server. @param time Time. */
     static void onHeadTime(ServerState &server, core::MonotonicTime::duration time);
 
-    /** @brief Adds up the requests of all gateways. @param server Backend server. @param now Time. @return Requests outstanding. */
-    [[nodiscard]] static int loadOf(const ServerState &server, core::MonotonicTime now);
+    /** @brief Adds up the requests of all gateways. @param server Backend server. @return Requests outstanding. */
+    [[nodiscard]] static int loadOf(const ServerState &server) noexcept;
 
     /**
      * @brief Guesses the requests that peers have sent since their last news: as many each as this gateway sends in that time.
      * @param server Backend server.
+     * @param unseenTime What unseenTime() gives.
      * @param now Time.
      * @return Requests that loadOf() does not know.
      */
-    [[nodiscard]] static double unseenLoadOf(ServerState &server, core::MonotonicTime now);
+    [[nodiscard]] static double unseenLoadOf(ServerState &server, std::chrono::duration<double> unseenTime, core::MonotonicTime now);
 
     /** @brief Finds the backend servers of a service. @param service Service. @return Those that are listed or lapsed. */
     [[nodiscard]] const std::vector<ServerPtr> &serversOf(const std::string &service) const;
@@ -104,7 +106,8 @@
     [[nodiscard]] ServerPtr find(const std::string &id) const;
 
 private:
-    void index();
+    void leaveService(const ServerPtr &server);
+    void refreshLoads(const std::vector<std::string> &servers);
     void suspect(ServerState &server, core::Milliseconds time, core::MonotonicTime now) const;
     [[nodiscard]] bool failsMoreThanOthers(const ServerState &server, core::MonotonicTime now) const;
     void dropLapsed(core::MonotonicTime now);
@@ -112,6 +115,7 @@
 
     std::map<std::string, ServerPtr> servers_; /* by id */
     std::map<std::string, std::vector<ServerPtr>, std::less<>> byService_;
+    PeerLoads peerLoads_;
     std::set<std::string> leavingZones_;
     std::optional<core::MonotonicTime> firstListed_;
     bool wasIll_ = false; /* a call to the store has failed */
--- a/src/cyclamenspool/gateway/peernews.cpp
+++ b/src/cyclamenspool/gateway/peernews.cpp
@@ -17,7 +17,11 @@
 constexpr Milliseconds periodForPeer{5}; /* added for each peer, so that the cost of a gateway does not grow with their number */
 constexpr Milliseconds replyTimeout{1000};
 constexpr Milliseconds silentPeriod{1000}; /* between two tries at a peer that does not answer */
-constexpr Milliseconds quietLimit{1500}; /* a peer that was not heard for so long counts as silent */
+constexpr Milliseconds shortestQuiet{1500}; /* a peer that was not heard for so long counts as silent */
+constexpr int quietPeriods = 3; /* or for so many periods, if that is longer */
+constexpr int exchangesPerTick = 16; /* above it, the period is split, so that requests do not wait for all exchanges at once */
+constexpr Milliseconds sharedNewsAge{20}; /* loads and suspicions are listed once for the peers of one tick */
+constexpr std::size_t introducedAtOnce = 2; /* peers that are named to another one in turn */
 constexpr Milliseconds forgetAfter{60000};
 constexpr Milliseconds introduceLimit{5000}; /* peers heard more recently are named to others */
 constexpr Milliseconds pullPeriod{300};
@@ -135,8 +139,8 @@
 std::size_t PeerNews::heardPeers() const
 {
     const auto now = std::chrono::steady_clock::now();
-    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [now](const auto &entry) {
-        return internal::sinceOf(entry.second.heard, now) < internal::quietLimit;
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [now, limit = quietLimit()](const auto &entry) {
+        return internal::sinceOf(entry.second.heard, now) < limit;
     }));
 }
 
@@ -157,12 +161,31 @@
     return internal::shortestPeriod + internal::periodForPeer * static_cast<int>(peers_.size());
 }
 
+std::chrono::milliseconds PeerNews::tickPeriod() const
+{
+    const auto ticks = 1 + static_cast<int>(peers_.size()) / internal::exchangesPerTick;
+    return period() / ticks;
+}
+
+std::chrono::milliseconds PeerNews::quietLimit() const
+{
+    return std::max(internal::shortestQuiet, period() * internal::quietPeriods);
+}
+
 void PeerNews::tick()
 {
     const auto now = std::chrono::steady_clock::now();
     forgetSilent(now);
+    dispatcher_.onFleet([limit = quietLimit()](Fleet &fleet, core::MonotonicTime time) {
+        fleet.forgetSilentPeers(limit, time);
+    });
+    const auto period = this->period();
+    const auto tickPeriod = this->tickPeriod();
     for (auto &[address, peer] : peers_) {
-        const bool isQuiet = internal::sinceOf(peer.heard, now) > internal::quietLimit;
+        if (now - peer.sent + tickPeriod / 2 < period) {
+            continue;
+        }
+        const bool isQuiet = internal::sinceOf(peer.heard, now) > quietLimit();
         // One exchange carries the news of both sides, so the gateway with the lower address starts it.
         const bool isStarter = settings_.peerAddress < address;
         const bool isOverdue = internal::sinceOf(peer.sent, now) > (isQuiet ? internal::silentPeriod : internal::replyTimeout);
@@ -173,7 +196,7 @@
             exchange(address, peer, now);
         }
     }
-    timer_.expires_after(period());
+    timer_.expires_after(tickPeriod);
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             tick();
@@ -210,20 +233,33 @@
     pool_.submit(address, internal::newsPath, ownNews(peer), std::move(events));
 }
 
-std::string PeerNews::ownNews(Peer &listener) const
+void PeerNews::introduce(Peer &listener, wire::GatewayNews &news, core::MonotonicTime now) const
 {
-    const auto now = std::chrono::steady_clock::now();
-    wire::GatewayNews news;
-    news.set_vm(settings_.vm);
-    news.set_address(settings_.peerAddress);
-    news.set_leaving(isLeaving_);
-    for (const auto &[address, peer] : peers_) {
-        if (internal::sinceOf(peer.heard, now) < internal::introduceLimit) {
+    // One that has just been met hears of all; later a few in turn are enough to mend what it has missed.
+    const auto count = listener.isIntroduced ? std::min(internal::introducedAtOnce, peers_.size()) : peers_.size();
+    listener.isIntroduced = listener.heard != core::MonotonicTime{};
+    for (std::size_t i = 0; i < count; ++i) {
+        auto next = peers_.upper_bound(listener.lastIntroduced);
+        next = next == peers_.end() ? peers_.begin() : next;
+        listener.lastIntroduced = next->first;
+        const auto age = internal::sinceOf(next->second.heard, now);
+        if (age < internal::introduceLimit) {
             auto *known = news.add_peers();
-            known->set_address(address);
-            known->set_heard_age_ms(internal::sinceOf(peer.heard, now).count());
+            known->set_address(next->first);
+            known->set_heard_age_ms(age.count());
         }
     }
+}
+
+void PeerNews::refreshSharedNews(core::MonotonicTime now)
+{
+    if (now - sharedNewsMade_ < internal::sharedNewsAge) {
+        return;
+    }
+    sharedNewsMade_ = now;
+    wire::GatewayNews news;
+    news.set_vm(settings_.vm);
+    news.set_address(settings_.peerAddress);
     dispatcher_.onFleet([&news](const Fleet &fleet, core::MonotonicTime time) {
         for (const auto &load : fleet.loads()) {
             auto *entry = news.add_loads();
@@ -236,6 +272,15 @@
             entry->set_lasts_ms(suspicion.lasts.count());
         }
     });
+    sharedNews_ = news.SerializeAsString();
+}
+
+std::string PeerNews::ownNews(Peer &listener)
+{
+    const auto now = std::chrono::steady_clock::now();
+    refreshSharedNews(now);
+    wire::GatewayNews news;
+    introduce(listener, news, now);
     for (const auto &placement : dispatcher_.placementsSince(listener.placementsTold)) {
         auto *entry = news.add_placed();
         entry->set_history(placement.history);
@@ -243,7 +288,8 @@
     }
     news.set_operator_revision(catalog_.revision(Catalog::Section::Operators));
     news.set_server_revision(catalog_.revision(Catalog::Section::Servers));
-    return news.SerializeAsString();
+    // Messages of this form are merged by writing one after the other.
+    return sharedNews_ + news.SerializeAsString();
 }
 
 bool PeerNews::onNews(const wire::GatewayNews &news)
@@ -253,8 +299,9 @@
         return false;
     }
     auto &peer = peers_[news.address()];
-    if (internal::sinceOf(peer.heard, now) > internal::quietLimit) {
+    if (internal::sinceOf(peer.heard, now) > quietLimit()) {
         telemetry::logLine("peer_heard", {{"peer", news.vm()}, {"address", news.address()}});
+        peer.isIntroduced = false;
     }
     peer.vm = news.vm();
     peer.heard = now;
--- a/src/cyclamenspool/gateway/peernews.h
+++ b/src/cyclamenspool/gateway/peernews.h
@@ -61,6 +61,8 @@
         core::MonotonicTime sent{};
         bool isAsked = false; /* its reply is awaited */
         bool isSeed = false;
+        bool isIntroduced = false; /* it was told of all peers */
+        std::string lastIntroduced; /* address of the last peer that it was told of */
         std::uint64_t exchange = 0;
         std::uint64_t placementsTold = 0;
     };
@@ -71,8 +73,12 @@
     void pullIfBehind(const std::string &address, Catalog::Section section, std::uint64_t revision);
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message);
     void forgetSilent(core::MonotonicTime now);
-    [[nodiscard]] std::string ownNews(Peer &peer) const;
+    void introduce(Peer &listener, wire::GatewayNews &news, core::MonotonicTime now) const;
+    void refreshSharedNews(core::MonotonicTime now);
+    [[nodiscard]] std::string ownNews(Peer &listener);
     [[nodiscard]] std::chrono::milliseconds period() const;
+    [[nodiscard]] std::chrono::milliseconds tickPeriod() const;
+    [[nodiscard]] std::chrono::milliseconds quietLimit() const;
 
     boost::asio::io_context &context_;
     const config::GatewaySettings &settings_;
@@ -84,6 +90,8 @@
     std::map<std::string, Peer> peers_; /* by address */
     std::map<Catalog::Section, core::MonotonicTime> pulled_;
     std::uint64_t exchanges_ = 0;
+    std::string sharedNews_; /* what all peers are told, as bytes */
+    core::MonotonicTime sharedNewsMade_{};
     bool isLeaving_ = false;
 };
 
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -16,13 +16,17 @@
 
 /** @brief A backend server that may be asked. */
 struct Candidate {
-    ServerPtr server;
+    const ServerPtr *server = nullptr; /* within the fleet */
     Standing standing = Standing::Usable;
     int load = 0;
-    double unseen = 0; /* requests of peers that are not in the load yet */
     std::uint64_t rank = 0; /* lowest first */
 };
 
+bool ranksAfter(const Candidate &left, const Candidate &right) noexcept
+{
+    return left.rank > right.rank;
+}
+
 bool isListed(const std::vector<std::string> &ids, const std::string &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -96,13 +100,14 @@
 {
     std::vector<internal::Candidate> candidates;
     const auto &servers = fleet.serversOf(query.service);
+    candidates.reserve(servers.size());
     double total = 0;
     for (const auto &server : servers) {
         const auto standing = fleet.standingOf(*server, now);
-        const int load = Fleet::loadOf(*server, now);
+        const int load = Fleet::loadOf(*server);
         total += load;
         if (!internal::isRefusing(standing)) {
-            candidates.push_back({server, standing, load, Fleet::unseenLoadOf(*server, now), internal::rankOf(*server, load, query, bounds)});
+            candidates.push_back({&server, standing, load, internal::rankOf(*server, load, query, bounds)});
         }
     }
     if (candidates.empty()) {
@@ -111,14 +116,17 @@
     // Those that get nothing count: what they had moves to the others, and the bound does not rise with it.
     const double mean = total / static_cast<double>(servers.size());
     const double bound = bounds.loadFactor * internal::boundMargin * mean + internal::boundSlack;
-    std::sort(candidates.begin(), candidates.end(), [](const internal::Candidate &left, const internal::Candidate &right) {
-        return left.rank < right.rank;
-    });
-    const internal::Candidate *leastLoaded = nullptr;
-    const internal::Candidate *trial = nullptr;
+    const auto unseenTime = fleet.unseenTime(now);
+    // Only the first few are looked at: a heap gives them without the order of all the others.
+    std::make_heap(candidates.begin(), candidates.end(), internal::ranksAfter);
+    const auto firstRank = candidates.front().rank;
+    const ServerPtr *leastLoaded = nullptr;
+    const ServerPtr *trial = nullptr;
     bool coldRefused = false;
-    for (const auto &candidate : candidates) {
-        auto &server = *candidate.server;
+    for (; !candidates.empty(); candidates.pop_back()) {
+        std::pop_heap(candidates.begin(), candidates.end(), internal::ranksAfter);
+        const auto &candidate = candidates.back();
+        auto &server = **candidate.server;
         if (internal::isListed(query.tried, server.record.id) || !internal::connectionsAllow(server, shares, bounds, now)) {
             continue;
         }
@@ -128,21 +136,22 @@
             continue;
         }
         if (candidate.standing == Standing::Suspect || (candidate.standing == Standing::OnTrial && server.outstanding > 0)) {
-            const bool isSooner = trial == nullptr || server.suspectUntil < trial->server->suspectUntil;
-            trial = isSooner ? &candidate : trial;
+            const bool isSooner = trial == nullptr || server.suspectUntil < (*trial)->suspectUntil;
+            trial = isSooner ? candidate.server : trial;
             continue;
         }
-        if (candidate.load + candidate.unseen + 1 <= bound && server.fullUntil <= now) {
-            return {candidate.server, core::ErrorKind::NoCandidate, candidate.rank == candidates.front().rank ? "first choice" : "first under the bound"};
+        const auto unseen = Fleet::unseenLoadOf(server, unseenTime, now);
+        if (candidate.load + unseen + 1 <= bound && server.fullUntil <= now) {
+            return {*candidate.server, core::ErrorKind::NoCandidate, candidate.rank == firstRank ? "first choice" : "first under the bound"};
         }
-        const bool isLower = leastLoaded == nullptr || candidate.load < leastLoaded->load;
-        leastLoaded = isLower ? &candidate : leastLoaded;
+        const bool isLower = leastLoaded == nullptr || candidate.load < Fleet::loadOf(**leastLoaded);
+        leastLoaded = isLower ? candidate.server : leastLoaded;
     }
     if (leastLoaded != nullptr) {
-        return {leastLoaded->server, core::ErrorKind::NoCandidate, "least loaded"};
+        return {*leastLoaded, core::ErrorKind::NoCandidate, "least loaded"};
     }
-    if (trial != nullptr && internal::coldAllows(*trial->server, shares, bounds, now)) {
-        return {trial->server, core::ErrorKind::NoCandidate, "only suspects are left"};
+    if (trial != nullptr && internal::coldAllows(**trial, shares, bounds, now)) {
+        return {*trial, core::ErrorKind::NoCandidate, "only suspects are left"};
     }
     return {nullptr, coldRefused ? core::ErrorKind::ColdStart : core::ErrorKind::NoCandidate, "no backend server may be asked now"};
 }
--- a/src/cyclamenspool/gateway/serverstate.h
+++ b/src/cyclamenspool/gateway/serverstate.h
@@ -6,9 +6,7 @@
 
 #include <array>
 #include <chrono>
-#include <map>
 #include <optional>
-#include <string>
 #include <string_view>
 
 namespace cyclamenspool::gateway {
@@ -53,12 +51,6 @@
     return index < names.size() ? names[index] : "unknown";
 }
 
-/** @brief Requests of another gateway at a backend server. */
-struct PeerLoad {
-    int outstanding = 0;
-    core::MonotonicTime heard{};
-};
-
 /** @brief A backend server with all evidence on it. Guarded by the dispatcher's lock. */
 struct ServerState {
     /** @brief Creates a state. @param listed What the list says. */
@@ -85,7 +77,7 @@
     int outstanding = 0; /**< Requests of this gateway. */
     std::optional<std::chrono::duration<double>> headTime; /**< Moving average of the time until an answer begins. */
     std::optional<core::MonotonicTime> unheardSince; /**< Requests wait, and no byte has come since. */
-    std::map<std::string, PeerLoad> peers; /**< By VM. */
+    int peersOutstanding = 0; /**< Requests of the other gateways. */
     policy::SlidingCounter recentSends{std::chrono::seconds(1)}; /**< Of this gateway, for the bound of a cold start. */
     policy::SlidingCounter trendSends{std::chrono::seconds(2)}; /**< Of this gateway, for the guess of what peers sent meanwhile. */
 };
--- a/src/cyclamenspool/gateway/shares.cpp
+++ b/src/cyclamenspool/gateway/shares.cpp
@@ -37,7 +37,10 @@
 
 std::size_t Shares::gateways(core::MonotonicTime now) const
 {
-    return std::max(othersAlive(now).size() + 1, leastGateways_);
+    const auto others = std::count_if(heard_.begin(), heard_.end(), [this, now](const auto &entry) {
+        return entry.first != self_ && entry.second + internal::memory > now;
+    });
+    return std::max(static_cast<std::size_t>(others) + 1, leastGateways_);
 }
 
 std::size_t Shares::part(std::size_t whole, const std::string &subject, core::MonotonicTime now) const
--- a/test/gateway/fleet.cpp
+++ b/test/gateway/fleet.cpp
@@ -156,8 +156,24 @@
 {
     FilledFleet fleet(1);
     fleet.onPeerLoads("vm-2", {{"s0", 5}}, start);
-    CHECK(Fleet::loadOf(fleet.server(0), start) == 5);
-    CHECK(Fleet::loadOf(fleet.server(0), start + 5s) == 0);
+    fleet.onPeerLoads("vm-3", {{"s0", 2}, {"gone", 9}}, start + 1s);
+    CHECK(Fleet::loadOf(fleet.server(0)) == 7);
+    fleet.onPeerLoads("vm-2", {{"s0", 4}}, start + 100ms);
+    CHECK(Fleet::loadOf(fleet.server(0)) == 6);
+    fleet.forgetSilentPeers(1500ms, start + 1600ms);
+    CHECK(Fleet::loadOf(fleet.server(0)) == 2);
+    fleet.forgetSilentPeers(1500ms, start + 5s);
+    CHECK(Fleet::loadOf(fleet.server(0)) == 0);
+}
+
+TEST_CASE("a backend server that is listed late has the loads that peers told before", "[gateway][fleet]")
+{
+    FilledFleet fleet(1);
+    fleet.onPeerLoads("vm-2", {{"late", 3}}, start);
+    fleet.onListed(entryOf("late"), start + 100ms);
+    CHECK(Fleet::loadOf(*fleet.find("late")) == 3);
+    fleet.onPeerLoads("vm-2", {}, start + 200ms);
+    CHECK(Fleet::loadOf(*fleet.find("late")) == 0);
 }
 
 TEST_CASE("silence is judged by the usual time until an answer begins, and told to peers", "[gateway][fleet]")
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -4,6 +4,7 @@
 #include <cyclamenspool/gateway/historydirectory.h>
 #include <cyclamenspool/gateway/placement.h>
 
+#include <ctime>
 #include <deque>
 #include <map>
 #include <set>
@@ -286,3 +287,40 @@
     constexpr double mean = 20;
     CHECK(most <= pool.bounds.loadFactor * mean + 3);
 }
+
+TEST_CASE("very many gateways and backend servers: a placement and a peer's news stay cheap", "[gateway][placement]")
+{
+    // 300 gateways with 3,000 backend servers; measured by processor time against the 1.2 % of a core that a gateway may use for control.
+    constexpr int servers = 3000;
+    constexpr int peers = 300;
+    constexpr int newsPerSecond = 200;
+    constexpr int requestsPerSecond = 97; /* 70,000 a second over 720 gateways */
+    Pool pool;
+    const auto listing = std::clock();
+    for (int i = 0; i < servers; ++i) {
+        pool.add("s" + std::to_string(i), "az-" + std::to_string(i % 4), start);
+    }
+    const std::chrono::duration<double> forList(static_cast<double>(std::clock() - listing) / CLOCKS_PER_SEC);
+    std::vector<gateway::LoadNews> news;
+    for (int i = 0; i < 100; ++i) {
+        news.push_back({"s" + std::to_string(i * 30), 1});
+    }
+    const auto tell = [&](int count) {
+        for (int peer = 0; peer < count; ++peer) {
+            pool.fleet.onPeerLoads("vm-" + std::to_string(peer % peers), news, start);
+        }
+    };
+    tell(peers);
+    const auto began = std::clock();
+    tell(newsPerSecond);
+    const std::chrono::duration<double> forNews(static_cast<double>(std::clock() - began) / CLOCKS_PER_SEC);
+    const auto placed = std::clock();
+    for (std::uint64_t i = 1; i <= requestsPerSecond; ++i) {
+        REQUIRE(gateway::place(pool.fleet, pool.shares, {"pool", i, 10000, {}, {}}, pool.bounds, start).server != nullptr);
+    }
+    const std::chrono::duration<double> forRequests(static_cast<double>(std::clock() - placed) / CLOCKS_PER_SEC);
+    INFO("list: " << forList.count() << ", news: " << forNews.count() << " s of processor time a second; placements: " << forRequests.count());
+    CHECK(forList.count() < 0.1); /* half a second at a fifth of a core */
+    CHECK(forNews.count() < 0.012);
+    CHECK(forRequests.count() < 0.1); /* a request may take a millisecond of a core */
+}
