trace prints a request's story; what comes from outside is fuzzed

For it the store's pages and the peers' messages have modules of their own; news with an impossible load are refused.

--- a/src/cyclamenspool/cli/command.h
+++ b/src/cyclamenspool/cli/command.h
@@ -32,6 +32,9 @@
 /** @brief Explains where a chat or a key is placed. @param arguments Words after the subcommand. @return Exit code. */
 int runExplain(const Arguments &arguments);
 
+/** @brief Prints one request's story from logs. @param arguments Words after the subcommand. @return Exit code. */
+int runTrace(const Arguments &arguments);
+
 /** @brief Shows the state of a process. @param arguments Words after the subcommand. @return Exit code. */
 int runStatus(const Arguments &arguments);
 
--- a/src/cyclamenspool/cli/main.cpp
+++ b/src/cyclamenspool/cli/main.cpp
@@ -7,12 +7,13 @@
 
 namespace internal {
 
-constexpr std::array<Command, 6> commands{{
+constexpr std::array<Command, 7> commands{{
     {"router", "run on an entry VM: takes callers' requests", runRouter},
     {"agent", "run beside a backend server: admits requests", runAgent},
     {"gateway", "run on an entry VM of the users' platform: sends requests straight to backend servers", runGateway},
     {"check", "check a settings file or a table", runCheck},
     {"explain", "explain where a chat or a key is placed", runExplain},
+    {"trace", "print one request's story from logs", runTrace},
     {"status", "show the state of a process", runStatus},
 }};
 
--- a/src/cyclamenspool/gateway/peernews.cpp
+++ b/src/cyclamenspool/gateway/peernews.cpp
@@ -1,11 +1,11 @@
 #include <cyclamenspool/gateway/peernews.h>
 
+#include <cyclamenspool/gateway/peermessages.h>
 #include <cyclamenspool/telemetry/log.h>
 #include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/generated/messages.pb.h>
 
 #include <algorithm>
-#include <optional>
 
 namespace cyclamenspool::gateway {
 
@@ -40,31 +40,10 @@
     return std::chrono::duration_cast<Milliseconds>(now - time);
 }
 
-member::ItemList listOf(const wire::ItemCopy &copy)
+/** @brief Names a message that cannot be read in the log. @param path Path that it came by. @param bytes Its size. */
+void logUnreadable(const std::string &path, std::size_t bytes)
 {
-    member::ItemList list;
-    list.revision = copy.revision();
-    for (const auto &item : copy.items()) {
-        list.items.push_back({item.key(), item.value(), item.revision(), false});
-    }
-    return list;
-}
-
-/**
- * @brief Reads a gateway's message; one that cannot be read is named in the log.
- * @param path Path that it came by.
- * @param bytes Bytes.
- * @return Message; empty: unreadable.
- */
-template<typename Message>
-std::optional<Message> readMessage(const std::string &path, const std::string &bytes)
-{
-    Message message;
-    if (!bytes.empty() && message.ParseFromString(bytes)) {
-        return message;
-    }
-    telemetry::logLine("peer_message_unreadable", {{"path", path}, {"bytes", bytes.size()}});
-    return std::nullopt;
+    telemetry::logLine("peer_message_unreadable", {{"path", path}, {"bytes", bytes}});
 }
 
 bool isAddress(const std::string &text)
@@ -78,19 +57,6 @@
     }
 }
 
-std::string copyOf(const member::ItemList &list)
-{
-    wire::ItemCopy copy;
-    copy.set_revision(list.revision);
-    for (const auto &item : list.items) {
-        auto *entry = copy.add_items();
-        entry->set_key(item.key);
-        entry->set_value(item.value);
-        entry->set_revision(item.revision);
-    }
-    return copy.SerializeAsString();
-}
-
 } // namespace internal
 
 PeerNews::PeerNews(boost::asio::io_context &context, const config::GatewaySettings &settings, Dispatcher &dispatcher, Catalog &catalog)
@@ -219,9 +185,11 @@
     peer.exchange = ++exchanges_;
     wire::StreamEvents events;
     events.onMessage = [this](const std::string &message) {
-        const auto news = internal::readMessage<wire::GatewayNews>(internal::newsPath, message);
+        const auto news = readNews(message);
         if (news) {
             onNews(*news);
+        } else {
+            internal::logUnreadable(internal::newsPath, message.size());
         }
     };
     events.onEnd = [this, address, number = peer.exchange](const wire::StreamEnd &) {
@@ -306,14 +274,12 @@
     peer.vm = news.vm();
     peer.heard = now;
     dispatcher_.onGateway(news.vm());
-    std::vector<LoadNews> loads;
-    for (const auto &load : news.loads()) {
-        loads.push_back({load.backend_server(), static_cast<int>(load.outstanding())});
-    }
+    const auto loads = loadsOf(news);
+    const auto suspicions = suspicionsOf(news);
     dispatcher_.onFleet([&](Fleet &fleet, core::MonotonicTime time) {
         fleet.onPeerLoads(news.vm(), loads, time);
-        for (const auto &suspicion : news.suspicions()) {
-            fleet.onPeerSuspicion({suspicion.backend_server(), core::Milliseconds(suspicion.lasts_ms())}, time);
+        for (const auto &suspicion : suspicions) {
+            fleet.onPeerSuspicion(suspicion, time);
         }
     });
     std::vector<HistoryPlacement> placements;
@@ -344,9 +310,11 @@
     pull.set_prefix(std::string(Catalog::prefixOf(section)));
     wire::StreamEvents events;
     events.onMessage = [this, section](const std::string &message) {
-        const auto copy = internal::readMessage<wire::ItemCopy>(internal::itemsPath, message);
+        const auto copy = readCopy(message);
         if (copy) {
-            catalog_.onPeerCopy(section, internal::listOf(*copy));
+            catalog_.onPeerCopy(section, *copy);
+        } else {
+            internal::logUnreadable(internal::itemsPath, message.size());
         }
     };
     pool_.submit(address, internal::itemsPath, pull.SerializeAsString(), std::move(events));
@@ -354,15 +322,19 @@
 
 void PeerNews::onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message)
 {
+    std::string answer;
     if (path == internal::newsPath) {
-        const auto news = internal::readMessage<wire::GatewayNews>(path, message);
-        const bool isTaken = news && onNews(*news);
-        stream->send(isTaken ? ownNews(peers_[news->address()]) : std::string(), true);
-        return;
+        const auto news = readNews(message);
+        if (!news) {
+            internal::logUnreadable(path, message.size());
+        } else if (onNews(*news)) {
+            answer = ownNews(peers_[news->address()]);
+        }
+    } else if (path == internal::itemsPath) {
+        const auto section = Catalog::sectionOf(pulledPrefix(message));
+        answer = section ? writeCopy(catalog_.copy(*section)) : std::string();
     }
-    const auto pull = path == internal::itemsPath ? internal::readMessage<wire::ItemPull>(path, message) : std::nullopt;
-    const auto section = pull ? Catalog::sectionOf(pull->prefix()) : std::nullopt;
-    stream->send(section ? internal::copyOf(catalog_.copy(*section)) : std::string(), true);
+    stream->send(answer, true);
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -1,10 +1,9 @@
 #include <cyclamenspool/platform/storeclient.h>
 
+#include <cyclamenspool/platform/storepage.h>
 #include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/liveness.h>
 
-#include <boost/archive/iterators/binary_from_base64.hpp>
-#include <boost/archive/iterators/transform_width.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -13,8 +12,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
-#include <boost/json/parse.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <stdexcept>
 
 namespace cyclamenspool::platform {
@@ -22,7 +22,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
-namespace json = boost::json;
 
 namespace internal {
 
@@ -44,54 +43,6 @@
     }
 };
 
-std::string decodeBase64(std::string_view text)
-{
-    namespace iterators = boost::archive::iterators;
-    using Decoder = iterators::transform_width<iterators::binary_from_base64<const char *>, 8, 6>;
-    const auto last = text.find_last_not_of('=');
-    const auto digits = last == std::string_view::npos ? std::string_view() : text.substr(0, last + 1);
-    constexpr std::size_t digitBits = 6;
-    std::string bytes(Decoder(digits.begin()), Decoder(digits.end()));
-    bytes.resize(digits.size() * digitBits / 8);
-    return bytes;
-}
-
-member::Item itemOf(const json::object &object)
-{
-    member::Item item;
-    item.key = std::string(object.at("key").as_string());
-    // The revision of the item's last change, not that of the store.
-    item.revision = object.at("revision").to_number<std::uint64_t>();
-    const auto *deleted = object.if_contains("deleted");
-    item.isDeleted = deleted != nullptr && deleted->is_bool() && deleted->as_bool();
-    return item;
-}
-
-std::string keyOf(const json::value &entry)
-{
-    const auto *object = entry.if_object();
-    const auto *key = object == nullptr ? nullptr : object->if_contains("key");
-    return key != nullptr && key->is_string() ? std::string(key->as_string()) : std::string("?");
-}
-
-/** @brief Reads the items of an answer; those that cannot be read are reported and passed over. */
-std::vector<member::Item> itemsOf(const json::value &list, const StoreEvents &events)
-{
-    std::vector<member::Item> items;
-    for (const auto &entry : list.as_array()) {
-        try {
-            auto item = itemOf(entry.as_object());
-            if (!item.isDeleted) {
-                item.value = decodeBase64(entry.as_object().at("value").as_string());
-            }
-            items.push_back(std::move(item));
-        } catch (const std::exception &error) {
-            events.onMalformed(keyOf(entry), error.what());
-        }
-    }
-    return items;
-}
-
 } // namespace internal
 
 StoreClient::StoreClient(asio::io_context &context, std::string address, std::string prefix, const StoreTimes &times, StoreEvents events)
@@ -161,20 +112,14 @@
         if (!after.empty()) {
             target += "&after=" + after;
         }
-        const auto answer = co_await call(target, internal::callTimeout);
-        const auto &object = answer.as_object();
+        auto page = readListPage(co_await call(target, internal::callTimeout), events_.onMalformed);
         // Pages are no snapshot: the watch goes on from the first page's revision.
         if (whole.revision == 0) {
-            whole.revision = object.at("store_revision").to_number<std::uint64_t>();
-        }
-        const auto &entries = object.at("items");
-        for (auto &item : internal::itemsOf(entries, events_)) {
-            whole.items.push_back(std::move(item));
-        }
-        more = object.at("more_pages").as_bool() && !entries.as_array().empty();
-        if (more) {
-            after = internal::keyOf(entries.as_array().back());
+            whole.revision = page.revision;
         }
+        std::move(page.items.begin(), page.items.end(), std::back_inserter(whole.items));
+        after = page.lastKey;
+        more = page.hasMore;
     }
     events_.onList(whole);
 }
@@ -183,11 +128,9 @@
 {
     const auto wait = hasFailed_ ? internal::firstWait : times_.wait;
     const std::string target = "/-/kv-watch?prefix=" + prefix_ + "&after=" + std::to_string(events_.revision()) + "&wait_ms=" + std::to_string(wait.count());
-    const auto answer = co_await call(target, wait + internal::callTimeout);
+    const auto page = readWatchPage(co_await call(target, wait + internal::callTimeout), events_.onMalformed);
     hasFailed_ = false;
-    const auto &object = answer.as_object();
-    const auto revision = object.at("store_revision").to_number<std::uint64_t>();
-    events_.onChanges(internal::itemsOf(object.at("events"), events_), revision);
+    events_.onChanges(page.items, page.revision);
 }
 
 asio::awaitable<void> StoreClient::connect()
@@ -199,7 +142,7 @@
     wire::setLiveness(stream_->socket(), internal::storeLiveness);
 }
 
-asio::awaitable<json::value> StoreClient::call(std::string target, std::chrono::milliseconds timeout)
+asio::awaitable<std::string> StoreClient::call(std::string target, std::chrono::milliseconds timeout)
 {
     if (stream_ == nullptr) {
         co_await connect();
@@ -212,7 +155,7 @@
     bhttp::response_parser<bhttp::string_body> parser;
     parser.body_limit(internal::answerBytes);
     co_await bhttp::async_read(*stream_, buffer_, parser, asio::use_awaitable);
-    const auto &response = parser.get();
+    auto response = parser.release();
     if (!response.keep_alive()) {
         stream_.reset();
     }
@@ -222,7 +165,7 @@
     if (response.result() != bhttp::status::ok) {
         throw std::runtime_error("the store answered " + std::to_string(response.result_int()));
     }
-    co_return json::parse(response.body());
+    co_return std::move(response.body());
 }
 
 asio::awaitable<void> StoreClient::pause(std::chrono::milliseconds time)
--- a/src/cyclamenspool/platform/storeclient.h
+++ b/src/cyclamenspool/platform/storeclient.h
@@ -7,7 +7,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/json/value.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -57,7 +56,7 @@
     boost::asio::awaitable<void> step();
     boost::asio::awaitable<void> list();
     boost::asio::awaitable<void> watch();
-    boost::asio::awaitable<boost::json::value> call(std::string target, std::chrono::milliseconds timeout);
+    boost::asio::awaitable<std::string> call(std::string target, std::chrono::milliseconds timeout);
     boost::asio::awaitable<void> connect();
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
 
--- /dev/null
+++ b/src/cyclamenspool/platform/storepage.cpp
@@ -0,0 +1,91 @@
+#include <cyclamenspool/platform/storepage.h>
+
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/json/parse.hpp>
+
+#include <stdexcept>
+#include <string_view>
+
+namespace cyclamenspool::platform {
+
+namespace json = boost::json;
+
+namespace internal {
+
+std::string decodeBase64(std::string_view text)
+{
+    namespace iterators = boost::archive::iterators;
+    using Decoder = iterators::transform_width<iterators::binary_from_base64<const char *>, 8, 6>;
+    const auto last = text.find_last_not_of('=');
+    const auto digits = last == std::string_view::npos ? std::string_view() : text.substr(0, last + 1);
+    constexpr std::size_t digitBits = 6;
+    std::string bytes(Decoder(digits.begin()), Decoder(digits.end()));
+    bytes.resize(digits.size() * digitBits / 8);
+    return bytes;
+}
+
+member::Item itemOf(const json::object &object)
+{
+    member::Item item;
+    item.key = std::string(object.at("key").as_string());
+    // The revision of the item's last change, not that of the store.
+    item.revision = object.at("revision").to_number<std::uint64_t>();
+    const auto *deleted = object.if_contains("deleted");
+    item.isDeleted = deleted != nullptr && deleted->is_bool() && deleted->as_bool();
+    return item;
+}
+
+std::string keyOf(const json::value &entry)
+{
+    const auto *object = entry.if_object();
+    const auto *key = object == nullptr ? nullptr : object->if_contains("key");
+    return key != nullptr && key->is_string() ? std::string(key->as_string()) : std::string("?");
+}
+
+/** @brief Reads the items of an answer; those that cannot be read are reported and passed over. */
+std::vector<member::Item> itemsOf(const json::value &list, const MalformedItem &onMalformed)
+{
+    std::vector<member::Item> items;
+    for (const auto &entry : list.as_array()) {
+        try {
+            auto item = itemOf(entry.as_object());
+            if (!item.isDeleted) {
+                item.value = decodeBase64(entry.as_object().at("value").as_string());
+            }
+            items.push_back(std::move(item));
+        } catch (const std::exception &error) {
+            onMalformed(keyOf(entry), error.what());
+        }
+    }
+    return items;
+}
+
+} // namespace internal
+
+StorePage readListPage(const std::string &body, const MalformedItem &onMalformed)
+{
+    const auto answer = json::parse(body);
+    const auto &object = answer.as_object();
+    const auto &entries = object.at("items");
+    StorePage page;
+    page.revision = object.at("store_revision").to_number<std::uint64_t>();
+    page.items = internal::itemsOf(entries, onMalformed);
+    page.hasMore = object.at("more_pages").as_bool() && !entries.as_array().empty();
+    if (page.hasMore) {
+        page.lastKey = internal::keyOf(entries.as_array().back());
+    }
+    return page;
+}
+
+StorePage readWatchPage(const std::string &body, const MalformedItem &onMalformed)
+{
+    const auto answer = json::parse(body);
+    const auto &object = answer.as_object();
+    StorePage page;
+    page.revision = object.at("store_revision").to_number<std::uint64_t>();
+    page.items = internal::itemsOf(object.at("events"), onMalformed);
+    return page;
+}
+
+} // namespace cyclamenspool::platform
