--- a/test/harness/platformfakes.cpp
+++ b/test/harness/platformfakes.cpp
@@ -136,7 +136,10 @@
 
 FakeStore::FakeStore()
     : server_([this](const PlainRequest &request, PlainSocket &socket) {
-        return answer(request, socket);
+        return answer(request, socket, status_);
+    })
+    , sideServer_([this](const PlainRequest &request, PlainSocket &socket) {
+        return answer(request, socket, sideStatus_);
     })
 {
 }
@@ -167,6 +170,12 @@
     changed_.notify_all();
 }
 
+void FakeStore::setSideStatus(int status)
+{
+    sideStatus_ = status;
+    changed_.notify_all();
+}
+
 void FakeStore::compact()
 {
     const std::lock_guard lock(mutex_);
@@ -218,7 +227,7 @@
     return json::serialize(json::object{{"events", std::move(events)}, {"store_revision", revision_}});
 }
 
-bool FakeStore::answer(const PlainRequest &request, PlainSocket &socket)
+bool FakeStore::answer(const PlainRequest &request, PlainSocket &socket, const std::atomic<int> &forced)
 {
     const std::string target(request.target());
     std::string body;
@@ -228,7 +237,7 @@
         const std::chrono::milliseconds wait(std::stol(queryValue(target, "wait_ms")));
         body = watch(queryValue(target, "prefix"), std::stoull(queryValue(target, "after")), wait);
     }
-    const int status = status_ != 200 ? status_.load() : (body.empty() ? 410 : 200);
+    const int status = forced != 200 ? forced.load() : (body.empty() ? 410 : 200);
     const auto head = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: ";
     return writeAll(socket, head + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
--- a/test/harness/platformfakes.h
+++ b/test/harness/platformfakes.h
@@ -59,7 +59,7 @@
     std::thread listener_;
 };
 
-/** @brief The platform's store: items with revisions, ranges in pages, watches that wait. */
+/** @brief The platform's store: items with revisions, ranges in pages, watches that wait. It has a second address that can fail alone. */
 class FakeStore
 {
 public:
@@ -74,6 +74,9 @@
     /** @brief Makes every call be answered with a status. @param status Status; 200: as usual. */
     void setStatus(int status);
 
+    /** @brief Makes every call at the second address be answered with a status. @param status Status; 200: as usual. */
+    void setSideStatus(int status);
+
     /** @brief Drops the history: watches from earlier revisions are answered 410. */
     void compact();
 
@@ -83,6 +86,12 @@
         return server_.address();
     }
 
+    /** @brief Returns the second address. @return IP number and port. */
+    [[nodiscard]] const std::string &sideAddress() const noexcept
+    {
+        return sideServer_.address();
+    }
+
 private:
     struct Change {
         std::string key;
@@ -91,7 +100,7 @@
         bool isDeleted = false;
     };
 
-    bool answer(const PlainRequest &request, PlainSocket &socket);
+    bool answer(const PlainRequest &request, PlainSocket &socket, const std::atomic<int> &forced);
     [[nodiscard]] std::string range(const std::string &prefix, const std::string &after);
     [[nodiscard]] std::string watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds wait);
     void record(const Change &change);
@@ -103,7 +112,9 @@
     std::uint64_t revision_ = 1;
     std::uint64_t firstKept_ = 0;
     std::atomic<int> status_{200};
+    std::atomic<int> sideStatus_{200};
     ThreadServer server_;
+    ThreadServer sideServer_;
 };
 
 /** @brief A backend server whose answers a test writes; it counts the requests that it ran by id. */
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -54,6 +54,24 @@
     return false;
 }
 
+/** @brief Makes the store answer 503 to one gateway and serve the others. */
+void turnAway(GatewayFleet &fleet, std::size_t index)
+{
+    auto &gateway = fleet.gateways[index];
+    auto settings = GatewayFleet::readSettings(gateway);
+    const auto &address = fleet.store.address();
+    settings.replace(settings.find("store_address: " + address), 15 + address.size(), "store_address: " + fleet.store.sideAddress());
+    GatewayFleet::writeSettings(gateway, settings);
+    gateway.process.kill();
+    fleet.start(gateway);
+    REQUIRE(LocalFleet::await([&gateway] {
+        return GatewayFleet::isReady(gateway);
+    }));
+    fleet.store.setSideStatus(503);
+    // The watch in progress may still bring a change.
+    std::this_thread::sleep_for(300ms);
+}
+
 } // namespace
 
 TEST_CASE("a request reaches its backend server unchanged, with the workspace in place of the key", "[process][gateway]")
@@ -228,8 +246,12 @@
 TEST_CASE("a backend server that leaves gets nothing new, also while the store turns the gateway away", "[process][gateway]")
 {
     GatewayFleet fleet(2, 2);
+    const bool isTurnedAway = GENERATE(false, true);
+    if (isTurnedAway) {
+        turnAway(fleet, 1);
+    }
     fleet.store.put("servers/i-0", fleet.runners[0]->entry("pool", "draining"));
-    std::this_thread::sleep_for(1500ms);
+    std::this_thread::sleep_for(2000ms); /* the time in which it must be known */
     const int before = fleet.runners[0]->runs();
     for (int i = 0; i < 20; ++i) {
         CHECK(run(fleet.call("r" + std::to_string(i), "/once/x", static_cast<std::size_t>(i % 2))).status == 200);
@@ -257,6 +279,27 @@
     CHECK(isKnown(1));
 }
 
+TEST_CASE("a gateway that the store turns away has the configuration from its peers in time", "[process][gateway]")
+{
+    GatewayFleet fleet(2, 1);
+    turnAway(fleet, 1);
+    fleet.publishRouting(2, "pool", {"key-1", "key-2"});
+    auto call = fleet.call("probe", "/once/x", 1);
+    call.headers[3].second = "Bearer key-2";
+    CHECK(LocalFleet::await(
+        [&call] {
+            return run(call).status == 200;
+        },
+        2000ms));
+    CHECK(GatewayFleet::logOf(fleet.gateways[1]).find("\"source\":\"peer\"") != std::string::npos);
+    fleet.publishRouting(3, "pool", {"key-1"});
+    CHECK(LocalFleet::await(
+        [&call] {
+            return run(call).status == 401;
+        },
+        2000ms));
+}
+
 TEST_CASE("entries that cannot be read are named in the log and the others hold", "[process][gateway]")
 {
     GatewayFleet fleet(1, 1);
