--- a/src/cyclamenspool/platform/documents.cpp
+++ b/src/cyclamenspool/platform/documents.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::string_view routingKey = "op/config";
 constexpr std::string_view evacuationPrefix = "op/evacuate/";
+constexpr double largestNumber = 9e15; /* a double holds every whole number up to it */
+constexpr double largestCount = 2147483647;
+constexpr std::chrono::milliseconds longestTime{365LL * 24 * 3600 * 1000}; /* the steady clock's nanoseconds end at 292 years */
 
 [[noreturn]] void reject(std::string_view field, const char *reason)
 {
@@ -37,27 +40,47 @@
     return std::string(value->as_string());
 }
 
-double number(const json::object &object, std::string_view name)
+double number(const json::object &object, std::string_view name, double largest = largestNumber)
 {
     const auto *value = find(object, name);
     if (value == nullptr || !value->is_number()) {
         reject(name, "must be a number");
     }
     const double result = value->to_number<double>();
-    if (!std::isfinite(result) || result < 0 || result > 9e15) {
+    if (!std::isfinite(result) || result < 0 || result > largest) {
         reject(name, "is out of range");
     }
     return result;
 }
 
-double number(const json::object &object, std::string_view name, double fallback)
+double numberOr(const json::object &object, std::string_view name, double fallback)
 {
     return find(object, name) == nullptr ? fallback : number(object, name);
 }
 
+int count(const json::object &object, std::string_view name)
+{
+    return static_cast<int>(number(object, name, largestCount));
+}
+
+int countOr(const json::object &object, std::string_view name, int fallback)
+{
+    return find(object, name) == nullptr ? fallback : count(object, name);
+}
+
+/** @brief Reads a time. @param unit Unit of the number on the wire. */
+std::chrono::milliseconds timeOr(const json::object &object, std::string_view name, std::chrono::milliseconds fallback, std::chrono::milliseconds unit)
+{
+    if (find(object, name) == nullptr) {
+        return fallback;
+    }
+    const auto units = number(object, name, static_cast<double>(longestTime / unit));
+    return std::chrono::milliseconds(std::llround(units * static_cast<double>(unit.count())));
+}
+
 std::chrono::milliseconds millis(const json::object &object, std::string_view name, std::chrono::milliseconds fallback)
 {
-    return std::chrono::milliseconds(std::llround(number(object, name, static_cast<double>(fallback.count()))));
+    return timeOr(object, name, fallback, std::chrono::milliseconds(1));
 }
 
 bool flag(const json::object &object, std::string_view name)
@@ -137,8 +160,8 @@
     route.timeout = millis(object, "timeout_ms", route.timeout);
     route.latencyObjective = millis(object, "target_latency_ms", route.latencyObjective);
     route.pauseObjective = millis(object, "gap_aim_ms", route.pauseObjective);
-    route.priority = static_cast<int>(number(object, "priority", route.priority));
-    route.maxAttempts = static_cast<int>(number(object, "max_attempts", route.maxAttempts));
+    route.priority = countOr(object, "priority", route.priority);
+    route.maxAttempts = countOr(object, "max_attempts", route.maxAttempts);
     route.anonymous = flag(object, "anonymous");
     route.resumable = flag(object, "resumable");
     // The wire's name speaks of sessions; what it marks are requests that carry the parts of a prompt.
@@ -150,12 +173,12 @@
 {
     world::ServiceTraits traits;
     traits.name = text(object, "name");
-    traits.maxConnections = static_cast<int>(number(object, "max_connections", traits.maxConnections));
-    traits.coldStart = std::chrono::milliseconds(std::llround(number(object, "cold_start_s", 0) * 1000));
-    traits.coldRequestsPerSecond = number(object, "cold_per_s", 0);
+    traits.maxConnections = countOr(object, "max_connections", traits.maxConnections);
+    traits.coldStart = timeOr(object, "cold_start_s", std::chrono::milliseconds(0), std::chrono::seconds(1));
+    traits.coldRequestsPerSecond = numberOr(object, "cold_per_s", 0);
     const auto *engine = find(object, "engine");
     if (engine != nullptr && engine->is_object()) {
-        traits.slots = static_cast<int>(number(engine->as_object(), "slots", 0));
+        traits.slots = countOr(engine->as_object(), "slots", 0);
     }
     return traits;
 }
@@ -165,7 +188,7 @@
     routing.hasWorkspaces = find(object, "tenants") != nullptr;
     for (const auto &entry : array(object, "tenants")) {
         const auto &holder = objectOf(entry, "tenants");
-        const world::KeyHolder keyHolder{text(holder, "name"), find(holder, "priority") == nullptr ? -1 : static_cast<int>(number(holder, "priority"))};
+        const world::KeyHolder keyHolder{text(holder, "name"), countOr(holder, "priority", -1)};
         for (const auto &key : array(holder, "api_keys")) {
             if (!key.is_string()) {
                 reject("api_keys", "must hold text");
@@ -192,8 +215,8 @@
     if (const auto *limits = find(object, "limits"); limits != nullptr) {
         const auto &bounds = objectOf(*limits, "limits");
         auto &out = routing.limits;
-        out.headerBytes = static_cast<std::uint32_t>(number(bounds, "max_header_bytes", out.headerBytes));
-        out.bodyBytes = static_cast<std::uint64_t>(number(bounds, "max_body_bytes", static_cast<double>(out.bodyBytes)));
+        out.headerBytes = static_cast<std::uint32_t>(countOr(bounds, "max_header_bytes", static_cast<int>(out.headerBytes)));
+        out.bodyBytes = static_cast<std::uint64_t>(numberOr(bounds, "max_body_bytes", static_cast<double>(out.bodyBytes)));
         out.headerTimeout = millis(bounds, "header_timeout_ms", out.headerTimeout);
         out.idleTimeout = millis(bounds, "idle_timeout_ms", out.idleTimeout);
     }
@@ -214,7 +237,7 @@
         reject("address", "must be an IP number and a port");
     }
     server.zone = text(object, "zone");
-    server.slots = static_cast<int>(number(object, "slots"));
+    server.slots = count(object, "slots");
     const auto state = text(object, "state");
     if (state != "ready" && state != "draining") {
         reject("state", "is not known");
@@ -222,7 +245,7 @@
     server.leaving = state == "draining";
     // How much longer it stays slow, not for how long it has been cold.
     server.coldRemaining = millis(object, "cold_remaining_ms", std::chrono::milliseconds(0));
-    server.started = static_cast<std::uint64_t>(number(object, "born", 0));
+    server.started = static_cast<std::uint64_t>(numberOr(object, "born", 0));
     server.revision = item.revision;
     return server;
 }
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -41,6 +41,8 @@
                                 R"({"service":"pool","address":"nowhere","zone":"a","slots":1,"state":"ready"})",
                                 R"({"service":"pool","address":"10.0.0.1:99999","zone":"a","slots":1,"state":"ready"})",
                                 R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":"1","state":"ready"})",
+                                R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":61700000000000,"state":"ready"})",
+                                R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready","cold_remaining_ms":9000000000000000})",
                                 R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":1,"state":"resting"})",
                                 R"({"service":"pool","address":"10.0.0.1:80","zone":"a","slots":1,"state":"ready","cold_remaining_ms":-1})");
     CHECK_THROWS_AS(decode(itemOf("servers/i-1", value)), platform::MalformedValue);
