--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -221,7 +221,6 @@
 {
     telemetry::logLine("shutdown_begun", {});
     drainBegun_ = std::chrono::steady_clock::now();
-    peers_.beginDrain();
     drainStep();
 }
 
--- a/src/cyclamenspool/gateway/peernews.cpp
+++ b/src/cyclamenspool/gateway/peernews.cpp
@@ -88,11 +88,6 @@
     tick();
 }
 
-void PeerNews::beginDrain()
-{
-    isLeaving_ = true;
-}
-
 void PeerNews::stop()
 {
     timer_.cancel();
--- a/src/cyclamenspool/gateway/peernews.h
+++ b/src/cyclamenspool/gateway/peernews.h
@@ -42,9 +42,6 @@
     /** @brief Adds seeds; those known stay. @param seeds Addresses. */
     void addSeeds(const std::vector<std::string> &seeds);
 
-    /** @brief Tells the others that this gateway leaves. */
-    void beginDrain();
-
     /** @brief Closes everything. */
     void stop();
 
@@ -92,7 +89,6 @@
     std::uint64_t exchanges_ = 0;
     std::string sharedNews_; /* what all peers are told, as bytes */
     core::MonotonicTime sharedNewsMade_{};
-    bool isLeaving_ = false;
 };
 
 } // namespace cyclamenspool::gateway
--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -75,7 +75,7 @@
         gateway.logFile = directory_ + "/" + name + ".log";
         std::ofstream(gateway.settingsFile) << "vm: " << name << "\nzone: az-a\ncaller_address: " << gateway.caller << "\nready_address: " << gateway.ready
                                             << "\npeer_address: " << gateway.peer << "\nmetrics_address: " << gateway.metrics
-                                            << "\nstore_address: " << store.address() << "\nseed_peers: [" << seeds << "]\ngrace_s: 6\n";
+                                            << "\nstore_address: " << store.address() << "\nseed_peers: [" << seeds << "]\ngrace_s: 6\nworkers: 2\n";
         start(gateway);
     }
     for (const auto &gateway : gateways) {
--- a/test/harness/platformfakes.cpp
+++ b/test/harness/platformfakes.cpp
@@ -13,6 +13,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 
 namespace cyclamenspool::harness {
@@ -52,9 +54,10 @@
 
 void resetSocket(PlainSocket &socket)
 {
-    boost::system::error_code ignored;
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    socket.shutdown(PlainSocket::shutdown_both, ignored);
+    // By its descriptor: the socket object belongs to the thread that serves it.
+    const linger atOnce{1, 0};
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    shutdown(socket.native_handle(), SHUT_RDWR);
 }
 
 } // namespace
