--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -73,6 +73,8 @@
     void finish(std::string_view outcome, const std::string &detail);
     void measure(bool isAnswered);
     void log(std::string_view outcome, const std::string &detail) const;
+    static constexpr std::string_view answeredOutcome = "answered"; /* of a request with a whole answer, in the log */
+
     [[nodiscard]] bool isStalled() const;
     [[nodiscard]] std::chrono::milliseconds timeLeft() const;
     [[nodiscard]] std::chrono::milliseconds longestIdle() const;
