--- a/src/cyclamenspool/config/gatewaysettings.cpp
+++ b/src/cyclamenspool/config/gatewaysettings.cpp
@@ -62,9 +62,7 @@
         checkAddress(root, "peer_address", settings.peerAddress, diagnostics);
         checkAddress(root, "metrics_address", settings.metricsAddress, diagnostics);
         checkAddress(root, "store_address", settings.storeAddress, diagnostics);
-        for (const auto &peer : settings.seedPeers) {
-            checkAddress(root, "seed_peers", peer, diagnostics);
-        }
+        checkAddresses(root, "seed_peers", settings.seedPeers, diagnostics);
     }
     diagnostics.raise();
     return settings;
--- a/src/cyclamenspool/config/settings.cpp
+++ b/src/cyclamenspool/config/settings.cpp
@@ -59,6 +59,13 @@
     }
 }
 
+void checkAddresses(const YAML::Node &root, const char *key, const std::vector<std::string> &addresses, Diagnostics &diagnostics)
+{
+    for (const auto &address : addresses) {
+        checkAddress(root, key, address, diagnostics);
+    }
+}
+
 std::pair<std::string, unsigned short> splitAddress(const std::string &address)
 {
     const auto colon = address.rfind(':');
@@ -90,9 +97,7 @@
         checkAddress(root, "configuration_service", settings.configurationService, diagnostics);
         checkAddress(root, "vm_list", settings.vmList, diagnostics);
         checkAddress(root, "backend_address", settings.backendAddress, diagnostics);
-        for (const auto &peer : settings.seedPeers) {
-            checkAddress(root, "seed_peers", peer, diagnostics);
-        }
+        checkAddresses(root, "seed_peers", settings.seedPeers, diagnostics);
     }
     diagnostics.raise();
     return settings;
--- a/src/cyclamenspool/config/settings.h
+++ b/src/cyclamenspool/config/settings.h
@@ -57,6 +57,10 @@
  */
 void checkAddress(const YAML::Node &root, const char *key, const std::string &address, Diagnostics &diagnostics);
 
+/** @brief Reports each address of a list that is malformed. @param root Map that holds it. @param key Its key. @param addresses Addresses. @param diagnostics
+ * Takes the errors. */
+void checkAddresses(const YAML::Node &root, const char *key, const std::vector<std::string> &addresses, Diagnostics &diagnostics);
+
 /** @brief Splits an address. @param address IP number and port. @return Pair of both. @throws std::invalid_argument If it is malformed. */
 [[nodiscard]] std::pair<std::string, unsigned short> splitAddress(const std::string &address);
 
--- a/src/cyclamenspool/gateway/backendpool.cpp
+++ b/src/cyclamenspool/gateway/backendpool.cpp
@@ -62,12 +62,6 @@
     }
 }
 
-void BackendPool::clear()
-{
-    sweepTimer_.cancel();
-    idle_.clear();
-}
-
 void BackendPool::sweep()
 {
     const auto now = std::chrono::steady_clock::now();
--- a/src/cyclamenspool/gateway/backendpool.h
+++ b/src/cyclamenspool/gateway/backendpool.h
@@ -35,9 +35,6 @@
      */
     void keep(const std::string &server, Socket socket, std::chrono::milliseconds idleTimeout);
 
-    /** @brief Closes all connections. */
-    void clear();
-
     /** @brief Returns the worker's context. @return Context. */
     [[nodiscard]] boost::asio::io_context &context() noexcept
     {
--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -135,6 +135,11 @@
             fleet.onStoreWell(now);
         });
     }
+    refreshComplete();
+}
+
+void Catalog::refreshComplete()
+{
     complete_ = std::all_of(parts_.begin(), parts_.end(), [](const Part &each) {
         return each.mirror.revision() > 0;
     });
@@ -155,9 +160,7 @@
 void Catalog::onPeerCopy(Section section, const member::ItemList &list)
 {
     apply(part(section).mirror.replace(list), "peer");
-    complete_ = std::all_of(parts_.begin(), parts_.end(), [](const Part &each) {
-        return each.mirror.revision() > 0;
-    });
+    refreshComplete();
 }
 
 void Catalog::apply(const std::vector<member::Item> &news, const char *source)
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -67,6 +67,7 @@
     };
 
     void onStoreWell(Section section);
+    void refreshComplete();
     void apply(const std::vector<member::Item> &news, const char *source);
     void applyOne(const member::Item &item, const char *source);
     [[nodiscard]] Part &part(Section section);
--- a/src/cyclamenspool/gateway/operatorpage.cpp
+++ b/src/cyclamenspool/gateway/operatorpage.cpp
@@ -1,5 +1,7 @@
 #include <cyclamenspool/gateway/operatorpage.h>
 
+#include <cyclamenspool/telemetry/label.h>
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -16,17 +18,10 @@
 
 constexpr std::array<Catalog::Section, 2> sections{Catalog::Section::Operators, Catalog::Section::Servers};
 
-/** @brief Formats a label. @param name Name. @param value Value; named by the platform or by this program. @return Label in braces. */
-std::string label(const char *name, std::string_view value)
+/** @brief Formats the only label of a metric. @param name Name. @param value Value. @return Label in braces. */
+std::string braced(const char *name, std::string_view value)
 {
-    std::string text = std::string("{") + name + "=\"";
-    for (const char letter : value) {
-        if (letter == '"' || letter == '\\') {
-            text += '\\';
-        }
-        text += letter == '\n' ? ' ' : letter;
-    }
-    return text + "\"}";
+    return "{" + telemetry::label(name, value) + "}";
 }
 
 void writeProcess(std::ostream &out)
@@ -48,11 +43,11 @@
     out << "cyclamenspool_admitted_total " << counts.admitted << '\n';
     out << "cyclamenspool_repeats_total " << counts.repeats << '\n';
     for (std::size_t outcome = 0; outcome < counts.outcomes.size(); ++outcome) {
-        out << "cyclamenspool_outcomes_total" << label("outcome", nameOf(static_cast<Outcome>(outcome))) << ' ' << counts.outcomes[outcome] << '\n';
+        out << "cyclamenspool_outcomes_total" << braced("outcome", nameOf(static_cast<Outcome>(outcome))) << ' ' << counts.outcomes[outcome] << '\n';
     }
     for (std::size_t kind = 0; kind < counts.refusals.size(); ++kind) {
         const auto name = core::ruleOf(static_cast<core::ErrorKind>(kind)).name;
-        out << "cyclamenspool_refusals_total" << label("kind", name) << ' ' << counts.refusals[kind] << '\n';
+        out << "cyclamenspool_refusals_total" << braced("kind", name) << ' ' << counts.refusals[kind] << '\n';
     }
 }
 
@@ -61,13 +56,13 @@
     std::array<std::size_t, static_cast<std::size_t>(Standing::Count)> standings{};
     for (const auto &server : servers) {
         ++standings[static_cast<std::size_t>(server.standing)];
-        const auto labels = label("server", server.record.id);
+        const auto labels = braced("server", server.record.id);
         out << "cyclamenspool_server_answered_total" << labels << ' ' << server.answered << '\n';
         out << "cyclamenspool_server_failed_total" << labels << ' ' << server.failed << '\n';
         out << "cyclamenspool_server_outstanding" << labels << ' ' << server.outstanding << '\n';
     }
     for (std::size_t i = 0; i < standings.size(); ++i) {
-        out << "cyclamenspool_servers" << label("standing", nameOf(static_cast<Standing>(i))) << ' ' << standings[i] << '\n';
+        out << "cyclamenspool_servers" << braced("standing", nameOf(static_cast<Standing>(i))) << ' ' << standings[i] << '\n';
     }
 }
 
@@ -109,7 +104,7 @@
     const auto routes = view.dispatcher.routes();
     out << "cyclamenspool_routing_version " << (routes == nullptr ? 0 : routes->routing().version) << '\n';
     for (const auto section : internal::sections) {
-        const auto labels = internal::label("section", Catalog::prefixOf(section));
+        const auto labels = internal::braced("section", Catalog::prefixOf(section));
         out << "cyclamenspool_store_revision" << labels << ' ' << view.catalog.revision(section) << '\n';
         out << "cyclamenspool_store_answers" << labels << ' ' << (view.catalog.isIll(section) ? 0 : 1) << '\n';
         if (view.catalog.revision(section) > 0) {
--- a/src/cyclamenspool/gateway/peernews.cpp
+++ b/src/cyclamenspool/gateway/peernews.cpp
@@ -6,6 +6,7 @@
 #include <cyclamenspool/wire/generated/messages.pb.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace cyclamenspool::gateway {
 
@@ -40,10 +41,15 @@
     return std::chrono::duration_cast<Milliseconds>(now - time);
 }
 
-/** @brief Names a message that cannot be read in the log. @param path Path that it came by. @param bytes Its size. */
-void logUnreadable(const std::string &path, std::size_t bytes)
+/** @brief Names a message in the log if it could not be read. @param message What was read of it. @param path Path that it came by. @param bytes Its size.
+ * @return The message. */
+template<typename Message>
+std::optional<Message> logIfUnreadable(std::optional<Message> message, const char *path, std::size_t bytes)
 {
-    telemetry::logLine("peer_message_unreadable", {{"path", path}, {"bytes", bytes}});
+    if (!message) {
+        telemetry::logLine("peer_message_unreadable", {{"path", path}, {"bytes", bytes}});
+    }
+    return message;
 }
 
 bool isAddress(const std::string &text)
@@ -180,11 +186,9 @@
     peer.exchange = ++exchanges_;
     wire::StreamEvents events;
     events.onMessage = [this](const std::string &message) {
-        const auto news = readNews(message);
+        const auto news = internal::logIfUnreadable(readNews(message), internal::newsPath, message.size());
         if (news) {
             onNews(*news);
-        } else {
-            internal::logUnreadable(internal::newsPath, message.size());
         }
     };
     events.onEnd = [this, address, number = peer.exchange](const wire::StreamEnd &) {
@@ -305,11 +309,9 @@
     pull.set_prefix(std::string(Catalog::prefixOf(section)));
     wire::StreamEvents events;
     events.onMessage = [this, section](const std::string &message) {
-        const auto copy = readCopy(message);
+        const auto copy = internal::logIfUnreadable(readCopy(message), internal::itemsPath, message.size());
         if (copy) {
             catalog_.onPeerCopy(section, *copy);
-        } else {
-            internal::logUnreadable(internal::itemsPath, message.size());
         }
     };
     pool_.submit(address, internal::itemsPath, pull.SerializeAsString(), std::move(events));
@@ -319,10 +321,8 @@
 {
     std::string answer;
     if (path == internal::newsPath) {
-        const auto news = readNews(message);
-        if (!news) {
-            internal::logUnreadable(path, message.size());
-        } else if (onNews(*news)) {
+        const auto news = internal::logIfUnreadable(readNews(message), internal::newsPath, message.size());
+        if (news && onNews(*news)) {
             answer = ownNews(peers_[news->address()]);
         }
     } else if (path == internal::itemsPath) {
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -55,10 +55,11 @@
     return server.recentSends.count(now) < shares.part(whole, server.record.id, now);
 }
 
-bool connectionsAllow(const ServerState &server, const Shares &shares, const PlacementBounds &bounds, core::MonotonicTime now)
+/** @brief Splits the connections to a backend server among the gateways. @return This gateway's part, at least one. */
+std::size_t connectionsPart(const Shares &shares, const PlacementBounds &bounds, core::MonotonicTime now)
 {
     const auto part = static_cast<std::size_t>(bounds.connections) / shares.gateways(now);
-    return static_cast<std::size_t>(server.outstanding) < std::max<std::size_t>(part, 1);
+    return std::max<std::size_t>(part, 1);
 }
 
 /** @brief Tells whether a backend server can be asked for its cache; one that leaves still can. */
@@ -117,6 +118,7 @@
     const double mean = total / static_cast<double>(servers.size());
     const double bound = bounds.loadFactor * internal::boundMargin * mean + internal::boundSlack;
     const auto unseenTime = fleet.unseenTime(now);
+    const auto connections = internal::connectionsPart(shares, bounds, now);
     // Only the first few are looked at: a heap gives them without the order of all the others.
     std::make_heap(candidates.begin(), candidates.end(), internal::ranksAfter);
     const auto firstRank = candidates.front().rank;
@@ -127,7 +129,7 @@
         std::pop_heap(candidates.begin(), candidates.end(), internal::ranksAfter);
         const auto &candidate = candidates.back();
         auto &server = **candidate.server;
-        if (internal::isListed(query.tried, server.record.id) || !internal::connectionsAllow(server, shares, bounds, now)) {
+        if (internal::isListed(query.tried, server.record.id) || static_cast<std::size_t>(server.outstanding) >= connections) {
             continue;
         }
         const bool mayBeCold = candidate.standing == Standing::Cold || candidate.standing == Standing::OnTrial;
--- a/src/cyclamenspool/gateway/refusal.cpp
+++ b/src/cyclamenspool/gateway/refusal.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/gateway/refusal.h>
 
+#include <cyclamenspool/http/refusal.h>
 #include <cyclamenspool/platform/headers.h>
 
 #include <boost/beast/http/status.hpp>
@@ -18,14 +19,8 @@
 
 std::string bodyOf(const GatewayRefusal &refusal)
 {
-    const auto &rule = core::ruleOf(refusal.kind);
-    boost::json::object error;
-    error["kind"] = rule.name;
-    error["message"] = rule.sentence;
-    error["detail"] = refusal.detail;
-    error["not_run"] = rule.runState == core::RunState::NotRun;
     boost::json::object object;
-    object["error"] = std::move(error);
+    object["error"] = http::describeError(refusal.kind, refusal.detail, core::ruleOf(refusal.kind).runState);
     return boost::json::serialize(object) + "\n";
 }
 
--- a/src/cyclamenspool/gateway/requestmeter.cpp
+++ b/src/cyclamenspool/gateway/requestmeter.cpp
@@ -1,5 +1,7 @@
 #include <cyclamenspool/gateway/requestmeter.h>
 
+#include <cyclamenspool/telemetry/label.h>
+
 namespace cyclamenspool::gateway {
 
 namespace internal {
@@ -34,7 +36,7 @@
         beforeHead_[kind].write(out, "cyclamenspool_answer_head_seconds", internal::kindLabels[kind]);
     }
     for (const auto &[workspace, counts] : workspaces_) {
-        const auto labels = "{workspace=\"" + workspace + "\",answered=";
+        const auto labels = "{" + telemetry::label("workspace", workspace) + ",answered=";
         out << "cyclamenspool_workspace_requests_total" << labels << "\"yes\"} " << counts.answered << '\n';
         out << "cyclamenspool_workspace_requests_total" << labels << "\"no\"} " << counts.unanswered << '\n';
     }
--- a/src/cyclamenspool/http/refusal.cpp
+++ b/src/cyclamenspool/http/refusal.cpp
@@ -2,7 +2,6 @@
 
 #include <cyclamenspool/core/uuid.h>
 
-#include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <mutex>
@@ -10,14 +9,20 @@
 
 namespace cyclamenspool::http {
 
-std::string Refusal::json() const
+boost::json::object describeError(core::ErrorKind kind, const std::string &detail, core::RunState runState)
 {
     const auto &rule = core::ruleOf(kind);
     boost::json::object error;
-    error["kind"] = std::string(rule.name);
-    error["message"] = std::string(rule.sentence);
+    error["kind"] = rule.name;
+    error["message"] = rule.sentence;
     error["detail"] = detail;
     error["not_run"] = runState == core::RunState::NotRun;
+    return error;
+}
+
+std::string Refusal::json() const
+{
+    auto error = describeError(kind, detail, runState);
     if (retryAfter.count() > 0) {
         error["retry_after_ms"] = retryAfter.count();
     }
--- a/src/cyclamenspool/http/refusal.h
+++ b/src/cyclamenspool/http/refusal.h
@@ -4,6 +4,8 @@
 #include <cyclamenspool/core/now.h>
 #include <cyclamenspool/http/server.h>
 
+#include <boost/json/object.hpp>
+
 #include <string>
 
 namespace cyclamenspool::http {
@@ -23,6 +25,10 @@
     [[nodiscard]] Headers headers() const;
 };
 
+/** @brief Describes a failure as callers read it. @param kind Kind. @param detail Detail. @param runState What is known of its execution. @return JSON object.
+ */
+[[nodiscard]] boost::json::object describeError(core::ErrorKind kind, const std::string &detail, core::RunState runState);
+
 /** @brief Creates a refusal by the table of error kinds. @param requestId Request. @param kind Kind. @param detail Detail. @return Refusal. */
 [[nodiscard]] Refusal makeRefusal(const std::string &requestId, core::ErrorKind kind, const std::string &detail);
 
--- a/src/cyclamenspool/platform/headers.cpp
+++ b/src/cyclamenspool/platform/headers.cpp
@@ -26,7 +26,6 @@
 constexpr std::string_view fetchName = "Kv-Fetch"; /* an address, not a cache */
 constexpr std::string_view sealName = "Cyclamenspool-Response-Seal";
 constexpr std::string_view notRunName = "Cyclamenspool-Not-Executed";
-constexpr std::string_view serverName = "Cyclamenspool-Instance-Id";
 constexpr std::string_view loadName = "Cyclamenspool-Server-Load";
 constexpr std::string_view lastEventName = "Last-Event-Id";
 constexpr std::string_view bearer = "Bearer ";
@@ -217,7 +216,6 @@
 {
     AnswerHead head;
     head.requestId = internal::valueOf(fields, internal::idName);
-    head.server = internal::valueOf(fields, internal::serverName);
     head.sealed = !internal::valueOf(fields, internal::sealName).empty();
     head.notRun = !internal::valueOf(fields, internal::notRunName).empty() || status == internal::misdirected;
     head.encoded = !internal::valueOf(fields, "Content-Encoding").empty();
--- a/src/cyclamenspool/platform/headers.h
+++ b/src/cyclamenspool/platform/headers.h
@@ -54,7 +54,6 @@
 /** @brief What a backend server's answer says beside its body. */
 struct AnswerHead {
     std::string requestId;
-    std::string server;
     bool sealed = false; /**< It bears the backend server's digest. */
     bool notRun = false; /**< The backend server says that it did not run the request. */
     bool encoded = false; /**< The body is not the backend server's own bytes. */
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -147,7 +147,6 @@
     if (stream_ == nullptr) {
         co_await connect();
     }
-    ++calls_;
     bhttp::request<bhttp::empty_body> request(bhttp::verb::get, target, 11);
     request.set(bhttp::field::host, address_);
     stream_->expires_after(timeout);
--- a/src/cyclamenspool/platform/storeclient.h
+++ b/src/cyclamenspool/platform/storeclient.h
@@ -45,12 +45,6 @@
     /** @brief Ends all calls. */
     void stop();
 
-    /** @brief Counts the calls made. @return Count. */
-    [[nodiscard]] std::uint64_t calls() const noexcept
-    {
-        return calls_;
-    }
-
 private:
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> step();
@@ -71,7 +65,6 @@
     bool listNeeded_ = false;
     bool hasFailed_ = false; /* the call before failed */
     std::atomic<bool> stopping_{false};
-    std::atomic<std::uint64_t> calls_{0};
 };
 
 } // namespace cyclamenspool::platform
--- a/test/process/logging.cpp
+++ b/test/process/logging.cpp
@@ -58,19 +58,30 @@
     int descriptor_ = -1;
 };
 
+/** @brief One gateway whose log goes to a pipe that nobody reads. */
+struct PipedFleet : GatewayFleet {
+    PipedFleet()
+        : GatewayFleet(1, 1)
+        , pipe(gateways[0].logFile + ".pipe")
+    {
+        auto &gateway = gateways[0];
+        gateway.process.kill();
+        gateway.logFile += ".pipe";
+        start(gateway);
+        REQUIRE(LocalFleet::await([&gateway] {
+            return isReady(gateway);
+        }));
+    }
+
+    UnreadPipe pipe;
+};
+
 } // namespace
 
 TEST_CASE("a log that nobody reads delays no request and no shutdown", "[process][gateway][log]")
 {
-    GatewayFleet fleet(1, 1);
+    PipedFleet fleet;
     auto &gateway = fleet.gateways[0];
-    gateway.process.kill();
-    gateway.logFile += ".pipe";
-    const UnreadPipe pipe(gateway.logFile);
-    fleet.start(gateway);
-    REQUIRE(LocalFleet::await([&gateway] {
-        return GatewayFleet::isReady(gateway);
-    }));
     constexpr int moreThanThePipeHolds = 300;
     for (int i = 0; i < moreThanThePipeHolds; ++i) {
         auto call = fleet.call("r" + std::to_string(i));
@@ -83,15 +94,7 @@
 
 TEST_CASE("a log that is read late names how many lines it has left out", "[process][gateway][log]")
 {
-    GatewayFleet fleet(1, 1);
-    auto &gateway = fleet.gateways[0];
-    gateway.process.kill();
-    gateway.logFile += ".pipe";
-    const UnreadPipe pipe(gateway.logFile);
-    fleet.start(gateway);
-    REQUIRE(LocalFleet::await([&gateway] {
-        return GatewayFleet::isReady(gateway);
-    }));
+    PipedFleet fleet;
     const auto end = std::chrono::steady_clock::now() + 5s; /* at the bound on lines a second, more than the queue holds */
     for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
         auto call = fleet.call("r" + std::to_string(i));
@@ -100,7 +103,7 @@
     }
     std::string text;
     CHECK(LocalFleet::await([&] {
-        text += pipe.read();
+        text += fleet.pipe.read();
         return text.find("\"event\":\"lines_left_out\"") != std::string::npos;
     }));
 }
