--- a/src/cyclamenspool/gateway/operatorpage.cpp
+++ b/src/cyclamenspool/gateway/operatorpage.cpp
@@ -21,7 +21,9 @@
 /** @brief Formats the only label of a metric. @param name Name. @param value Value. @return Label in braces. */
 std::string braced(const char *name, std::string_view value)
 {
-    return "{" + telemetry::label(name, value) + "}";
+    std::string text = "{";
+    text += telemetry::label(name, value);
+    return text + "}";
 }
 
 void writeProcess(std::ostream &out)
--- a/src/cyclamenspool/gateway/requestmeter.cpp
+++ b/src/cyclamenspool/gateway/requestmeter.cpp
@@ -36,9 +36,9 @@
         beforeHead_[kind].write(out, "cyclamenspool_answer_head_seconds", internal::kindLabels[kind]);
     }
     for (const auto &[workspace, counts] : workspaces_) {
-        const auto labels = "{" + telemetry::label("workspace", workspace) + ",answered=";
-        out << "cyclamenspool_workspace_requests_total" << labels << "\"yes\"} " << counts.answered << '\n';
-        out << "cyclamenspool_workspace_requests_total" << labels << "\"no\"} " << counts.unanswered << '\n';
+        const auto label = telemetry::label("workspace", workspace);
+        out << "cyclamenspool_workspace_requests_total{" << label << ",answered=\"yes\"} " << counts.answered << '\n';
+        out << "cyclamenspool_workspace_requests_total{" << label << ",answered=\"no\"} " << counts.unanswered << '\n';
     }
 }
 
