--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t maxHistories = 20000; /* 3 MB; a gateway of the largest fleet sees 6,250 chats that may continue */
 constexpr std::size_t maxHistoryPlacements = 256; /* 8 KB in one update to a peer */
+constexpr std::size_t maxZonePlacements = 1024; /* 12 KB in one message to another zone */
 constexpr double retryBudgetMargin = 0.8; /* fraction of the retry budget that is used; the rest covers gateways that are not known yet */
 
 core::MonotonicTime now()
@@ -106,7 +107,7 @@
 
 Dispatcher::Dispatcher(const config::GatewaySettings &settings)
     : settings_(settings)
-    , splitter_(settings.vm, std::max<std::size_t>(settings.seedPeers.size(), 1))
+    , splitter_(settings.peerAddress, std::max<std::size_t>(settings.seedPeers.size(), 1))
     , histories_(internal::maxHistories)
 {
 }
@@ -127,10 +128,10 @@
     return true;
 }
 
-void Dispatcher::onGatewaySeen(const std::string &vm)
+void Dispatcher::onGatewaySeen(const std::string &address, core::MonotonicTime seenAt)
 {
     const std::lock_guard lock(mutex_);
-    splitter_.onGatewaySeen(vm, internal::now());
+    splitter_.onGatewaySeen(address, seenAt);
 }
 
 std::shared_ptr<const RouteTable> Dispatcher::routes() const
@@ -218,6 +219,7 @@
     if (histories_.add(placement, now)) {
         ++historyPlacementCount_;
         historyPlacements_.push_back(placement);
+        recordZonePlacement(placement, now);
     }
     if (historyPlacements_.size() > internal::maxHistoryPlacements) {
         historyPlacements_.pop_front();
@@ -225,13 +227,37 @@
     return source == nullptr ? std::string() : source->entry.address;
 }
 
-void Dispatcher::onPeerHistoryPlacements(const std::vector<HistoryPlacement> &placements)
+void Dispatcher::recordZonePlacement(const HistoryPlacement &placement, core::MonotonicTime now)
+{
+    zonePlacements_.push_back({placement, now});
+    if (zonePlacements_.size() > internal::maxZonePlacements) {
+        zonePlacements_.pop_front();
+    }
+}
+
+void Dispatcher::onPeerHistoryPlacements(const std::vector<HistoryPlacement> &placements, bool isOwnZone)
 {
     const std::lock_guard lock(mutex_);
     const auto now = internal::now();
     for (const auto &placement : placements) {
         histories_.add(placement, now);
+        if (isOwnZone) {
+            recordZonePlacement(placement, now);
+        }
+    }
+}
+
+std::vector<HistoryPlacement> Dispatcher::zoneHistoryPlacements(core::Milliseconds age) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto earliest = internal::now() - age;
+    std::vector<HistoryPlacement> placements;
+    for (const auto &recorded : zonePlacements_) {
+        if (recorded.recordedAt >= earliest) {
+            placements.push_back(recorded.placement);
+        }
     }
+    return placements;
 }
 
 std::vector<HistoryPlacement> Dispatcher::historyPlacementsSince(std::uint64_t &position) const
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -120,8 +120,8 @@
         change(fleet_, std::chrono::steady_clock::now());
     }
 
-    /** @brief Counts a gateway among those that share the limits. @param vm VM of the gateway. */
-    void onGatewaySeen(const std::string &vm);
+    /** @brief Counts a gateway among those that share the limits. @param address Its peer address. @param seenAt Time of its latest sign of life. */
+    void onGatewaySeen(const std::string &address, core::MonotonicTime seenAt);
 
     /** @brief Returns the routing configuration in force; null if none is known yet. */
     [[nodiscard]] std::shared_ptr<const RouteTable> routes() const;
@@ -144,8 +144,12 @@
      */
     [[nodiscard]] PlacementResult place(const Admission &admission, const std::vector<std::string> &tried);
 
-    /** @brief Records the histories that a peer has sent to backend servers. */
-    void onPeerHistoryPlacements(const std::vector<HistoryPlacement> &placements);
+    /** @brief Records the histories that a peer has sent to backend servers. @param placements Histories. @param isOwnZone True if the peer is in the own
+     * zone; other zones then get them from this gateway too. */
+    void onPeerHistoryPlacements(const std::vector<HistoryPlacement> &placements, bool isOwnZone);
+
+    /** @brief Returns the latest histories, at most 1,024, that gateways of the own zone have placed. @param age Greatest age. */
+    [[nodiscard]] std::vector<HistoryPlacement> zoneHistoryPlacements(core::Milliseconds age) const;
 
     /**
      * @brief Returns the histories that this gateway has sent to backend servers which were not known to hold them.
@@ -190,6 +194,13 @@
         policy::SlidingWindowCounter retries;
     };
 
+    /** @brief History placement of a gateway of the own zone, with its time at this gateway. */
+    struct ZonePlacement {
+        HistoryPlacement placement;
+        core::MonotonicTime recordedAt{};
+    };
+
+    void recordZonePlacement(const HistoryPlacement &placement, core::MonotonicTime now);
     void beginRequest(ServerState &server);
     void onBytesReceived(ServerState &server);
     void onHeadersReceived(ServerState &server, core::MonotonicTime placedAt);
@@ -210,6 +221,7 @@
     HistoryDirectory histories_;
     std::deque<HistoryPlacement> historyPlacements_; /* latest last */
     std::uint64_t historyPlacementCount_ = 0; /* since the start */
+    std::deque<ZonePlacement> zonePlacements_; /* of all gateways of the own zone; latest last */
     std::map<std::string, ServiceCounts> serviceCounts_;
     DispatchCounts counts_;
 };
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -1,5 +1,7 @@
 #include <cyclamenspool/gateway/fleet.h>
 
+#include <cyclamenspool/core/hash.h>
+
 #include <algorithm>
 
 namespace cyclamenspool::gateway {
@@ -29,6 +31,11 @@
 
 } // namespace internal
 
+std::uint32_t serverHash(const std::string &id) noexcept
+{
+    return static_cast<std::uint32_t>(core::hash64(id));
+}
+
 void Fleet::removeFromService(const ServerPtr &server)
 {
     const auto found = byService_.find(server->entry.service);
@@ -51,7 +58,8 @@
             removeFromService(server);
         }
         server = std::make_shared<ServerState>(entry);
-        server->peersOutstanding = peerLoads_.totalOf(entry.id);
+        server->peersOutstanding = reportedLoadOf(entry.id);
+        idsByHash_[serverHash(entry.id)] = entry.id;
         firstListedAt_ = firstListedAt_.value_or(now);
         const bool wasListedBefore = now < *firstListedAt_ + internal::initialListTime && entry.coldRemaining.count() == 0;
         server->joinedAt = wasListedBefore ? core::MonotonicTime::min() : now;
@@ -82,6 +90,7 @@
     }
     found->second->isRemoved = true;
     removeFromService(found->second);
+    idsByHash_.erase(serverHash(id));
     servers_.erase(found);
 }
 
@@ -130,6 +139,7 @@
         }
         known->second->isRemoved = true;
         removeFromService(known->second);
+        idsByHash_.erase(serverHash(known->first));
         known = servers_.erase(known);
     }
 }
@@ -185,7 +195,12 @@
 
 void Fleet::onPeerLoads(const std::string &vm, const std::vector<ServerLoad> &loads, core::MonotonicTime now)
 {
-    updatePeerLoads(peerLoads_.update(vm, loads, now));
+    updatePeerLoads(peerLoads_.update(vm, {loads, 1, core::Milliseconds(0)}, now));
+}
+
+void Fleet::onZoneLoads(const std::string &zone, LoadReport report, core::MonotonicTime now)
+{
+    updatePeerLoads(zoneLoads_.update(zone, std::move(report), now));
 }
 
 void Fleet::dropStalePeers(core::Milliseconds maxAge, core::MonotonicTime now)
@@ -193,19 +208,44 @@
     updatePeerLoads(peerLoads_.dropStale(maxAge, now));
 }
 
+void Fleet::dropStaleZones(core::Milliseconds maxAge, core::MonotonicTime now)
+{
+    updatePeerLoads(zoneLoads_.dropStale(maxAge, now));
+}
+
 void Fleet::updatePeerLoads(const std::vector<std::string> &servers)
 {
     for (const auto &id : servers) {
         const auto found = servers_.find(id);
         if (found != servers_.end()) {
-            found->second->peersOutstanding = peerLoads_.totalOf(id);
+            found->second->peersOutstanding = reportedLoadOf(id);
         }
     }
 }
 
+int Fleet::reportedLoadOf(const std::string &id) const
+{
+    return peerLoads_.totalOf(id) + zoneLoads_.totalOf(id);
+}
+
 std::chrono::duration<double> Fleet::totalPeerUpdateAge(core::MonotonicTime now) const
 {
-    return peerLoads_.totalUpdateAge(now);
+    return peerLoads_.totalUpdateAge(now) + zoneLoads_.totalUpdateAge(now);
+}
+
+LoadReport Fleet::ownZoneLoads(core::MonotonicTime now) const
+{
+    LoadReport report;
+    report.gateways = peerLoads_.gatewayCount() + 1;
+    report.totalAge = std::chrono::duration_cast<core::Milliseconds>(peerLoads_.totalUpdateAge(now));
+    auto totals = peerLoads_.totals();
+    for (const auto &own : loads()) {
+        totals[own.server] += own.outstanding;
+    }
+    for (const auto &[server, outstanding] : totals) {
+        report.loads.push_back({server, outstanding});
+    }
+    return report;
 }
 
 void Fleet::onPeerSuspicion(const Suspicion &report, core::MonotonicTime now)
@@ -222,6 +262,15 @@
     }
 }
 
+void Fleet::recordZoneSuspicion(const Suspicion &report, core::MonotonicTime now)
+{
+    const auto found = servers_.find(report.server);
+    if (found != servers_.end()) {
+        auto &until = found->second->zoneSuspectUntil;
+        until = std::max(until, now + std::min(report.remaining, internal::maxSuspicion));
+    }
+}
+
 bool Fleet::isFailureOutlier(const ServerState &server, core::MonotonicTime now) const
 {
     const auto &servers = serversOf(server.entry.service);
@@ -250,6 +299,17 @@
     return reports;
 }
 
+std::vector<Suspicion> Fleet::ownZoneSuspicions(core::MonotonicTime now) const
+{
+    auto reports = suspicions(now);
+    for (const auto &[id, server] : servers_) {
+        if (server->zoneSuspectUntil > now) {
+            reports.push_back({id, std::chrono::duration_cast<core::Milliseconds>(server->zoneSuspectUntil - now)});
+        }
+    }
+    return reports;
+}
+
 std::vector<ServerLoad> Fleet::loads() const
 {
     std::vector<ServerLoad> serverLoads;
@@ -313,6 +373,12 @@
     return perSecond * updateAge.count();
 }
 
+std::string Fleet::idOf(std::uint32_t hash) const
+{
+    const auto found = idsByHash_.find(hash);
+    return found == idsByHash_.end() ? std::string() : found->second;
+}
+
 ServerPtr Fleet::find(const std::string &id) const
 {
     const auto found = servers_.find(id);
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -4,11 +4,13 @@
 #include <cyclamenspool/gateway/peerloads.h>
 #include <cyclamenspool/gateway/serverstate.h>
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace cyclamenspool::gateway {
@@ -34,6 +36,9 @@
     std::uint64_t failed = 0; /**< Requests of this gateway with any other outcome except Outcome::Abandoned. */
 };
 
+/** @brief Returns the hash that names a backend server in messages to other zones. @param id Its id. */
+[[nodiscard]] std::uint32_t serverHash(const std::string &id) noexcept;
+
 /** @brief State of every listed backend server, with the loads and suspicions that peer gateways report. Not thread safe. */
 class Fleet
 {
@@ -69,16 +74,25 @@
     void recordOutcome(ServerState &server, Outcome outcome, core::MonotonicTime now);
 
     /**
-     * @brief Replaces another gateway's loads.
+     * @brief Replaces the loads of another gateway of the own zone.
      * @param vm VM of the gateway.
      * @param loads Its complete loads; backend servers that are missing have none.
      * @param now Time of the update.
      */
     void onPeerLoads(const std::string &vm, const std::vector<ServerLoad> &loads, core::MonotonicTime now);
 
+    /** @brief Replaces the loads of all gateways of another zone. @param zone Name of the zone. @param report Report. @param now Time of the update. */
+    void onZoneLoads(const std::string &zone, LoadReport report, core::MonotonicTime now);
+
     /** @brief Drops the loads of gateways without a recent update. @param maxAge Age from which on an update is stale. @param now Current time. */
     void dropStalePeers(core::Milliseconds maxAge, core::MonotonicTime now);
 
+    /** @brief Drops the loads of zones without a recent update. @param maxAge Age from which on an update is stale. @param now Current time. */
+    void dropStaleZones(core::Milliseconds maxAge, core::MonotonicTime now);
+
+    /** @brief Returns the loads of this gateway and of the other gateways of its zone, for publication to other zones. */
+    [[nodiscard]] LoadReport ownZoneLoads(core::MonotonicTime now) const;
+
     /** @brief Returns the sum, over all other gateways, of the time since the last update; input of estimateUnreportedLoad(). */
     [[nodiscard]] std::chrono::duration<double> totalPeerUpdateAge(core::MonotonicTime now) const;
 
@@ -86,6 +100,12 @@
      * request, is less than 300 ms old. */
     void onPeerSuspicion(const Suspicion &report, core::MonotonicTime now);
 
+    /** @brief Records a report of another gateway of the own zone, for publication to other zones. */
+    void recordZoneSuspicion(const Suspicion &report, core::MonotonicTime now);
+
+    /** @brief Returns the backend servers that this gateway or another one of its zone found suspect, for publication to other zones. */
+    [[nodiscard]] std::vector<Suspicion> ownZoneSuspicions(core::MonotonicTime now) const;
+
     /** @brief Returns the backend servers that this gateway's own requests found suspect, for publication to peers. */
     [[nodiscard]] std::vector<Suspicion> suspicions(core::MonotonicTime now) const;
 
@@ -123,9 +143,13 @@
     /** @brief Finds a backend server by its id. @return State; null if it is not listed. */
     [[nodiscard]] ServerPtr find(const std::string &id) const;
 
+    /** @brief Finds the id of a listed backend server by serverHash(). @return Id; empty if none is listed. */
+    [[nodiscard]] std::string idOf(std::uint32_t hash) const;
+
 private:
     void removeFromService(const ServerPtr &server);
     void updatePeerLoads(const std::vector<std::string> &servers);
+    [[nodiscard]] int reportedLoadOf(const std::string &id) const;
     void markSuspect(ServerState &server, core::Milliseconds time, core::MonotonicTime now) const;
     [[nodiscard]] bool isFailureOutlier(const ServerState &server, core::MonotonicTime now) const;
     void removeExpired(core::MonotonicTime now);
@@ -133,7 +157,9 @@
 
     std::map<std::string, ServerPtr> servers_; /* by id */
     std::map<std::string, std::vector<ServerPtr>, std::less<>> byService_;
-    PeerLoads peerLoads_;
+    PeerLoads peerLoads_; /* of the other gateways of the own zone */
+    PeerLoads zoneLoads_; /* of the gateways of other zones, by zone */
+    std::unordered_map<std::uint32_t, std::string> idsByHash_;
     std::set<std::string> evacuatedZones_;
     std::optional<core::MonotonicTime> firstListedAt_;
     bool hasStoreFailed_ = false; /* a call to the store has failed since the start */
--- a/src/cyclamenspool/gateway/limitsplitter.cpp
+++ b/src/cyclamenspool/gateway/limitsplitter.cpp
@@ -19,17 +19,18 @@
 {
 }
 
-void LimitSplitter::onGatewaySeen(const std::string &vm, core::MonotonicTime now)
+void LimitSplitter::onGatewaySeen(const std::string &gateway, core::MonotonicTime seenAt)
 {
-    lastSeen_[vm] = now;
+    auto &latest = lastSeen_[gateway];
+    latest = std::max(latest, seenAt);
 }
 
 std::vector<std::string> LimitSplitter::knownPeers(core::MonotonicTime now) const
 {
     std::vector<std::string> peers;
-    for (const auto &[vm, seen] : lastSeen_) {
-        if (vm != self_ && seen + internal::gatewayExpiry > now) {
-            peers.push_back(vm);
+    for (const auto &[gateway, seen] : lastSeen_) {
+        if (gateway != self_ && seen + internal::gatewayExpiry > now) {
+            peers.push_back(gateway);
         }
     }
     return peers;
@@ -50,8 +51,8 @@
     const auto count = std::max(known, minGateways_);
     const auto seed = core::hash64(limitKey);
     const auto own = core::hash64(self_, seed);
-    const auto ranksBefore = std::count_if(peers.begin(), peers.end(), [seed, own](const std::string &vm) {
-        return core::hash64(vm, seed) < own;
+    const auto ranksBefore = std::count_if(peers.begin(), peers.end(), [seed, own](const std::string &gateway) {
+        return core::hash64(gateway, seed) < own;
     });
     // Gateways that are not known yet may rank before this one: assume that all of them do.
     const auto before = static_cast<std::size_t>(ranksBefore) + count - known;
--- a/src/cyclamenspool/gateway/limitsplitter.h
+++ b/src/cyclamenspool/gateway/limitsplitter.h
@@ -13,11 +13,11 @@
 class LimitSplitter
 {
 public:
-    /** @brief Creates a splitter that knows no other gateway. @param self Own VM. @param minGateways Lower bound of the number of gateways. */
+    /** @brief Creates a splitter that knows no other gateway. @param self Own peer address. @param minGateways Lower bound of the number of gateways. */
     LimitSplitter(std::string self, std::size_t minGateways);
 
-    /** @brief Records an update of a gateway. @param vm VM of the gateway. @param now Current time. */
-    void onGatewaySeen(const std::string &vm, core::MonotonicTime now);
+    /** @brief Records a sign of life of a gateway; an earlier time than the known one is ignored. @param gateway Its peer address. @param seenAt Time. */
+    void onGatewaySeen(const std::string &gateway, core::MonotonicTime seenAt);
 
     /** @brief Returns the number of gateways seen within the last 30 s, this one included, or the lower bound if that is higher. */
     [[nodiscard]] std::size_t gatewayCount(core::MonotonicTime now) const;
@@ -26,7 +26,7 @@
      * @brief Returns this gateway's share of an integer limit. The remainder of the division is spread one by one, so some gateways get 0 of a total below
      * their number.
      * @param total Limit of all gateways together.
-     * @param limitKey Identifies the limit; hashed with the VM names to choose the gateways that get the remainder.
+     * @param limitKey Identifies the limit; hashed with the addresses to choose the gateways that get the remainder.
      * @param now Current time.
      * @return Share, 0 or more.
      */
@@ -37,7 +37,7 @@
 
     std::string self_;
     std::size_t minGateways_;
-    std::map<std::string, core::MonotonicTime> lastSeen_; /* by VM */
+    std::map<std::string, core::MonotonicTime> lastSeen_; /* by address */
 };
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -24,10 +24,13 @@
 constexpr Milliseconds sharedUpdateMaxAge{20}; /* loads and suspicions are collected once for all updates of a tick */
 constexpr std::size_t peersPerUpdate = 2; /* peers advertised in one update, in rotation, to a recipient that has the full list */
 constexpr Milliseconds peerExpiry{60000}; /* a peer without a message for longer is forgotten, unless it is a seed */
-constexpr Milliseconds advertisedMaxAge{5000}; /* only peers seen more recently are advertised */
+constexpr Milliseconds advertisedMaxAge{10000}; /* only peers with a more recent sign of life are advertised, and count as live in other zones */
+constexpr Milliseconds totalsWarmUp{1000}; /* after the start: the loads of the own zone are not complete yet and are not given to other zones */
+constexpr Milliseconds placementOverlap{1000}; /* placements are sent to a zone for this much longer than the time since its last reply */
 constexpr Milliseconds minPullInterval{300};
 constexpr const char *updatePath = "/news";
 constexpr const char *itemsPath = "/items";
+constexpr const char *zonePath = "/zone";
 
 wire::SessionLimits sessionLimits()
 {
@@ -72,6 +75,8 @@
     , catalog_(catalog)
     , connectionPool_(context, internal::sessionLimits())
     , timer_(context)
+    , zonePulls_(settings.peerAddress)
+    , startTime_(std::chrono::steady_clock::now())
 {
     addSeeds(settings_.seedPeers);
 }
@@ -106,11 +111,31 @@
 std::size_t PeerGossip::livePeerCount() const
 {
     const auto now = std::chrono::steady_clock::now();
-    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [now, limit = unresponsiveTimeout()](const auto &entry) {
-        return internal::elapsed(entry.second.lastSeen, now) < limit;
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [this, now](const auto &entry) {
+        const auto &peer = entry.second;
+        const bool wasHeard = !peer.vm.empty();
+        return isOtherZone(peer) ? internal::elapsed(lastSign(peer), now) < internal::advertisedMaxAge
+                                 : wasHeard && internal::elapsed(peer.lastSeen, now) < unresponsiveTimeout();
     }));
 }
 
+bool PeerGossip::isOtherZone(const Peer &peer) const
+{
+    return !peer.zone.empty() && peer.zone != settings_.zone;
+}
+
+std::size_t PeerGossip::exchangePeerCount() const
+{
+    return static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [this](const auto &entry) {
+        return !isOtherZone(entry.second);
+    }));
+}
+
+core::MonotonicTime PeerGossip::lastSign(const Peer &peer) const
+{
+    return isOtherZone(peer) ? std::max(peer.lastSeen, peer.lastReported) : peer.lastSeen;
+}
+
 std::vector<PeerStatus> PeerGossip::statuses() const
 {
     const auto now = std::chrono::steady_clock::now();
@@ -125,13 +150,13 @@
 
 std::chrono::milliseconds PeerGossip::updatePeriod() const
 {
-    return internal::minUpdatePeriod + internal::updatePeriodPerPeer * static_cast<int>(peers_.size());
+    return internal::minUpdatePeriod + internal::updatePeriodPerPeer * static_cast<int>(exchangePeerCount());
 }
 
 std::chrono::milliseconds PeerGossip::tickPeriod() const
 {
-    const auto ticks = 1 + static_cast<int>(peers_.size()) / internal::updatesPerTick;
-    return updatePeriod() / ticks;
+    const auto ticks = 1 + static_cast<int>(exchangePeerCount()) / internal::updatesPerTick;
+    return std::min(updatePeriod() / ticks, zonePulls_.period());
 }
 
 std::chrono::milliseconds PeerGossip::unresponsiveTimeout() const
@@ -143,13 +168,14 @@
 {
     const auto now = std::chrono::steady_clock::now();
     expirePeers(now);
-    dispatcher_.withFleet([limit = unresponsiveTimeout()](Fleet &fleet, core::MonotonicTime time) {
+    dispatcher_.withFleet([limit = unresponsiveTimeout(), zoneLimit = zonePulls_.maxAge()](Fleet &fleet, core::MonotonicTime time) {
         fleet.dropStalePeers(limit, time);
+        fleet.dropStaleZones(zoneLimit, time);
     });
     const auto updatePeriod = this->updatePeriod();
     const auto tickPeriod = this->tickPeriod();
     for (auto &[address, peer] : peers_) {
-        if (now - peer.lastSent + tickPeriod / 2 < updatePeriod) {
+        if (isOtherZone(peer) || now - peer.lastSent + tickPeriod / 2 < updatePeriod) {
             continue;
         }
         const bool isUnresponsive = internal::elapsed(peer.lastSeen, now) > unresponsiveTimeout();
@@ -163,6 +189,9 @@
             sendUpdate(address, peer, now);
         }
     }
+    for (const auto &request : zonePulls_.takeDue(now + tickPeriod / 2)) {
+        sendZonePull(request);
+    }
     timer_.expires_after(tickPeriod);
     timer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -174,7 +203,10 @@
 void PeerGossip::expirePeers(core::MonotonicTime now)
 {
     for (auto peer = peers_.begin(); peer != peers_.end();) {
-        const bool isExpired = !peer->second.isSeed && internal::elapsed(peer->second.lastSeen, now) > internal::peerExpiry;
+        const bool isExpired = !peer->second.isSeed && internal::elapsed(lastSign(peer->second), now) > internal::peerExpiry;
+        if (isExpired) {
+            zonePulls_.removeGateway(peer->first);
+        }
         peer = isExpired ? peers_.erase(peer) : std::next(peer);
     }
 }
@@ -209,11 +241,30 @@
         auto next = peers_.upper_bound(recipient.lastAdvertised);
         next = next == peers_.end() ? peers_.begin() : next;
         recipient.lastAdvertised = next->first;
-        const auto age = internal::elapsed(next->second.lastSeen, now);
+        const auto age = internal::elapsed(lastSign(next->second), now);
         if (age < internal::advertisedMaxAge) {
             auto *known = update.add_peers();
             known->set_address(next->first);
             known->set_heard_age_ms(age.count());
+            known->set_zone(next->second.zone);
+        }
+    }
+}
+
+void PeerGossip::advertiseZonePeers(wire::ZoneTotals &totals, core::MonotonicTime now)
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < peers_.size() && count < internal::peersPerUpdate; ++i) {
+        auto next = peers_.upper_bound(lastAdvertisedToZones_);
+        next = next == peers_.end() ? peers_.begin() : next;
+        lastAdvertisedToZones_ = next->first;
+        const auto age = internal::elapsed(next->second.lastSeen, now);
+        if (next->second.zone == settings_.zone && age < internal::advertisedMaxAge) {
+            ++count;
+            auto *known = totals.add_peers();
+            known->set_address(next->first);
+            known->set_heard_age_ms(age.count());
+            known->set_zone(settings_.zone);
         }
     }
 }
@@ -227,6 +278,7 @@
     wire::GatewayNews update;
     update.set_vm(settings_.vm);
     update.set_address(settings_.peerAddress);
+    update.set_zone(settings_.zone);
     dispatcher_.withFleet([&update](const Fleet &fleet, core::MonotonicTime time) {
         for (const auto &load : fleet.loads()) {
             auto *entry = update.add_loads();
@@ -259,6 +311,44 @@
     return sharedUpdate_ + update.SerializeAsString();
 }
 
+void PeerGossip::onPeerMessage(Peer &peer, const std::string &address, const std::string &vm, const std::string &zone)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (internal::elapsed(lastSign(peer), now) > unresponsiveTimeout()) {
+        telemetry::logRateLimited("peer_heard", {{"peer", vm}, {"address", address}});
+        peer.hasFullPeerList = false;
+    }
+    peer.vm = vm;
+    peer.zone = zone;
+    peer.lastSeen = now;
+    if (isOtherZone(peer)) {
+        zonePulls_.addGateway(address, zone);
+    }
+    dispatcher_.onGatewaySeen(address, now);
+}
+
+void PeerGossip::onKnownPeer(const wire::KnownPeer &known, core::MonotonicTime now)
+{
+    const bool isPlausible = known.heard_age_ms() >= 0 && known.heard_age_ms() < internal::peerExpiry.count();
+    if (known.address() == settings_.peerAddress || !isPlausible || !internal::isValidAddress(known.address())) {
+        return;
+    }
+    const auto reportedAt = now - core::Milliseconds(known.heard_age_ms());
+    const auto [found, isNew] = peers_.try_emplace(known.address());
+    auto &peer = found->second;
+    if (isNew) {
+        peer.lastSeen = reportedAt;
+    }
+    peer.lastReported = std::max(peer.lastReported, reportedAt);
+    if (peer.zone.empty() && !known.zone().empty()) {
+        peer.zone = known.zone();
+    }
+    if (isOtherZone(peer)) {
+        zonePulls_.addGateway(known.address(), peer.zone);
+        dispatcher_.onGatewaySeen(known.address(), reportedAt);
+    }
+}
+
 bool PeerGossip::onUpdate(const wire::GatewayNews &update)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -266,35 +356,115 @@
         return false;
     }
     auto &peer = peers_[update.address()];
-    if (internal::elapsed(peer.lastSeen, now) > unresponsiveTimeout()) {
-        telemetry::logRateLimited("peer_heard", {{"peer", update.vm()}, {"address", update.address()}});
-        peer.hasFullPeerList = false;
+    onPeerMessage(peer, update.address(), update.vm(), update.zone());
+    if (!isOtherZone(peer)) {
+        applyLoads(update);
     }
-    peer.vm = update.vm();
-    peer.lastSeen = now;
-    dispatcher_.onGatewaySeen(update.vm());
+    std::vector<HistoryPlacement> placements;
+    for (const auto &placed : update.placed()) {
+        placements.push_back({placed.history(), placed.backend_server()});
+    }
+    dispatcher_.onPeerHistoryPlacements(placements, update.zone() == settings_.zone);
+    for (const auto &known : update.peers()) {
+        onKnownPeer(known, now);
+    }
+    pullIfOutdated(update.address(), Catalog::Section::OperatorConfig, update.operator_revision());
+    pullIfOutdated(update.address(), Catalog::Section::Servers, update.server_revision());
+    return true;
+}
+
+void PeerGossip::applyLoads(const wire::GatewayNews &update)
+{
     const auto loads = loadsOf(update);
     const auto suspicions = suspicionsOf(update);
+    const bool isOwnZone = update.zone() == settings_.zone;
     dispatcher_.withFleet([&](Fleet &fleet, core::MonotonicTime time) {
-        fleet.onPeerLoads(update.vm(), loads, time);
+        if (isOwnZone) {
+            fleet.onPeerLoads(update.vm(), loads, time);
+        } else {
+            // A gateway that does not name its zone is not in the totals of any.
+            fleet.onZoneLoads(update.address(), {loads, 1, core::Milliseconds(0)}, time);
+        }
         for (const auto &suspicion : suspicions) {
             fleet.onPeerSuspicion(suspicion, time);
+            if (isOwnZone) {
+                fleet.recordZoneSuspicion(suspicion, time);
+            }
         }
     });
+}
+
+void PeerGossip::sendZonePull(const ZonePullRequest &request)
+{
+    wire::ZonePull pull;
+    pull.set_since_ms(request.sinceReply.count());
+    wire::StreamCallbacks callbacks;
+    callbacks.onMessage = [this](const std::string &message) {
+        const auto totals = internal::logIfUnreadable(decodeZoneTotals(message), internal::zonePath, message.size());
+        if (totals) {
+            onZoneTotals(*totals, message.size());
+        }
+    };
+    callbacks.onEnd = [this, zone = request.zone, address = request.address](const wire::StreamEnd &) {
+        zonePulls_.onRequestEnded(zone, address, std::chrono::steady_clock::now());
+    };
+    connectionPool_.submit(request.address, internal::zonePath, pull.SerializeAsString(), std::move(callbacks));
+}
+
+void PeerGossip::onZoneTotals(const wire::ZoneTotals &totals, std::size_t bytes)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (totals.address() == settings_.peerAddress || !internal::isValidAddress(totals.address())) {
+        return;
+    }
+    auto &peer = peers_[totals.address()];
+    onPeerMessage(peer, totals.address(), totals.vm(), totals.zone());
+    if (!isOtherZone(peer)) {
+        return;
+    }
+    zonePulls_.onReply(totals.zone(), bytes, now);
     std::vector<HistoryPlacement> placements;
-    for (const auto &placed : update.placed()) {
-        placements.push_back({placed.history(), placed.backend_server()});
+    dispatcher_.withFleet([&](Fleet &fleet, core::MonotonicTime time) {
+        fleet.onZoneLoads(totals.zone(), loadReportOf(totals, fleet), time);
+        for (const auto &suspicion : suspicionsOf(totals)) {
+            fleet.onPeerSuspicion(suspicion, time);
+        }
+        placements = placementsOf(totals, fleet);
+    });
+    dispatcher_.onPeerHistoryPlacements(placements, false);
+    for (const auto &known : totals.peers()) {
+        onKnownPeer(known, now);
     }
-    dispatcher_.onPeerHistoryPlacements(placements);
-    for (const auto &known : update.peers()) {
-        const bool isKnown = known.address() == settings_.peerAddress || peers_.count(known.address()) > 0;
-        if (!isKnown && internal::isValidAddress(known.address())) {
-            peers_[known.address()].lastSeen = now - core::Milliseconds(known.heard_age_ms());
+    pullIfOutdated(totals.address(), Catalog::Section::OperatorConfig, totals.operator_revision());
+    pullIfOutdated(totals.address(), Catalog::Section::Servers, totals.server_revision());
+}
+
+std::string PeerGossip::buildZoneTotals(core::Milliseconds placementAge)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now - startTime_ < internal::totalsWarmUp) {
+        return {};
+    }
+    wire::ZoneTotals totals;
+    totals.set_vm(settings_.vm);
+    totals.set_address(settings_.peerAddress);
+    totals.set_zone(settings_.zone);
+    dispatcher_.withFleet([&totals](const Fleet &fleet, core::MonotonicTime time) {
+        setLoadReport(totals, fleet.ownZoneLoads(time));
+        for (const auto &suspicion : fleet.ownZoneSuspicions(time)) {
+            auto *entry = totals.add_suspicions();
+            entry->set_backend_server(suspicion.server);
+            entry->set_lasts_ms(suspicion.remaining.count());
         }
+    });
+    for (const auto &placement : dispatcher_.zoneHistoryPlacements(placementAge + internal::placementOverlap)) {
+        totals.add_placed_servers(serverHash(placement.server));
+        totals.add_placed_histories(placement.historyKey);
     }
-    pullIfOutdated(update.address(), Catalog::Section::OperatorConfig, update.operator_revision());
-    pullIfOutdated(update.address(), Catalog::Section::Servers, update.server_revision());
-    return true;
+    advertiseZonePeers(totals, now);
+    totals.set_operator_revision(catalog_.revision(Catalog::Section::OperatorConfig));
+    totals.set_server_revision(catalog_.revision(Catalog::Section::Servers));
+    return totals.SerializeAsString();
 }
 
 void PeerGossip::pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision)
@@ -328,6 +498,9 @@
     } else if (path == internal::itemsPath) {
         const auto section = Catalog::sectionOf(decodePullPrefix(message));
         reply = section ? encodeSnapshot(catalog_.snapshot(*section)) : std::string();
+    } else if (path == internal::zonePath) {
+        const auto age = decodeZonePull(message);
+        reply = age ? buildZoneTotals(*age) : std::string();
     }
     stream->send(reply, true);
 }
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -4,6 +4,7 @@
 #include <cyclamenspool/core/now.h>
 #include <cyclamenspool/gateway/catalog.h>
 #include <cyclamenspool/gateway/dispatcher.h>
+#include <cyclamenspool/gateway/zonepulls.h>
 #include <cyclamenspool/wire/peerconnectionpool.h>
 #include <cyclamenspool/wire/peerserver.h>
 
@@ -18,6 +19,8 @@
 
 namespace cyclamenspool::wire {
 class GatewayNews;
+class KnownPeer;
+class ZoneTotals;
 } // namespace cyclamenspool::wire
 
 namespace cyclamenspool::gateway {
@@ -33,6 +36,8 @@
  * @brief Gossips with the other gateways: sends and receives updates with loads, suspicions, history placements and store revisions, and discovers peers from
  * seed addresses.
  *
+ * Gateways of one zone exchange updates in pairs. Of each other zone, a gateway requests the zone's totals from one gateway there.
+ *
  * Must be used on the control thread only.
  */
 class PeerGossip
@@ -65,7 +70,9 @@
 private:
     struct Peer {
         std::string vm;
+        std::string zone; /* empty: not known yet */
         core::MonotonicTime lastSeen{}; /* last message from the peer; on discovery, as the advertising peer reports it */
+        core::MonotonicTime lastReported{}; /* latest sign of life that a peer has reported */
         core::MonotonicTime lastSent{};
         bool isReplyPending = false; /* an update was sent and its reply has not arrived */
         bool isSeed = false;
@@ -78,10 +85,20 @@
     void tick();
     void sendUpdate(const std::string &address, Peer &peer, core::MonotonicTime now);
     bool onUpdate(const wire::GatewayNews &update);
+    void onPeerMessage(Peer &peer, const std::string &address, const std::string &vm, const std::string &zone);
+    void onKnownPeer(const wire::KnownPeer &known, core::MonotonicTime now);
+    void sendZonePull(const ZonePullRequest &request);
+    void onZoneTotals(const wire::ZoneTotals &totals, std::size_t bytes);
+    void applyLoads(const wire::GatewayNews &update);
+    [[nodiscard]] std::string buildZoneTotals(core::Milliseconds placementAge);
+    [[nodiscard]] bool isOtherZone(const Peer &peer) const;
+    [[nodiscard]] std::size_t exchangePeerCount() const;
+    [[nodiscard]] core::MonotonicTime lastSign(const Peer &peer) const;
     void pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision);
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message);
     void expirePeers(core::MonotonicTime now);
     void advertisePeers(Peer &recipient, wire::GatewayNews &update, core::MonotonicTime now) const;
+    void advertiseZonePeers(wire::ZoneTotals &totals, core::MonotonicTime now);
     void refreshSharedUpdate(core::MonotonicTime now);
     [[nodiscard]] std::string buildUpdate(Peer &recipient);
     [[nodiscard]] std::chrono::milliseconds updatePeriod() const;
@@ -96,6 +113,9 @@
     std::unique_ptr<wire::PeerServer> server_;
     boost::asio::steady_timer timer_;
     std::map<std::string, Peer> peers_; /* by address */
+    ZonePulls zonePulls_;
+    core::MonotonicTime startTime_;
+    std::string lastAdvertisedToZones_; /* address of the peer of the own zone advertised last; the rotation continues after it */
     std::map<Catalog::Section, core::MonotonicTime> lastPulls_;
     std::uint64_t lastUpdateId_ = 0;
     std::string sharedUpdate_; /* serialized part of the update that is equal for all peers */
--- a/src/cyclamenspool/gateway/peerloads.cpp
+++ b/src/cyclamenspool/gateway/peerloads.cpp
@@ -1,5 +1,8 @@
 #include <cyclamenspool/gateway/peerloads.h>
 
+#include <cstdint>
+#include <utility>
+
 namespace cyclamenspool::gateway {
 
 void PeerLoads::apply(const std::vector<ServerLoad> &loads, int sign, std::vector<std::string> &changed)
@@ -14,26 +17,26 @@
     }
 }
 
-std::vector<std::string> PeerLoads::update(const std::string &vm, const std::vector<ServerLoad> &loads, core::MonotonicTime now)
+std::vector<std::string> PeerLoads::update(const std::string &source, LoadReport report, core::MonotonicTime now)
 {
     std::vector<std::string> changed;
-    auto &peer = peers_[vm];
-    apply(peer.loads, -1, changed);
-    apply(loads, 1, changed);
-    peer = {loads, now};
+    auto &known = sources_[source];
+    apply(known.report.loads, -1, changed);
+    apply(report.loads, 1, changed);
+    known = {std::move(report), now};
     return changed;
 }
 
 std::vector<std::string> PeerLoads::dropStale(core::Milliseconds maxAge, core::MonotonicTime now)
 {
     std::vector<std::string> changed;
-    for (auto peer = peers_.begin(); peer != peers_.end();) {
-        if (now - peer->second.updatedAt < maxAge) {
-            ++peer;
+    for (auto source = sources_.begin(); source != sources_.end();) {
+        if (now - source->second.updatedAt < maxAge) {
+            ++source;
             continue;
         }
-        apply(peer->second.loads, -1, changed);
-        peer = peers_.erase(peer);
+        apply(source->second.report.loads, -1, changed);
+        source = sources_.erase(source);
     }
     return changed;
 }
@@ -47,10 +50,19 @@
 std::chrono::duration<double> PeerLoads::totalUpdateAge(core::MonotonicTime now) const
 {
     core::MonotonicTime::duration ages{0};
-    for (const auto &[vm, peer] : peers_) {
-        ages += now - peer.updatedAt;
+    for (const auto &[name, source] : sources_) {
+        ages += source.report.totalAge + (now - source.updatedAt) * static_cast<std::int64_t>(source.report.gateways);
     }
     return ages;
 }
 
+std::size_t PeerLoads::gatewayCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, source] : sources_) {
+        count += source.report.gateways;
+    }
+    return count;
+}
+
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/peerloads.h
+++ b/src/cyclamenspool/gateway/peerloads.h
@@ -15,6 +15,13 @@
     int outstanding = 0;
 };
 
+/** @brief Requests in flight as another process reports them. */
+struct LoadReport {
+    std::vector<ServerLoad> loads; /**< Complete: backend servers that are missing have none. */
+    std::size_t gateways = 1; /**< Number of gateways whose requests are included. */
+    core::Milliseconds totalAge{0}; /**< Sum over these gateways of the age that their requests had when the report was made. */
+};
+
 /**
  * @brief Sums the requests in flight of the other gateways by backend server. Not thread safe.
  *
@@ -24,16 +31,16 @@
 {
 public:
     /**
-     * @brief Replaces a gateway's loads.
-     * @param vm VM of the gateway.
-     * @param loads Its complete loads; backend servers that are missing have none.
+     * @brief Replaces the report of a source.
+     * @param source Name of the gateway, or of the zone whose gateways the report includes.
+     * @param report Report.
      * @param now Time of the update.
      * @return Backend servers whose total may have changed.
      */
-    std::vector<std::string> update(const std::string &vm, const std::vector<ServerLoad> &loads, core::MonotonicTime now);
+    std::vector<std::string> update(const std::string &source, LoadReport report, core::MonotonicTime now);
 
     /**
-     * @brief Drops gateways without a recent update: they are assumed to be down and their connections closed, so their requests have ended.
+     * @brief Drops sources without a recent update: their gateways are assumed to be down and their connections closed, so their requests have ended.
      * @param maxAge Age from which on an update is stale.
      * @param now Current time.
      * @return Backend servers whose total may have changed.
@@ -43,18 +50,27 @@
     /** @brief Returns the requests in flight of the other gateways, without those dropped as stale. @param server Id of the backend server. */
     [[nodiscard]] int totalOf(const std::string &server) const;
 
-    /** @brief Returns the sum, over all known gateways, of the time since the last update. */
+    /** @brief Returns the sum, over all known gateways, of the age of their requests in flight. */
     [[nodiscard]] std::chrono::duration<double> totalUpdateAge(core::MonotonicTime now) const;
 
+    /** @brief Returns the number of gateways whose requests are included. */
+    [[nodiscard]] std::size_t gatewayCount() const;
+
+    /** @brief Returns all totals by backend server; those without requests are left out. */
+    [[nodiscard]] const std::map<std::string, int> &totals() const noexcept
+    {
+        return totals_;
+    }
+
 private:
-    struct Peer {
-        std::vector<ServerLoad> loads;
+    struct Source {
+        LoadReport report;
         core::MonotonicTime updatedAt{};
     };
 
     void apply(const std::vector<ServerLoad> &loads, int sign, std::vector<std::string> &changed);
 
-    std::map<std::string, Peer> peers_; /* by VM */
+    std::map<std::string, Source> sources_; /* by name */
     std::map<std::string, int> totals_; /* by backend server; zero totals are erased */
 };
 
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -7,6 +7,18 @@
 namespace internal {
 
 constexpr std::uint32_t maxOutstanding = 1000000; /* highest number of descriptors that the settings allow a process */
+constexpr std::uint32_t maxGateways = 100000; /* in one zone */
+constexpr std::int64_t maxLoadAge = 3600000; /* milliseconds, summed over the gateways of a zone */
+
+template<typename Message>
+std::vector<Suspicion> suspicionsIn(const Message &message)
+{
+    std::vector<Suspicion> suspicions;
+    for (const auto &suspicion : message.suspicions()) {
+        suspicions.push_back({suspicion.backend_server(), core::Milliseconds(suspicion.lasts_ms())});
+    }
+    return suspicions;
+}
 
 } // namespace internal
 
@@ -34,11 +46,72 @@
 
 std::vector<Suspicion> suspicionsOf(const wire::GatewayNews &update)
 {
-    std::vector<Suspicion> suspicions;
-    for (const auto &suspicion : update.suspicions()) {
-        suspicions.push_back({suspicion.backend_server(), core::Milliseconds(suspicion.lasts_ms())});
+    return internal::suspicionsIn(update);
+}
+
+std::vector<Suspicion> suspicionsOf(const wire::ZoneTotals &totals)
+{
+    return internal::suspicionsIn(totals);
+}
+
+std::optional<wire::ZoneTotals> decodeZoneTotals(const std::string &bytes)
+{
+    wire::ZoneTotals totals;
+    if (bytes.empty() || !totals.ParseFromString(bytes)) {
+        return std::nullopt;
+    }
+    const bool arePairsComplete
+        = totals.load_servers_size() == totals.load_outstanding_size() && totals.placed_servers_size() == totals.placed_histories_size();
+    const bool areLoadsPlausible = std::all_of(totals.load_outstanding().begin(), totals.load_outstanding().end(), [](std::uint32_t outstanding) {
+        return outstanding <= internal::maxOutstanding;
+    });
+    const bool isAgePlausible = totals.load_age_ms() >= 0 && totals.load_age_ms() <= internal::maxLoadAge;
+    const bool isValid = arePairsComplete && areLoadsPlausible && isAgePlausible && totals.gateways() <= internal::maxGateways && !totals.zone().empty();
+    return isValid ? std::optional(std::move(totals)) : std::nullopt;
+}
+
+std::optional<core::Milliseconds> decodeZonePull(const std::string &bytes)
+{
+    wire::ZonePull pull;
+    const bool isValid = pull.ParseFromString(bytes) && pull.since_ms() >= 0;
+    constexpr std::int64_t maxAge = 60000; /* milliseconds */
+    return isValid ? std::optional(core::Milliseconds(std::min(pull.since_ms(), maxAge))) : std::nullopt;
+}
+
+LoadReport loadReportOf(const wire::ZoneTotals &totals, const Fleet &fleet)
+{
+    LoadReport report;
+    report.gateways = totals.gateways();
+    report.totalAge = core::Milliseconds(totals.load_age_ms());
+    for (int i = 0; i < totals.load_servers_size(); ++i) {
+        auto server = fleet.idOf(totals.load_servers(i));
+        if (!server.empty()) {
+            report.loads.push_back({std::move(server), static_cast<int>(totals.load_outstanding(i))});
+        }
+    }
+    return report;
+}
+
+std::vector<HistoryPlacement> placementsOf(const wire::ZoneTotals &totals, const Fleet &fleet)
+{
+    std::vector<HistoryPlacement> placements;
+    for (int i = 0; i < totals.placed_servers_size(); ++i) {
+        auto server = fleet.idOf(totals.placed_servers(i));
+        if (!server.empty()) {
+            placements.push_back({totals.placed_histories(i), std::move(server)});
+        }
+    }
+    return placements;
+}
+
+void setLoadReport(wire::ZoneTotals &totals, const LoadReport &report)
+{
+    totals.set_gateways(static_cast<std::uint32_t>(report.gateways));
+    totals.set_load_age_ms(report.totalAge.count());
+    for (const auto &load : report.loads) {
+        totals.add_load_servers(serverHash(load.server));
+        totals.add_load_outstanding(static_cast<std::uint32_t>(load.outstanding));
     }
-    return suspicions;
 }
 
 std::optional<member::StoreSnapshot> decodeSnapshot(const std::string &bytes)
--- a/src/cyclamenspool/gateway/peermessages.h
+++ b/src/cyclamenspool/gateway/peermessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamenspool/gateway/fleet.h>
+#include <cyclamenspool/gateway/historydirectory.h>
 #include <cyclamenspool/member/storereplica.h>
 #include <cyclamenspool/wire/generated/messages.pb.h>
 
@@ -19,6 +20,27 @@
 /** @brief Returns the suspected backend servers in a peer update, each with the remaining duration of the suspicion. */
 [[nodiscard]] std::vector<Suspicion> suspicionsOf(const wire::GatewayNews &update);
 
+/** @brief Returns the suspected backend servers in a zone's totals, each with the remaining duration of the suspicion. */
+[[nodiscard]] std::vector<Suspicion> suspicionsOf(const wire::ZoneTotals &totals);
+
+/** @brief Decodes a zone's totals. @param bytes Serialized message. @return Totals; empty if they are malformed, if the lists of a pair differ in length, or if
+ * a number is out of range. */
+[[nodiscard]] std::optional<wire::ZoneTotals> decodeZoneTotals(const std::string &bytes);
+
+/** @brief Decodes a request for a zone's totals. @param bytes Serialized message. @return Age of the oldest history placement that is asked for; empty if
+ * malformed. */
+[[nodiscard]] std::optional<core::Milliseconds> decodeZonePull(const std::string &bytes);
+
+/** @brief Returns the loads in a zone's totals. @param totals Totals that decodeZoneTotals() has accepted. @param fleet Backend servers; unknown ones are left
+ * out. */
+[[nodiscard]] LoadReport loadReportOf(const wire::ZoneTotals &totals, const Fleet &fleet);
+
+/** @brief Returns the history placements in a zone's totals. @param totals As in loadReportOf(). @param fleet As in loadReportOf(). */
+[[nodiscard]] std::vector<HistoryPlacement> placementsOf(const wire::ZoneTotals &totals, const Fleet &fleet);
+
+/** @brief Writes loads to a zone's totals. @param totals Totals without loads. @param report Loads. */
+void setLoadReport(wire::ZoneTotals &totals, const LoadReport &report);
+
 /** @brief Decodes a snapshot of the platform store's items. @param bytes Serialized message. @return Items with their revision; empty if malformed. */
 [[nodiscard]] std::optional<member::StoreSnapshot> decodeSnapshot(const std::string &bytes);
 
--- a/src/cyclamenspool/gateway/serverstate.h
+++ b/src/cyclamenspool/gateway/serverstate.h
@@ -69,6 +69,7 @@
     core::MonotonicTime coldUntil{}; /**< End of its cold start, as last reported. */
     core::MonotonicTime suspectUntil{};
     core::MonotonicTime advertiseUntil{}; /**< Until then peers are told that this gateway's own requests found it suspect. */
+    core::MonotonicTime zoneSuspectUntil{}; /**< Until then other zones are told that another gateway of the own zone found it suspect. */
     core::MonotonicTime atCapacityUntil{}; /**< End of the pause after Outcome::AtCapacity. */
     bool needsProbe = false; /**< No request has succeeded since this gateway's own requests made it suspect. */
     int consecutiveFailures = 0; /**< Outcomes TransportError and Unreachable since the last Answered. */
--- a/test/gateway/routetable.cpp
+++ b/test/gateway/routetable.cpp
@@ -65,7 +65,7 @@
     settings.retrySlack = 20;
     gateway::Dispatcher dispatcher(settings);
     dispatcher.onRouting(routingOf(1));
-    dispatcher.onGatewaySeen("vm-2");
+    dispatcher.onGatewaySeen("10.0.0.2:7000", std::chrono::steady_clock::now());
     dispatcher.withFleet([](gateway::Fleet &fleet, core::MonotonicTime now) {
         world::BackendServer server;
         server.id = "s0";
--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-GatewayFleet::GatewayFleet(int gatewayCount, int backendServerCount)
+GatewayFleet::GatewayFleet(int gatewayCount, int backendServerCount, int zoneCount)
 {
     std::string pattern = (fs::temp_directory_path() / "cyclamenspool-XXXXXX").string();
     if (mkdtemp(pattern.data()) == nullptr) {
@@ -73,7 +73,8 @@
         const auto name = "gateway-" + std::to_string(i);
         gateway.settingsFile = directory_ + "/" + name + ".yaml";
         gateway.logFile = directory_ + "/" + name + ".log";
-        std::ofstream(gateway.settingsFile) << "vm: " << name << "\nzone: az-a\ncaller_address: " << gateway.callerAddress
+        const std::string zone{'a', 'z', '-', static_cast<char>('a' + i % static_cast<std::size_t>(zoneCount))};
+        std::ofstream(gateway.settingsFile) << "vm: " << name << "\nzone: " << zone << "\ncaller_address: " << gateway.callerAddress
                                             << "\nready_address: " << gateway.readyAddress << "\npeer_address: " << gateway.peerAddress
                                             << "\nmetrics_address: " << gateway.metricsAddress << "\nstore_address: " << store.address() << "\nseed_peers: ["
                                             << seedPeers << "]\ngrace_s: 6\nworkers: 2\n";
--- a/test/harness/gatewayfleet.h
+++ b/test/harness/gatewayfleet.h
@@ -25,8 +25,14 @@
         Process process;
     };
 
-    /** @brief Starts the processes and waits until every gateway is ready. @throws std::runtime_error If a gateway is not ready within 10 s. */
-    GatewayFleet(int gatewayCount, int backendServerCount);
+    /**
+     * @brief Starts the processes and waits until every gateway is ready.
+     * @param gatewayCount Number of gateways.
+     * @param backendServerCount Number of backend servers.
+     * @param zoneCount Number of availability zones, az-a, az-b and so on, among which the gateways are distributed in turn.
+     * @throws std::runtime_error If a gateway is not ready within 10 s.
+     */
+    GatewayFleet(int gatewayCount, int backendServerCount, int zoneCount = 1);
     ~GatewayFleet();
     GatewayFleet(const GatewayFleet &) = delete;
     GatewayFleet &operator=(const GatewayFleet &) = delete;
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/json/parse.hpp>
 
 #include <atomic>
 #include <csignal>
@@ -303,6 +304,56 @@
         2000ms));
 }
 
+TEST_CASE("gateways of two zones know the requests in flight and the peers of both, and share the routing while the store is unavailable", "[process][gateway]")
+{
+    GatewayFleet fleet(4, 1, 2);
+    std::atomic<bool> isReleased{false};
+    fleet.backendServers[0]->setHandler([&isReleased](const PlainRequest &request, PlainSocket &socket) {
+        while (!isReleased) {
+            std::this_thread::sleep_for(10ms);
+        }
+        return writeAll(socket, formatResponseWithDigest(request, "done"));
+    });
+    std::vector<std::future<HttpResponse>> responses;
+    for (std::size_t i = 0; i < 4; ++i) {
+        responses.push_back(std::async(std::launch::async, [&fleet, i] {
+            return sendRequest(fleet.makeRequest("r" + std::to_string(i), "/once/x", i));
+        }));
+    }
+    const auto statusOf = [&fleet](std::size_t gateway) {
+        harness::HttpRequest call;
+        call.address = fleet.gateways[gateway].metricsAddress;
+        call.target = "/status";
+        return boost::json::parse(sendRequest(call).body).as_object();
+    };
+    for (std::size_t i = 0; i < 4; ++i) {
+        CHECK(LocalFleet::waitUntil(
+            [&statusOf, i] {
+                const auto status = statusOf(i);
+                return status.at("backend_servers").as_array().at(0).at("outstanding_everywhere") == 4;
+            },
+            2000ms));
+        harness::HttpRequest call;
+        call.address = fleet.gateways[i].metricsAddress;
+        call.target = "/metrics";
+        CHECK(sendRequest(call).body.find("cyclamenspool_peers 3\n") != std::string::npos);
+    }
+    isReleased = true;
+    for (auto &response : responses) {
+        CHECK(response.get().status == 200);
+    }
+    makeStoreUnavailable(fleet, 1);
+    fleet.gateways[3].process.kill(); /* the only peer in the zone of the gateway */
+    fleet.publishRouting(2, "pool", {"key-1", "key-2"});
+    auto call = fleet.makeRequest("probe", "/once/x", 1);
+    call.headers[3].second = "Bearer key-2";
+    CHECK(LocalFleet::waitUntil(
+        [&call] {
+            return sendRequest(call).status == 200;
+        },
+        2000ms));
+}
+
 TEST_CASE("malformed server entries are named in the log, and the valid ones stay in use", "[process][gateway]")
 {
     GatewayFleet fleet(1, 1);
--- a/test/process/logging.cpp
+++ b/test/process/logging.cpp
@@ -159,10 +159,12 @@
         callbacks.onEnd = [&endedStreams](const wire::StreamEnd &) {
             ++endedStreams;
         };
+        auto sameCallbacks = callbacks;
         pool.submit(gateway.peerAddress, "/news", message, std::move(callbacks));
+        pool.submit(gateway.peerAddress, "/zone", message, std::move(sameCallbacks));
     }
     context.run_for(1s);
-    CHECK(endedStreams == 3);
+    CHECK(endedStreams == 6);
     CHECK(LocalFleet::waitUntil([&gateway] {
         const auto log = GatewayFleet::readLog(gateway);
         return log.find("peer_message_unreadable") != std::string::npos && log.find("peer_address_passed_over") != std::string::npos;
