--- a/src/cyclamenspool/core/errorkind.cpp
+++ b/src/cyclamenspool/core/errorkind.cpp
@@ -38,6 +38,7 @@
     {Kind::HomeDown, "home_down", 503, Run::NotRun, 5000ms, "The key's backend server is unreachable."},
     {Kind::HomeMoving, "home_moving", 503, Run::NotRun, 1000ms, "The key's records are moving to another backend server."},
     {Kind::DeadlineBeforeRun, "deadline_before_run", 504, Run::NotRun, 1000ms, "The deadline passed before the request was run."},
+    {Kind::DeadlineUnsent, "deadline_unsent", 503, Run::NotRun, 1000ms, "The deadline passed before the request was sent."},
     {Kind::BackendDown, "backend_down", 503, Run::NotRun, 2000ms, "The backend server does not respond."},
     {Kind::KeyConflict, "key_conflict", 422, Run::NotRun, 0ms, "The idempotency key was used with a different request."},
     {Kind::AlreadyRun, "already_run", 409, Run::Ran, 0ms, "The request has already run; its response is no longer stored."},
--- a/src/cyclamenspool/core/errorkind.h
+++ b/src/cyclamenspool/core/errorkind.h
@@ -33,6 +33,7 @@
     HomeDown, /**< The home of the idempotency key is unreachable. */
     HomeMoving, /**< The records of the idempotency key are being handed over to a new home. */
     DeadlineBeforeRun, /**< The deadline passed before the backend server got the request. */
+    DeadlineUnsent, /**< The deadline passed before the gateway could send the request to a backend server. */
     BackendDown, /**< The backend server does not respond, and the request was not sent to it. */
     KeyConflict, /**< The idempotency key was used with a different request. */
     AlreadyRun, /**< The request of the idempotency key has finished; its response is no longer stored. */
--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds defaultIdleTimeout{4000}; /* if the response does not announce one */
 constexpr double idleFraction = 0.7; /* of the backend server's idle timeout, so that a connection is not reused just as the server closes it */
 constexpr wire::TcpKeepAlive backendKeepAlive{std::chrono::milliseconds(2500), std::chrono::seconds(1), 2};
+constexpr std::size_t maxDiscardedBytes = 256UL * 1024; /* of responses before the request's own one; beyond it they may never end */
+constexpr std::size_t maxUnparsedBytes = 64UL * 1024; /* of one header or chunk header */
 constexpr unsigned minFinalStatus = 200; /* lower codes are interim responses */
 
 } // namespace internal
@@ -36,6 +38,7 @@
         auto connection = connectionPool_.acquire(request_.serverId, request_.maxIdleTime);
         if (connection) {
             socket_ = std::move(*connection);
+            isConnectionReused_ = true;
             send();
             return;
         }
@@ -128,6 +131,9 @@
         if (!processHeaders()) {
             return;
         }
+        if (!isWithinLimits(used)) {
+            return;
+        }
         if (parser_->is_done()) {
             onMessageParsed();
         } else if (used == 0) {
@@ -140,6 +146,20 @@
     read();
 }
 
+bool BackendCall::isWithinLimits(std::size_t parsedBytes)
+{
+    discardedBytes_ += isDiscarding_ ? parsedBytes : 0;
+    if (discardedBytes_ > internal::maxDiscardedBytes) {
+        fail("more than 256 KiB of responses that belong to no request or are interim");
+        return false;
+    }
+    if (buffer_.size() > internal::maxUnparsedBytes && parsedBytes == 0) {
+        fail("a header or chunk header in the response exceeds 64 KiB");
+        return false;
+    }
+    return true;
+}
+
 bool BackendCall::processHeaders()
 {
     if (areHeadersParsed_ || !parser_->is_header_done()) {
@@ -150,6 +170,11 @@
     const auto head = platform::readResponseHead(response.result_int(), response.base());
     idleTimeout_ = head.idleTimeout;
     const bool isInterim = response.result_int() < internal::minFinalStatus;
+    if (!isInterim && head.requestId.empty() && !request_.requestId.empty() && isConnectionReused_) {
+        // It may be a late copy of the response to the previous request on the connection.
+        fail("response without a request id on a reused connection");
+        return false;
+    }
     isDiscarding_ = isInterim || (!head.requestId.empty() && head.requestId != request_.requestId);
     mustClose_ = mustClose_ || (isDiscarding_ && !isInterim);
     if (!isDiscarding_) {
--- a/src/cyclamenspool/gateway/backendcall.h
+++ b/src/cyclamenspool/gateway/backendcall.h
@@ -19,7 +19,8 @@
 struct BackendRequest {
     std::string serverId; /**< Id of the backend server. */
     std::string address;
-    std::string requestId; /**< Request id. A response that carries another id is skipped, and the call waits for the next one. */
+    std::string requestId; /**< Request id. A response with another id is skipped, and the call waits for the next one; on a reused connection, one without
+                              an id is invalid. */
     std::string bytes; /**< Request line, headers and body. */
     bool isHeadRequest = false; /**< Method HEAD: the response has no body. */
     std::chrono::milliseconds maxIdleTime{0}; /**< Longest idle time of a connection that may be reused; 0: always connect anew. */
@@ -81,7 +82,8 @@
     void read();
     void onRead(const boost::system::error_code &error, std::size_t count);
     void parse();
-    bool processHeaders(); /* false if the handler has cancelled the call */
+    bool processHeaders(); /* false if the call has ended */
+    [[nodiscard]] bool isWithinLimits(std::size_t parsedBytes);
     void onMessageParsed();
     void onReadError(const boost::system::error_code &error);
     void deliverBody();
@@ -100,6 +102,8 @@
     bool areHeadersParsed_ = false;
     bool isDiscarding_ = false; /* the current response is interim or belongs to another request */
     bool mustClose_ = false; /* the connection is not reused: it carried another request's response, or the server closed it */
+    bool isConnectionReused_ = false;
+    std::size_t discardedBytes_ = 0; /* of responses that are interim or belong to other requests */
     bool isRequestSent_ = false;
     bool isReading_ = false;
     bool isPaused_ = false;
--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -5,7 +5,6 @@
 #include <cyclamenspool/wire/tcpkeepalive.h>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
 namespace cyclamenspool::gateway {
@@ -170,7 +169,9 @@
 {
     keepAlive_ = false;
     worker_.dispatcher().countRefusal(kind);
-    write(formatRefusal({"", kind, detail, std::chrono::milliseconds(0), false, false}));
+    const auto &request = parser_->get();
+    const bool isHeadRequest = request.method() == bhttp::verb::head;
+    write(formatRefusal({platform::readRequestId(request.base()), kind, detail, std::chrono::milliseconds(0), false, isHeadRequest}));
     closeAfterWrite_ = true;
 }
 
@@ -193,15 +194,31 @@
         return;
     }
     bytesInWrite_.swap(queuedBytes_);
+    writeSome();
+}
+
+void CallerSession::writeSome()
+{
     auto self = shared_from_this();
-    asio::async_write(socket_, asio::buffer(bytesInWrite_), [self](const boost::system::error_code &error, std::size_t) {
-        self->onWritten(error);
+    const auto unwritten = asio::buffer(bytesInWrite_) + writtenBytes_;
+    socket_.async_write_some(unwritten, [self](const boost::system::error_code &error, std::size_t count) {
+        self->onWritten(error, count);
     });
 }
 
-void CallerSession::onWritten(const boost::system::error_code &error)
+void CallerSession::expectProgress()
+{
+    setTimeout(std::chrono::steady_clock::now() + internal::callerLimits(worker_).idleTimeout);
+}
+
+void CallerSession::onWritten(const boost::system::error_code &error, std::size_t count)
 {
-    bytesInWrite_.clear();
+    writtenBytes_ += count;
+    const bool isComplete = writtenBytes_ == bytesInWrite_.size();
+    if (error || isComplete) {
+        bytesInWrite_.clear();
+        writtenBytes_ = 0;
+    }
     if (isClosed_) {
         return;
     }
@@ -209,6 +226,13 @@
         onDisconnected();
         return;
     }
+    if (exchange_ == nullptr && !parser_) {
+        expectProgress(); /* a slow caller gets the rest of the response as long as it reads */
+    }
+    if (!isComplete) {
+        writeSome();
+        return;
+    }
     if (!queuedBytes_.empty()) {
         startWrite();
         return;
@@ -226,12 +250,13 @@
     exchange_.reset();
     if (!isKeepAlive()) {
         closeAfterWrite_ = true;
+        expectProgress();
         if (pendingBytes() == 0) {
             linger();
         }
         return;
     }
-    setTimeout(std::chrono::steady_clock::now() + internal::callerLimits(worker_).idleTimeout);
+    expectProgress();
     auto self = shared_from_this();
     asio::post(worker_.context(), [self] {
         self->processBuffered();
@@ -245,9 +270,19 @@
     close();
 }
 
+void CallerSession::endRequest()
+{
+    if (exchange_ != nullptr) {
+        const auto exchange = exchange_;
+        exchange->onShutdown();
+    }
+}
+
 void CallerSession::closeIfIdle()
 {
-    const bool isIdle = exchange_ == nullptr && !parser_ && pendingBytes() == 0 && readBuffer_.size() == 0;
+    boost::system::error_code ignored;
+    const bool isUnread = socket_.available(ignored) > 0;
+    const bool isIdle = exchange_ == nullptr && !parser_ && pendingBytes() == 0 && readBuffer_.size() == 0 && !isUnread;
     // A request that arrives while the connection is being closed is never read, so its caller can safely retry it.
     if (isIdle && !isLingering_) {
         close();
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -43,7 +43,7 @@
     /** @brief Returns the number of response bytes that are queued or being written. */
     [[nodiscard]] std::size_t pendingBytes() const noexcept
     {
-        return queuedBytes_.size() + bytesInWrite_.size();
+        return queuedBytes_.size() + bytesInWrite_.size() - writtenBytes_;
     }
 
     /** @brief Ends the current response; closes the connection after the last byte unless it is kept alive. */
@@ -55,6 +55,15 @@
     /** @brief Returns whether the connection stays open after the current response. */
     [[nodiscard]] bool isKeepAlive() const noexcept;
 
+    /** @brief Makes the connection close after the current response. */
+    void closeAfterResponse() noexcept
+    {
+        keepAlive_ = false;
+    }
+
+    /** @brief Ends the request in progress because the process is about to exit, see Exchange::onShutdown(). */
+    void endRequest();
+
     /** @brief Closes the connection if no request or response is in progress. */
     void closeIfIdle();
 
@@ -69,7 +78,9 @@
     void onRequest();
     void refuseIncomplete(core::ErrorKind kind, const std::string &detail);
     void startWrite();
-    void onWritten(const boost::system::error_code &error);
+    void writeSome();
+    void onWritten(const boost::system::error_code &error, std::size_t count);
+    void expectProgress();
     void linger();
     void onDisconnected();
     void close();
@@ -88,6 +99,7 @@
     core::MonotonicTime requestStart_{};
     std::string queuedBytes_;
     std::string bytesInWrite_;
+    std::size_t writtenBytes_ = 0; /* of bytesInWrite_ */
     std::shared_ptr<Exchange> exchange_;
     bool isReading_ = false;
     bool keepAlive_ = true;
--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -216,7 +216,7 @@
 {
     try {
         std::visit(internal::DocumentVisitor(dispatcher_, item.revision, source), platform::decode(item));
-    } catch (const platform::MalformedValue &error) {
+    } catch (const std::exception &error) {
         telemetry::logRateLimited("item_passed_over", {{"key", item.key}, {"revision", item.revision}, {"reason", error.what()}});
     }
 }
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -25,15 +25,21 @@
     return hash == 0 ? 1 : hash;
 }
 
-/** @brief Returns the key of the prompt prefix that the requests of one history share: the hash of the id of the last part but one, or of the only part.
+/** @brief Returns the key of the prompt prefix that the requests of one history share: a hash of the ids of all parts but the last one, or of the only part.
+ *
+ * All parts count, as an engine reuses a part only together with all parts before it.
  * @return 0: none. */
 std::uint64_t historyKeyOf(const world::Route &route, const platform::RequestHead &head)
 {
     if (!route.usesPromptCache || head.parts.empty()) {
         return 0;
     }
-    const auto prefixIndex = head.parts.size() > 1 ? head.parts.size() - 2 : 0;
-    return hashOf(head.parts[prefixIndex].id);
+    const auto prefixParts = std::max<std::size_t>(head.parts.size() - 1, 1);
+    std::uint64_t key = 0;
+    for (std::size_t i = 0; i < prefixParts; ++i) {
+        key = hashOf(key ^ head.parts[i].id);
+    }
+    return key;
 }
 
 std::uint32_t historyTokensOf(const platform::RequestHead &head)
@@ -116,6 +122,11 @@
 {
     const std::lock_guard lock(mutex_);
     settings_ = settings;
+    const auto window = std::chrono::duration_cast<std::chrono::nanoseconds>(settings.retryWindow);
+    for (auto &[service, serviceCounts] : serviceCounts_) {
+        serviceCounts.requests.setWindow(window);
+        serviceCounts.retries.setWindow(window);
+    }
 }
 
 bool Dispatcher::onRouting(world::RoutingConfig routing)
@@ -165,7 +176,8 @@
     }
     admission.historyKey = internal::historyKeyOf(route, head);
     admission.historyTokens = internal::historyTokensOf(head);
-    const auto serviceKey = admission.historyKey != 0 ? admission.historyKey : core::hash64(head.id);
+    const auto requestKey = head.id.empty() ? ++requestsWithoutId_ : core::hash64(head.id);
+    const auto serviceKey = admission.historyKey != 0 ? admission.historyKey : requestKey;
     admission.service = internal::serviceOf(route, serviceKey);
     return admission;
 }
@@ -349,6 +361,12 @@
     ++counts_.refusals[static_cast<std::size_t>(kind)];
 }
 
+void Dispatcher::countCallerGone()
+{
+    const std::lock_guard lock(mutex_);
+    ++counts_.callersGone;
+}
+
 std::vector<ServerView> Dispatcher::servers() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -14,6 +14,7 @@
 #include <boost/json/object.hpp>
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -87,6 +88,7 @@
 struct DispatchCounts {
     std::uint64_t placed = 0; /**< Requests that were placed at least once. */
     std::uint64_t retries = 0; /**< Further placements of the same requests. */
+    std::uint64_t callersGone = 0; /**< Requests whose caller disconnected before the end of the response. */
     std::array<std::uint64_t, static_cast<std::size_t>(Outcome::Count)> outcomes{};
     std::array<std::uint64_t, static_cast<std::size_t>(core::ErrorKind::Count)> refusals{};
 };
@@ -105,7 +107,7 @@
     /**
      * @brief Applies changed settings, which hold from the next decision on.
      *
-     * The retry window of a service that has had a request and the lower bound of the number of gateways keep their values.
+     * The lower bound of the number of gateways keeps its value.
      */
     void applySettings(const config::GatewaySettings &settings);
 
@@ -161,6 +163,9 @@
     /** @brief Counts a request that was refused, or whose response was cut off. */
     void countRefusal(core::ErrorKind kind);
 
+    /** @brief Counts a request whose caller disconnected before the end of the response. */
+    void countCallerGone();
+
     /** @brief Returns a copy of the counts. */
     [[nodiscard]] DispatchCounts counts() const;
 
@@ -224,6 +229,7 @@
     std::deque<ZonePlacement> zonePlacements_; /* of all gateways of the own zone; latest last */
     std::map<std::string, ServiceCounts> serviceCounts_;
     DispatchCounts counts_;
+    std::atomic<std::uint64_t> requestsWithoutId_{0}; /* not guarded; spreads requests without an id over the services of a route */
 };
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/eventscanner.cpp
+++ b/src/cyclamenspool/gateway/eventscanner.cpp
@@ -1,25 +1,13 @@
 #include <cyclamenspool/gateway/eventscanner.h>
 
+#include <utility>
+
 namespace cyclamenspool::gateway {
 
 namespace internal {
 
 constexpr std::string_view idField = "id:";
-
-/** @brief Finds the end of the first event. @return Position after its blank line; npos if the event is incomplete. */
-std::size_t endOfEvent(std::string_view text)
-{
-    for (std::size_t at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
-        auto next = at + 1;
-        if (next < text.size() && text[next] == '\r') {
-            ++next;
-        }
-        if (next < text.size() && text[next] == '\n') {
-            return next + 1;
-        }
-    }
-    return std::string_view::npos;
-}
+constexpr std::size_t maxEventBytes = 256UL * 1024;
 
 } // namespace internal
 
@@ -27,34 +15,74 @@
 {
     partialEvent_.append(bytes);
     std::size_t completeBytes = 0;
-    for (;;) {
-        const auto event = std::string_view(partialEvent_).substr(completeBytes);
-        const auto end = internal::endOfEvent(event);
-        if (end == std::string_view::npos) {
-            break;
+    while (scanned_ < partialEvent_.size()) {
+        const char byte = partialEvent_[scanned_];
+        const bool isEventEnd = scanByte(byte);
+        ++scanned_;
+        const bool isLineFeedNext = byte == '\r' && scanned_ < partialEvent_.size() && partialEvent_[scanned_] == '\n';
+        if (isEventEnd && isLineFeedNext) {
+            ++scanned_;
+            isAfterCarriageReturn_ = false;
+        }
+        if (isEventEnd) {
+            completeBytes = scanned_;
+            lineStart_ = scanned_;
         }
-        parseId(event.substr(0, end));
-        completeBytes += end;
     }
     std::string events = partialEvent_.substr(0, completeBytes);
     partialEvent_.erase(0, completeBytes);
+    scanned_ -= completeBytes;
+    lineStart_ -= completeBytes;
     return events;
 }
 
-void EventScanner::parseId(std::string_view event)
+bool EventScanner::scanByte(char byte)
 {
-    while (!event.empty()) {
-        const auto end = event.find('\n');
-        auto line = event.substr(0, end);
-        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
-        if (line.substr(0, internal::idField.size()) != internal::idField) {
-            continue;
-        }
-        line.remove_prefix(internal::idField.size());
-        const auto first = line.find_first_not_of(' ');
-        const auto last = line.find_last_not_of(" \r");
-        lastEventId_ = first == std::string_view::npos ? std::string() : std::string(line.substr(first, last - first + 1));
+    const bool isSecondOfPair = byte == '\n' && isAfterCarriageReturn_;
+    isAfterCarriageReturn_ = byte == '\r';
+    if (isSecondOfPair) {
+        lineStart_ = scanned_ + 1;
+        return false;
+    }
+    if (byte != '\n' && byte != '\r') {
+        return false;
+    }
+    const auto line = std::string_view(partialEvent_).substr(lineStart_, scanned_ - lineStart_);
+    lineStart_ = scanned_ + 1;
+    if (!line.empty()) {
+        parseLine(line);
+        return false;
     }
+    if (std::exchange(hasId_, false)) {
+        lastEventId_ = std::move(id_);
+    }
+    return true;
+}
+
+void EventScanner::parseLine(std::string_view line)
+{
+    if (line.substr(0, internal::idField.size()) != internal::idField) {
+        return;
+    }
+    line.remove_prefix(internal::idField.size());
+    const auto first = line.find_first_not_of(' ');
+    const auto last = line.find_last_not_of(' ');
+    hasId_ = true;
+    id_ = first == std::string_view::npos ? std::string() : std::string(line.substr(first, last - first + 1));
+}
+
+void EventScanner::discardPartialEvent() noexcept
+{
+    partialEvent_.clear();
+    scanned_ = 0;
+    lineStart_ = 0;
+    isAfterCarriageReturn_ = false;
+    hasId_ = false;
+}
+
+bool EventScanner::isOversized() const noexcept
+{
+    return partialEvent_.size() > internal::maxEventBytes;
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/eventscanner.h
+++ b/src/cyclamenspool/gateway/eventscanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -8,7 +9,7 @@
 /**
  * @brief Splits a byte stream of server-sent events into complete events and tracks the last event id.
  *
- * Lines end with LF or CRLF; an event ends with a blank line.
+ * A line ends with LF, CR or CRLF; an event ends with a blank line. Each byte is examined once.
  */
 class EventScanner
 {
@@ -23,10 +24,7 @@
     [[nodiscard]] std::string append(std::string_view bytes);
 
     /** @brief Discards an incomplete event before another backend server resumes the stream. */
-    void discardPartialEvent() noexcept
-    {
-        partialEvent_.clear();
-    }
+    void discardPartialEvent() noexcept;
 
     /** @brief Returns the bytes after the last complete event. */
     [[nodiscard]] const std::string &partialEvent() const noexcept
@@ -34,6 +32,9 @@
         return partialEvent_;
     }
 
+    /** @brief Returns whether the incomplete event is longer than 256 KiB, so that it may never end. */
+    [[nodiscard]] bool isOversized() const noexcept;
+
     /** @brief Returns the id of the last complete event that had one; before the first such event, the id given to the constructor. */
     [[nodiscard]] const std::string &lastEventId() const noexcept
     {
@@ -41,9 +42,15 @@
     }
 
 private:
-    void parseId(std::string_view event);
+    [[nodiscard]] bool scanByte(char byte);
+    void parseLine(std::string_view line);
 
     std::string partialEvent_;
+    std::size_t scanned_ = 0; /* bytes of the incomplete event that were examined */
+    std::size_t lineStart_ = 0; /* of the incomplete line */
+    bool isAfterCarriageReturn_ = false; /* a following LF belongs to the same line end */
+    bool hasId_ = false; /* of the incomplete event */
+    std::string id_; /* of the incomplete event */
     std::string lastEventId_;
 };
 
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds maxIdleNonRetryable{1500}; /* shorter: the server may close an idle connection just as the request is sent */
 constexpr std::chrono::milliseconds stallCheckPeriod{100}; /* also the stall limit before the relay to the caller starts */
 constexpr int stallFactor = 2; /* times the route's pause objective: a relayed stream without data for so long has missed it and is stalled */
+constexpr int progressFactor = 4; /* times the route's pause objective: bytes without a complete event for so long are no progress */
+constexpr std::chrono::milliseconds minProgressTime{1000}; /* lower bound of that time */
 constexpr std::chrono::milliseconds assumedCallerTimeout{1000}; /* for the retry delay if the caller's timeout is unknown */
 constexpr int leastUrgent = 9; /* 0 is the most urgent */
 
@@ -96,13 +98,25 @@
 
 bool Exchange::isStalled() const
 {
+    if (isWithoutProgress()) {
+        return true;
+    }
     const auto sinceLastActivity = std::chrono::steady_clock::now() - std::max(lastSentAt_, lastBodyAt_);
     const auto stallLimit = isRelayStarted() ? admission_->route->pauseObjective * internal::stallFactor : internal::stallCheckPeriod;
     return sinceLastActivity > stallLimit && !isReadingPaused_ && inFlight_->isServerUnresponsive();
 }
 
+bool Exchange::isWithoutProgress() const
+{
+    const auto limit = std::max(admission_->route->pauseObjective * internal::progressFactor, internal::minProgressTime);
+    const auto lastProgress = std::max(lastSentAt_, lastEventAt_);
+    const bool areBytesReceived = relayMode_ == RelayMode::EventStream && lastBodyAt_ > lastProgress;
+    return areBytesReceived && !isReadingPaused_ && std::chrono::steady_clock::now() - lastProgress > limit;
+}
+
 void Exchange::admit()
 {
+    requestHead_.id = platform::readRequestId(request_.base());
     requestHead_ = platform::readRequestHead(request_.base());
     if (worker_.isRefusingRequests()) {
         throw core::Error(core::ErrorKind::ShuttingDown, "the gateway is shutting down and accepts no new requests");
@@ -120,6 +134,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - std::chrono::steady_clock::now());
 }
 
+std::chrono::milliseconds Exchange::callerRemainingTime() const
+{
+    const auto timeout = requestHead_.callerTimeout.value_or(internal::assumedCallerTimeout);
+    return timeout - internal::elapsedSince(arrivedAt_);
+}
+
 std::chrono::milliseconds Exchange::maxIdleTime() const
 {
     return admission_->route->isRetryable() ? internal::maxIdleRetryable : internal::maxIdleNonRetryable;
@@ -128,7 +148,8 @@
 void Exchange::tryNextServer()
 {
     if (remainingTime() < internal::minAttemptTime) {
-        refuse(mayHaveRun_ ? core::ErrorKind::DeadlineAfterSend : core::ErrorKind::NoCandidate, "too little time left before the deadline to send the request");
+        const auto kind = mayHaveRun_ ? core::ErrorKind::DeadlineAfterSend : core::ErrorKind::DeadlineUnsent;
+        retryOrFail(kind, "too little time left before the deadline to send the request", false);
         return;
     }
     auto placement = worker_.dispatcher().place(*admission_, triedServers_);
@@ -230,8 +251,7 @@
     refusal.requestId = requestHead_.id;
     refusal.kind = kind;
     refusal.detail = detail;
-    const auto remaining = admission_ ? remainingTime() : requestHead_.callerTimeout.value_or(internal::assumedCallerTimeout);
-    refusal.retryAfter = chooseRetryAfter(kind, remaining, worker_.random());
+    refusal.retryAfter = chooseRetryAfter(kind, callerRemainingTime(), worker_.random());
     refusal.keepAlive = session_->isKeepAlive();
     refusal.isHeadRequest = request_.method() == bhttp::verb::head;
     worker_.dispatcher().countRefusal(kind);
@@ -262,7 +282,22 @@
         return;
     }
     mayHaveRun_ = mayHaveRun_ || hasAttempt;
-    refuse(mayHaveRun_ ? core::ErrorKind::DeadlineAfterSend : core::ErrorKind::NoCandidate, "request deadline exceeded");
+    refuse(mayHaveRun_ ? core::ErrorKind::DeadlineAfterSend : core::ErrorKind::DeadlineUnsent, "request deadline exceeded");
+}
+
+void Exchange::onShutdown()
+{
+    const bool hasAttempt = call_ != nullptr;
+    if (hasAttempt) {
+        call_->cancel();
+        finishAttempt(Outcome::Abandoned);
+    }
+    if (isRelayStarted()) {
+        abortResponse(core::ErrorKind::AnswerCut, "the gateway's shutdown ended before the response");
+        return;
+    }
+    mayHaveRun_ = mayHaveRun_ || hasAttempt;
+    refuse(mayHaveRun_ ? core::ErrorKind::OutcomeUnknown : core::ErrorKind::ShuttingDown, "the gateway's shutdown ended before the response");
 }
 
 void Exchange::finish(std::string_view requestOutcome, const std::string &detail)
@@ -281,6 +316,7 @@
         return;
     }
     log("caller_gone", "");
+    worker_.dispatcher().countCallerGone();
     session_ = nullptr;
     deadlineTimer_.cancel();
     stallTimer_.cancel();
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -41,6 +41,9 @@
     /** @brief Admits the request and sends it to a backend server, or refuses it. */
     void start();
 
+    /** @brief Ends the request because the process is about to exit: refuses it, or cuts off a response that has started. */
+    void onShutdown();
+
     /** @brief Cancels the backend call after the caller's connection has closed. */
     void onCallerDisconnected();
 
@@ -81,7 +84,9 @@
     static constexpr std::string_view answeredOutcome = "answered"; /* logged for a complete response; unlike Outcome::Answered, whatever its status */
 
     [[nodiscard]] bool isStalled() const;
+    [[nodiscard]] bool isWithoutProgress() const;
     [[nodiscard]] std::chrono::milliseconds remainingTime() const;
+    [[nodiscard]] std::chrono::milliseconds callerRemainingTime() const;
     [[nodiscard]] std::chrono::milliseconds maxIdleTime() const;
     [[nodiscard]] bool isRelayStarted() const noexcept
     {
@@ -114,6 +119,7 @@
     core::MonotonicTime headersReceivedAt_{};
     core::MonotonicTime lastSentAt_{};
     core::MonotonicTime lastBodyAt_{};
+    core::MonotonicTime lastEventAt_{}; /* end of the last complete event; only if RelayMode::EventStream */
     core::MonotonicTime::duration maxBodyGap_{}; /* between two reads of the response body */
 };
 
--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -103,7 +103,14 @@
             responseBody_.clear();
         }
     } else if (relayMode_ == RelayMode::EventStream) {
-        relay(eventScanner_.append(bytes));
+        const auto events = eventScanner_.append(bytes);
+        if (eventScanner_.isOversized()) {
+            call_->cancel();
+            onResponseError("an event in the response exceeds 256 KiB");
+            return true;
+        }
+        lastEventAt_ = events.empty() ? lastEventAt_ : now;
+        relay(events);
     } else {
         relay(bytes);
     }
@@ -124,7 +131,11 @@
         if (isChunked) {
             out += "Transfer-Encoding: chunked\r\n";
         }
-        out += session_->isKeepAlive() && isChunked ? "\r\n" : "Connection: close\r\n\r\n";
+        if (!isChunked) {
+            // Without a length, only the end of the connection ends the response.
+            session_->closeAfterResponse();
+        }
+        out += session_->isKeepAlive() ? "\r\n" : "Connection: close\r\n\r\n";
     }
     out += isChunked ? internal::formatChunk(bytes) : bytes;
     session_->write(std::move(out));
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -7,6 +7,7 @@
 #include <cyclamenspool/wire/endpoint.h>
 
 #include <csignal>
+#include <numeric>
 #include <random>
 #include <thread>
 
@@ -21,7 +22,9 @@
 constexpr std::chrono::milliseconds configurationPollPeriod{5};
 constexpr std::chrono::milliseconds balancerDetectionTime{2300}; /* the balancer probes once a second and removes the process after the second failure */
 constexpr std::chrono::milliseconds refuseAfter{3000}; /* after the start of the drain; a request accepted later could outlast the shutdown's grace period */
-constexpr std::chrono::milliseconds shutdownMargin{500}; /* the process exits this long before the end of the shutdown's grace period */
+constexpr std::chrono::milliseconds answerMargin{800}; /* requests in progress are answered this long before the end of the shutdown's grace period */
+constexpr std::chrono::milliseconds exitMargin{400}; /* the process exits this long before that end */
+constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
 constexpr std::chrono::milliseconds settingsPollPeriod{5000}; /* the settings file may change without a SIGHUP */
 constexpr std::chrono::milliseconds drainCheckPeriod{100};
 constexpr std::chrono::milliseconds operatorWatchTimeout{20000};
@@ -53,6 +56,7 @@
     , gossip_(control(), settings_, dispatcher_, catalog_)
     , acceptor_(control())
     , signals_(control(), SIGTERM, SIGINT, SIGHUP)
+    , acceptTimer_(control())
     , settingsTimer_(control())
     , phaseTimer_(control())
     , startTime_(std::chrono::steady_clock::now())
@@ -134,11 +138,17 @@
         }
         if (error) {
             telemetry::logRateLimited("accept_failed", {{"reason", error.message()}});
-        } else {
-            asio::post(worker.context(), [&worker, socket = std::move(socket)]() mutable {
-                std::make_shared<CallerSession>(worker, std::move(socket))->start();
+            acceptTimer_.expires_after(internal::acceptRetryPause);
+            acceptTimer_.async_wait([this](const boost::system::error_code &waitError) {
+                if (!waitError && acceptor_.is_open()) {
+                    accept();
+                }
             });
+            return;
         }
+        asio::post(worker.context(), [&worker, socket = std::move(socket)]() mutable {
+            std::make_shared<CallerSession>(worker, std::move(socket))->start();
+        });
         accept();
     });
 }
@@ -250,7 +260,7 @@
 void GatewayNode::checkDrain()
 {
     const auto elapsed = std::chrono::steady_clock::now() - drainStart_;
-    std::size_t openConnections = 0;
+    const bool areRequestsToEnd = elapsed > currentSettings_.gracePeriod - internal::answerMargin && !areRequestsEnded_;
     for (const auto &worker : workers_) {
         if (elapsed >= internal::balancerDetectionTime) {
             worker->beginDrain();
@@ -259,14 +269,23 @@
             worker->refuseNewRequests();
             worker->closeIdleSessions();
         }
-        openConnections += worker->sessionCount();
+        if (areRequestsToEnd) {
+            worker->endRequests();
+        }
     }
-    const bool isGraceOver = elapsed > currentSettings_.gracePeriod - internal::shutdownMargin;
-    if (isGraceOver || (elapsed > internal::refuseAfter && openConnections == 0)) {
-        telemetry::logRateLimited("drained", {{"open_connections", openConnections}});
+    areRequestsEnded_ = areRequestsEnded_ || areRequestsToEnd;
+    const bool isDone = elapsed > internal::refuseAfter && openConnections() == 0;
+    const bool isGraceOver = elapsed > currentSettings_.gracePeriod - internal::exitMargin;
+    if (isGraceOver || (isDone && !acceptor_.is_open())) {
+        telemetry::logRateLimited("drained", {{"open_connections", openConnections()}});
         stop();
         return;
     }
+    if (isDone) {
+        // A connection that was accepted just now is not counted yet: it is served until the next check.
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+    }
     phaseTimer_.expires_after(internal::drainCheckPeriod);
     phaseTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -275,6 +294,13 @@
     });
 }
 
+std::size_t GatewayNode::openConnections() const
+{
+    return std::accumulate(workers_.begin(), workers_.end(), std::size_t{0}, [](std::size_t sum, const auto &worker) {
+        return sum + worker->sessionCount();
+    });
+}
+
 void GatewayNode::stop()
 {
     for (const auto &client : storeClients_) {
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -47,6 +47,7 @@
     void watchSettings();
     void beginDrain();
     void checkDrain();
+    [[nodiscard]] std::size_t openConnections() const;
     void stop();
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] OperatorPageInput pageInput() const;
@@ -70,10 +71,12 @@
     std::unique_ptr<http::Server> readyServer_;
     std::unique_ptr<http::Server> operatorServer_;
     boost::asio::signal_set signals_;
+    boost::asio::steady_timer acceptTimer_;
     boost::asio::steady_timer settingsTimer_;
     boost::asio::steady_timer phaseTimer_; /* polls for the first configuration, later for the end of the drain */
     core::MonotonicTime startTime_;
     core::MonotonicTime drainStart_{};
+    bool areRequestsEnded_ = false; /* in the drain, as the grace period is almost over */
     std::atomic<bool> draining_{false};
 };
 
--- a/src/cyclamenspool/gateway/operatorpage.cpp
+++ b/src/cyclamenspool/gateway/operatorpage.cpp
@@ -44,6 +44,7 @@
 {
     out << "cyclamenspool_admitted_total " << counts.placed << '\n';
     out << "cyclamenspool_repeats_total " << counts.retries << '\n';
+    out << "cyclamenspool_callers_gone_total " << counts.callersGone << '\n';
     for (std::size_t outcome = 0; outcome < counts.outcomes.size(); ++outcome) {
         out << "cyclamenspool_outcomes_total" << singleLabel("outcome", nameOf(static_cast<Outcome>(outcome))) << ' ' << counts.outcomes[outcome] << '\n';
     }
--- a/src/cyclamenspool/gateway/worker.cpp
+++ b/src/cyclamenspool/gateway/worker.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/gateway/worker.h>
 
 #include <cyclamenspool/gateway/callersession.h>
+#include <cyclamenspool/telemetry/log.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -19,7 +20,13 @@
 void Worker::run()
 {
     const auto guard = boost::asio::make_work_guard(context_);
-    context_.run();
+    while (!context_.stopped()) {
+        try {
+            context_.run();
+        } catch (const std::exception &error) {
+            telemetry::logRateLimited("handler_failed", {{"reason", error.what()}});
+        }
+    }
 }
 
 void Worker::stop()
@@ -34,13 +41,23 @@
 
 void Worker::closeIdleSessions()
 {
-    boost::asio::post(context_, [this] {
+    forEachSession(&CallerSession::closeIfIdle);
+}
+
+void Worker::endRequests()
+{
+    forEachSession(&CallerSession::endRequest);
+}
+
+void Worker::forEachSession(void (CallerSession::*action)())
+{
+    boost::asio::post(context_, [this, action] {
         std::vector<std::shared_ptr<CallerSession>> open;
         for (auto *session : sessions_) {
             open.push_back(session->shared_from_this());
         }
         for (const auto &session : open) {
-            session->closeIfIdle();
+            ((*session).*action)();
         }
     });
 }
--- a/src/cyclamenspool/gateway/worker.h
+++ b/src/cyclamenspool/gateway/worker.h
@@ -23,7 +23,7 @@
     /** @brief Creates a worker. @param dispatcher Dispatcher, shared by all workers. @param seed Seed of the random source. */
     Worker(Dispatcher &dispatcher, std::uint64_t seed);
 
-    /** @brief Runs the event loop on the calling thread until stop(). */
+    /** @brief Runs the event loop on the calling thread until stop(). An exception of a handler is logged and ends that handler only. */
     void run();
 
     /** @brief Makes run() return. Thread safe. */
@@ -47,6 +47,9 @@
     /** @brief Closes the caller connections without a request in progress. Thread safe; they are closed later on the worker's thread. */
     void closeIdleSessions();
 
+    /** @brief Ends all requests in progress because the process is about to exit. Thread safe; they end later on the worker's thread. */
+    void endRequests();
+
     /** @brief Returns the number of registered sessions, one for each caller connection. Thread safe. */
     [[nodiscard]] std::size_t sessionCount() const noexcept
     {
@@ -87,6 +90,8 @@
     }
 
 private:
+    void forEachSession(void (CallerSession::*action)());
+
     boost::asio::io_context context_{1};
     Dispatcher &dispatcher_;
     BackendConnectionPool connectionPool_;
--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/http/server.h>
 
+#include <cyclamenspool/telemetry/log.h>
 #include <cyclamenspool/wire/endpoint.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -25,6 +26,7 @@
 namespace internal {
 
 constexpr std::size_t firstReadBytes = 4096; /* buffer of the read that waits for a request under the idle timeout */
+constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
 
 core::ErrorKind errorKindOf(const boost::system::error_code &error)
 {
@@ -117,7 +119,11 @@
     while (!isClosing_) {
         boost::system::error_code error;
         auto socket = co_await acceptor_.async_accept(asio::make_strand(context_), asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
+        if (error && !isClosing_) {
+            telemetry::logRateLimited("accept_failed", {{"reason", error.message()}});
+            asio::steady_timer pause(acceptor_.get_executor(), internal::acceptRetryPause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        } else if (!error) {
             socket.set_option(asio::ip::tcp::no_delay(true), error);
             auto executor = socket.get_executor();
             asio::co_spawn(executor, serveConnection(std::move(socket)), asio::detached);
@@ -131,8 +137,10 @@
     beast::flat_buffer buffer;
     try {
         while (co_await serveRequest(stream, buffer)) { }
-    } catch (const std::exception &) {
-        // Usually the caller has disconnected. The handler has seen the exception first; no response follows one.
+    } catch (const boost::system::system_error &) {
+        // The caller has disconnected.
+    } catch (const std::exception &error) {
+        telemetry::logRateLimited("http_handler_failed", {{"reason", error.what()}});
     }
     boost::system::error_code ignored;
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/cyclamenspool/platform/headers.cpp
+++ b/src/cyclamenspool/platform/headers.cpp
@@ -185,10 +185,15 @@
 
 } // namespace internal
 
+std::string readRequestId(const Fields &fields)
+{
+    return std::string(internal::valueOf(fields, internal::requestIdHeader));
+}
+
 RequestHead readRequestHead(const Fields &fields)
 {
     RequestHead head;
-    head.id = internal::valueOf(fields, internal::requestIdHeader);
+    head.id = readRequestId(fields);
     head.host = internal::hostOf(internal::valueOf(fields, "Host"));
     head.model = internal::valueOf(fields, internal::modelHeader);
     head.lastEventId = internal::valueOf(fields, internal::lastEventIdHeader);
--- a/src/cyclamenspool/platform/headers.h
+++ b/src/cyclamenspool/platform/headers.h
@@ -61,6 +61,9 @@
     std::optional<std::chrono::seconds> idleTimeout; /**< Time after which the backend server closes an idle connection; empty: not given. */
 };
 
+/** @brief Returns the request id in a caller's headers, as the caller sent it; empty: none. */
+[[nodiscard]] std::string readRequestId(const Fields &fields);
+
 /** @brief Decodes a caller's headers. @throws core::Error BadRequest, with the name of the malformed header. */
 [[nodiscard]] RequestHead readRequestHead(const Fields &fields);
 
--- a/src/cyclamenspool/policy/slidingwindowcounter.h
+++ b/src/cyclamenspool/policy/slidingwindowcounter.h
@@ -18,6 +18,12 @@
     {
     }
 
+    /** @brief Changes the length of the window. Events that an earlier, shorter window has dropped stay dropped. */
+    void setWindow(std::chrono::nanoseconds window) noexcept
+    {
+        window_ = window;
+    }
+
     /** @brief Records an event. @param now Time of the event; not earlier than the previous one. */
     void add(core::MonotonicTime now)
     {
--- a/test/gateway/routetable.cpp
+++ b/test/gateway/routetable.cpp
@@ -3,6 +3,8 @@
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/routetable.h>
 
+#include <thread>
+
 using namespace cyclamenspool;
 
 namespace {
@@ -90,3 +92,70 @@
     CHECK(retries <= 0.2 * 50 + 20 / 2);
     CHECK(retries >= 10);
 }
+
+TEST_CASE("requests without an id are spread over the services of a traffic split", "[gateway]")
+{
+    gateway::Dispatcher dispatcher{config::GatewaySettings()};
+    auto routing = routingOf(1);
+    routing.routes.front().services = {{"one", 1.0}, {"two", 1.0}};
+    routing.routes.front().usesPromptCache = false;
+    const auto host = routing.routes.front().host;
+    const auto prefix = routing.routes.front().prefix;
+    dispatcher.onRouting(std::move(routing));
+    platform::RequestHead head;
+    head.host = host;
+    head.apiKey = "key-1";
+    int first = 0;
+    for (int i = 0; i < 200; ++i) {
+        first += dispatcher.admit(head, prefix + "x").service == "one" ? 1 : 0;
+    }
+    CHECK(first > 60);
+    CHECK(first < 140);
+}
+
+TEST_CASE("histories that share their last part but not the parts before it are told apart", "[gateway]")
+{
+    gateway::Dispatcher dispatcher{config::GatewaySettings()};
+    auto routing = routingOf(1);
+    routing.routes.front().usesPromptCache = true;
+    const auto host = routing.routes.front().host;
+    const auto prefix = routing.routes.front().prefix;
+    dispatcher.onRouting(std::move(routing));
+    platform::RequestHead head;
+    head.host = host;
+    head.apiKey = "key-1";
+    head.parts = {{1, 800}, {2, 400}, {3, 200}};
+    const auto one = dispatcher.admit(head, prefix + "x").historyKey;
+    head.parts[2].id = 4;
+    CHECK(dispatcher.admit(head, prefix + "x").historyKey == one);
+    head.parts[0].id = 9;
+    CHECK(dispatcher.admit(head, prefix + "x").historyKey != one);
+}
+
+TEST_CASE("a changed retry window holds for services that have had requests", "[gateway]")
+{
+    config::GatewaySettings settings;
+    settings.retryRatio = 0.2;
+    settings.retrySlack = 0;
+    settings.retryWindow = std::chrono::seconds(10);
+    gateway::Dispatcher dispatcher(settings);
+    dispatcher.onRouting(routingOf(1));
+    dispatcher.withFleet([](gateway::Fleet &fleet, core::MonotonicTime now) {
+        world::BackendServer server;
+        server.id = "s0";
+        server.service = "pool";
+        fleet.onServerListed(server, now);
+    });
+    platform::RequestHead head;
+    head.host = "desk.example";
+    head.apiKey = "key-1";
+    const auto admission = dispatcher.admit(head, "/a/x");
+    for (int i = 0; i < 50; ++i) {
+        dispatcher.place(admission, {}).inFlight->finish(gateway::Outcome::Answered);
+    }
+    CHECK(dispatcher.place(admission, {"another"}).inFlight != nullptr);
+    settings.retryWindow = std::chrono::milliseconds(1);
+    dispatcher.applySettings(settings);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    CHECK(dispatcher.place(admission, {"another"}).inFlight == nullptr);
+}
--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -105,7 +105,7 @@
     gateway.process = Process(std::string(CYCLAMENSPOOL_BINARY_DIR) + "/cyclamenspool", {"gateway", "--settings", gateway.settingsFile}, gateway.logFile);
 }
 
-void GatewayFleet::publishRouting(int version, const std::string &service, const std::vector<std::string> &keys)
+void GatewayFleet::publishRouting(int version, const std::string &service, const std::vector<std::string> &keys, std::chrono::milliseconds idleTimeout)
 {
     json::object routing{{"version", version}};
     routing["routes"] = json::array{makeRoute("once", "non_idempotent", service),
@@ -113,7 +113,8 @@
                                     makeRoute("stream", "streaming", service),
                                     makeRoute("resumed", "streaming", service)};
     routing["services"] = json::array{json::object{{"name", service}, {"max_connections", 100}}};
-    routing["limits"] = json::object{{"max_header_bytes", 8192}, {"max_body_bytes", 100000}, {"header_timeout_ms", 500}, {"idle_timeout_ms", 5000}};
+    routing["limits"]
+        = json::object{{"max_header_bytes", 8192}, {"max_body_bytes", 100000}, {"header_timeout_ms", 500}, {"idle_timeout_ms", idleTimeout.count()}};
     json::array apiKeys;
     for (const auto &key : keys) {
         apiKeys.emplace_back(key);
--- a/test/harness/gatewayfleet.h
+++ b/test/harness/gatewayfleet.h
@@ -41,8 +41,11 @@
     void start(Gateway &gateway);
 
     /** @brief Writes the routing configuration to the store. @param version Version. @param service Target of all routes. @param keys API keys of the workspace
-     * "desk". */
-    void publishRouting(int version, const std::string &service = "pool", const std::vector<std::string> &keys = {"key-1"});
+     * "desk". @param idleTimeout Limit of a caller's pauses. */
+    void publishRouting(int version,
+                        const std::string &service = "pool",
+                        const std::vector<std::string> &keys = {"key-1"},
+                        std::chrono::milliseconds idleTimeout = std::chrono::milliseconds(5000));
 
     /** @brief Returns a POST request with the host and the API key of the workspace "desk"; the header at index 3 is Authorization. @param id Request id.
      * @param path Path; its first segment selects the route. @param gateway Index of the gateway. */
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <harness/eventstream.h>
 #include <harness/gatewayfleet.h>
 #include <harness/localfleet.h>
 
@@ -12,50 +13,24 @@
 #include <atomic>
 #include <csignal>
 #include <future>
-#include <sstream>
 #include <thread>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
+using harness::chunk;
 using harness::formatResponseWithDigest;
 using harness::GatewayFleet;
 using harness::HttpResponse;
 using harness::LocalFleet;
 using harness::PlainRequest;
 using harness::PlainSocket;
+using harness::resetConnection;
+using harness::responseHeadFor;
+using harness::serverSentEvent;
 using harness::writeAll;
 
 namespace {
 
-const std::string streamResponseHead
-    = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCyclamenspool-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n";
-
-std::string chunk(const std::string &bytes)
-{
-    std::ostringstream out;
-    out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-    return out.str();
-}
-
-std::string serverSentEvent(int id)
-{
-    return "id: " + std::to_string(id) + "\ndata: token" + std::to_string(id) + "\n\n";
-}
-
-std::string responseHeadFor(const PlainRequest &request)
-{
-    return streamResponseHead + "Cyclamenspool-Request-Id: " + std::string(request["Cyclamenspool-Request-Id"]) + "\r\n\r\n";
-}
-
-/** @brief Closes a connection with a TCP reset. @return False: it takes no further request. */
-bool resetConnection(PlainSocket &socket)
-{
-    boost::system::error_code ignored;
-    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    socket.close(ignored);
-    return false;
-}
-
 /** @brief Restarts one gateway with the store's second address and makes the store answer 503 there; the other gateways keep the first address. */
 void makeStoreUnavailable(GatewayFleet &fleet, std::size_t index)
 {
