Histories are fetched from servers that fail requests; sessions between processes bounded and guarded

Change: a suspect server is a source unless it did not respond, to this gateway or to the peer that reports it (Suspicion.responds). Totals of zones every 100 ms at most, within the same byte budget (was 200 ms): on the small site two gateways placed the same new document before they heard of each other.

--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -165,10 +165,13 @@
     }
 }
 
-void Fleet::markSuspect(ServerState &server, core::Milliseconds time, core::MonotonicTime now) const
+void Fleet::markSuspect(ServerState &server, core::Milliseconds time, bool isResponding, core::MonotonicTime now) const
 {
     server.suspectUntil = std::max(server.suspectUntil, now + time);
     server.advertiseUntil = server.suspectUntil;
+    if (!isResponding) {
+        server.unreachableUntil = server.suspectUntil;
+    }
     server.needsProbe = true;
 }
 
@@ -187,18 +190,18 @@
     case Outcome::Failed:
         server.failureRatio += internal::failureWeight * (1 - server.failureRatio);
         if (isFailureOutlier(server, now)) {
-            markSuspect(server, internal::maxSuspicion, now);
+            markSuspect(server, internal::maxSuspicion, true, now);
         }
         break;
     case Outcome::TransportError:
         ++server.consecutiveFailures;
         if (server.consecutiveFailures > 1) {
-            markSuspect(server, internal::baseSuspicion, now);
+            markSuspect(server, internal::baseSuspicion, false, now);
         }
         break;
     case Outcome::Unreachable:
         ++server.consecutiveFailures;
-        markSuspect(server, backOffTime(), now);
+        markSuspect(server, backOffTime(), false, now);
         // It may restart, and be cold, before its next report.
         server.isColdUntilReport = true;
         break;
@@ -206,7 +209,7 @@
         server.atCapacityUntil = now + internal::atCapacityPause;
         break;
     case Outcome::AddressReused:
-        markSuspect(server, internal::addressReusedSuspicion, now);
+        markSuspect(server, internal::addressReusedSuspicion, false, now);
         break;
     case Outcome::Abandoned:
     case Outcome::Count:
@@ -278,8 +281,13 @@
     auto &server = *found->second;
     // The peer alone may have lost its connection to the server: its report expires by itself, and no probe is needed afterwards.
     const bool isRecentlyActive = server.outstanding > 0 && server.awaitingBytesSince && now - *server.awaitingBytesSince < internal::baseSuspicion;
-    if (!isRecentlyActive) {
-        server.suspectUntil = std::max(server.suspectUntil, now + std::min(report.remaining, internal::maxSuspicion));
+    if (isRecentlyActive) {
+        return;
+    }
+    const auto until = now + std::min(report.remaining, internal::maxSuspicion);
+    server.suspectUntil = std::max(server.suspectUntil, until);
+    if (!report.isResponding) {
+        server.unreachableUntil = std::max(server.unreachableUntil, until);
     }
 }
 
@@ -312,9 +320,9 @@
     std::vector<Suspicion> reports;
     for (const auto &[id, server] : servers_) {
         if (server->advertiseUntil > now) {
-            reports.push_back({id, std::chrono::duration_cast<core::Milliseconds>(server->advertiseUntil - now)});
+            reports.push_back({id, std::chrono::duration_cast<core::Milliseconds>(server->advertiseUntil - now), server->unreachableUntil <= now});
         } else if (server->outstanding >= internal::minInFlightRequests && isUnresponsive(*server, now)) {
-            reports.push_back({id, internal::unresponsiveSuspicion});
+            reports.push_back({id, internal::unresponsiveSuspicion, false});
         }
     }
     return reports;
@@ -325,7 +333,7 @@
     auto reports = suspicions(now);
     for (const auto &[id, server] : servers_) {
         if (server->zoneSuspectUntil > now) {
-            reports.push_back({id, std::chrono::duration_cast<core::Milliseconds>(server->zoneSuspectUntil - now)});
+            reports.push_back({id, std::chrono::duration_cast<core::Milliseconds>(server->zoneSuspectUntil - now), server->unreachableUntil <= now});
         }
     }
     return reports;
@@ -360,6 +368,12 @@
     return server.isColdUntilReport || server.coldUntil > now ? Availability::Cold : Availability::Usable;
 }
 
+bool Fleet::canServeCacheFetch(const ServerState &server, core::MonotonicTime now)
+{
+    const bool isListed = !server.isRemoved && !server.entryExpiredAt;
+    return isListed && server.unreachableUntil <= now && !isUnresponsive(server, now);
+}
+
 bool Fleet::isUnresponsive(const ServerState &server, core::MonotonicTime now)
 {
     using Seconds = std::chrono::duration<double>;
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -21,6 +21,7 @@
 struct Suspicion {
     std::string server;
     core::Milliseconds remaining{0}; /**< Time for which it is still suspect. */
+    bool isResponding = false; /**< It answers, but fails too many requests. */
 };
 
 /** @brief Copy of a backend server's state for operators. */
@@ -127,6 +128,10 @@
     /** @brief Returns whether, and under which limits, a backend server may get new requests. */
     [[nodiscard]] Availability availabilityOf(const ServerState &server, core::MonotonicTime now) const;
 
+    /** @brief Returns whether a backend server can serve a fetch of a history from its cache: it is listed and, as far as is known, responds; one that is
+     * leaving or fails requests still can. */
+    [[nodiscard]] static bool canServeCacheFetch(const ServerState &server, core::MonotonicTime now);
+
     /** @brief Returns whether requests are in flight and no byte has been received for 6 times the mean time to the response headers, limited to 150 to 700 ms;
      * twice as long with fewer than 3 requests in flight. */
     [[nodiscard]] static bool isUnresponsive(const ServerState &server, core::MonotonicTime now);
@@ -162,7 +167,7 @@
     void removeFromService(const ServerPtr &server);
     void updatePeerLoads(const std::vector<std::string> &servers);
     [[nodiscard]] int reportedLoadOf(const std::string &id) const;
-    void markSuspect(ServerState &server, core::Milliseconds time, core::MonotonicTime now) const;
+    void markSuspect(ServerState &server, core::Milliseconds time, bool isResponding, core::MonotonicTime now) const;
     [[nodiscard]] bool isFailureOutlier(const ServerState &server, core::MonotonicTime now) const;
     void removeExpired(core::MonotonicTime now);
     [[nodiscard]] bool isOutageOrGracePeriod(core::MonotonicTime now) const;
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -316,6 +316,7 @@
             auto *entry = update.add_suspicions();
             entry->set_backend_server(suspicion.server);
             entry->set_lasts_ms(suspicion.remaining.count());
+            entry->set_responds(suspicion.isResponding);
         }
     });
     sharedUpdate_ = update.SerializeAsString();
@@ -484,6 +485,7 @@
             auto *entry = totals.add_suspicions();
             entry->set_backend_server(suspicion.server);
             entry->set_lasts_ms(suspicion.remaining.count());
+            entry->set_responds(suspicion.isResponding);
         }
     });
     for (const auto &placement : dispatcher_.zoneHistoryPlacements(placementAge + internal::placementOverlap)) {
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -25,7 +25,7 @@
 {
     std::vector<Suspicion> suspicions;
     for (const auto &suspicion : message.suspicions()) {
-        suspicions.push_back({suspicion.backend_server(), core::Milliseconds(suspicion.lasts_ms())});
+        suspicions.push_back({suspicion.backend_server(), core::Milliseconds(suspicion.lasts_ms()), suspicion.responds()});
     }
     return suspicions;
 }
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -62,13 +62,6 @@
     return std::max<std::size_t>(share, 1);
 }
 
-/** @brief Returns whether a backend server can serve a fetch of a history from its cache; one that is leaving still can. */
-bool canServeCacheFetch(const Fleet &fleet, const ServerState &server, core::MonotonicTime now)
-{
-    const auto availability = fleet.availabilityOf(server, now);
-    return !server.isRemoved && !server.entryExpiredAt && availability != Availability::Suspect && availability != Availability::Probing;
-}
-
 /**
  * @brief Estimates which backend server holds a history that this gateway has not seen.
  *
@@ -85,7 +78,7 @@
         const bool isSettled = server->joinedAt == core::MonotonicTime::min() || now - server->joinedAt > settlePeriod;
         const bool isFirst = first == nullptr || rank < firstRank;
         const bool isOther = server->entry.id != chosen.entry.id;
-        if (isOther && isSettled && isFirst && canServeCacheFetch(fleet, *server, now)) {
+        if (isOther && isSettled && isFirst && Fleet::canServeCacheFetch(*server, now)) {
             first = server;
             firstRank = rank;
         }
@@ -172,7 +165,7 @@
     }
     for (const auto &id : holders) {
         auto holder = fleet.find(id);
-        if (holder != nullptr && internal::canServeCacheFetch(fleet, *holder, now)) {
+        if (holder != nullptr && Fleet::canServeCacheFetch(*holder, now)) {
             return holder;
         }
     }
--- a/src/cyclamenspool/gateway/serverstate.h
+++ b/src/cyclamenspool/gateway/serverstate.h
@@ -68,6 +68,7 @@
     bool isColdUntilReport = false; /**< Treated as cold until its next report: it may have restarted, or its zone's evacuation has just ended. */
     core::MonotonicTime coldUntil{}; /**< End of its cold start, as last reported. */
     core::MonotonicTime suspectUntil{};
+    core::MonotonicTime unreachableUntil{}; /**< Until then it is suspect because it did not respond to this gateway or to a peer. */
     core::MonotonicTime advertiseUntil{}; /**< Until then peers are told that this gateway's own requests found it suspect. */
     core::MonotonicTime zoneSuspectUntil{}; /**< Until then other zones are told that another gateway of the own zone found it suspect. */
     core::MonotonicTime atCapacityUntil{}; /**< End of the pause after Outcome::AtCapacity. */
--- a/src/cyclamenspool/gateway/worker.cpp
+++ b/src/cyclamenspool/gateway/worker.cpp
@@ -1,7 +1,7 @@
 #include <cyclamenspool/gateway/worker.h>
 
 #include <cyclamenspool/gateway/callersession.h>
-#include <cyclamenspool/telemetry/log.h>
+#include <cyclamenspool/wire/eventloop.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -20,13 +20,7 @@
 void Worker::run()
 {
     const auto guard = boost::asio::make_work_guard(context_);
-    while (!context_.stopped()) {
-        try {
-            context_.run();
-        } catch (const std::exception &error) {
-            telemetry::logRateLimited("handler_failed", {{"reason", error.what()}});
-        }
-    }
+    wire::runEventLoop(context_);
 }
 
 void Worker::stop()
--- a/src/cyclamenspool/gateway/zonepulls.cpp
+++ b/src/cyclamenspool/gateway/zonepulls.cpp
@@ -11,7 +11,7 @@
 
 using core::Milliseconds;
 
-constexpr Milliseconds minPullPeriod{200};
+constexpr Milliseconds minPullPeriod{100};
 constexpr Milliseconds pullTimeout{400};
 constexpr Milliseconds partnerAvoidance{5000}; /* longer than a restart */
 constexpr Milliseconds minTotalsMaxAge{1500};
--- a/src/cyclamenspool/gateway/zonepulls.h
+++ b/src/cyclamenspool/gateway/zonepulls.h
@@ -44,7 +44,7 @@
      * @param now Current time. */
     void onRequestEnded(const std::string &zone, const std::string &address, core::MonotonicTime now);
 
-    /** @brief Returns the time between two requests to a zone: 200 ms, or longer if the replies of all zones would exceed 9 KB/s. */
+    /** @brief Returns the time between two requests to a zone: 100 ms, or longer if the replies of all zones would exceed 9 KB/s. */
     [[nodiscard]] core::Milliseconds period() const;
 
     /** @brief Returns the age from which on a zone's totals are stale. */
--- a/src/cyclamenspool/node/node.cpp
+++ b/src/cyclamenspool/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/http/refusal.h>
 #include <cyclamenspool/telemetry/log.h>
+#include <cyclamenspool/wire/eventloop.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/json/serialize.hpp>
@@ -83,7 +84,7 @@
     workers.reserve(static_cast<std::size_t>(settings_.workers));
     for (int i = 0; i < settings_.workers; ++i) {
         workers.emplace_back([this] {
-            context_.run();
+            wire::runEventLoop(context_);
         });
     }
     for (auto &worker : workers) {
--- a/src/cyclamenspool/wire/peerconnectionpool.cpp
+++ b/src/cyclamenspool/wire/peerconnectionpool.cpp
@@ -23,6 +23,7 @@
 
 std::shared_ptr<ClientStream> PeerConnectionPool::submit(const std::string &address, const std::string &path, std::string message, StreamCallbacks callbacks)
 {
+    const auto endpoint = parseEndpoint(address); /* before any state changes: it throws if the address is malformed */
     const std::lock_guard lock(mutex_);
     auto &peer = peers_[address];
     if (peer.session != nullptr && peer.session->isOpen()) {
@@ -32,14 +33,13 @@
     peer.pending.push_back({path, std::move(message), std::move(callbacks), handle});
     if (!peer.connecting) {
         peer.connecting = true;
-        connect(address);
+        connect(address, endpoint);
     }
     return handle;
 }
 
-void PeerConnectionPool::connect(const std::string &address)
+void PeerConnectionPool::connect(const std::string &address, const asio::ip::tcp::endpoint &endpoint)
 {
-    const auto endpoint = parseEndpoint(address);
     auto socket = std::make_shared<Session::Socket>(asio::make_strand(context_));
     auto timer = std::make_shared<asio::steady_timer>(socket->get_executor(), internal::connectTimeout);
     timer->async_wait([socket](const boost::system::error_code &error) {
--- a/src/cyclamenspool/wire/peerconnectionpool.h
+++ b/src/cyclamenspool/wire/peerconnectionpool.h
@@ -46,7 +46,7 @@
         bool connecting = false;
     };
 
-    void connect(const std::string &address);
+    void connect(const std::string &address, const boost::asio::ip::tcp::endpoint &endpoint);
     void onConnected(const std::string &address, Session::Socket socket);
     void onConnectFailed(const std::string &address, const std::string &reason);
 
--- a/src/cyclamenspool/wire/peerserver.h
+++ b/src/cyclamenspool/wire/peerserver.h
@@ -3,6 +3,7 @@
 #include <cyclamenspool/wire/session.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 #include <mutex>
@@ -37,6 +38,7 @@
     SessionLimits limits_;
     RequestHandler handler_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer retryTimer_;
     std::mutex mutex_;
     std::vector<std::weak_ptr<Session>> sessions_;
 };
--- a/src/cyclamenspool/wire/session.h
+++ b/src/cyclamenspool/wire/session.h
@@ -78,7 +78,7 @@
 
     /**
      * @brief Sets the handler called once when the stream is closed, reset or lost.
-     * @param handler Called at once if the stream is closed already; never called if the session no longer exists.
+     * @param handler Called at once if the stream is closed already or the session no longer exists.
      */
     void onClosed(std::function<void()> handler);
 
@@ -167,6 +167,10 @@
     void checkPeer();
     void closeNow(const std::string &reason);
     void openStream(const std::string &path, const std::string &message, StreamCallbacks callbacks, const std::shared_ptr<ClientStream> &handle);
+    [[nodiscard]] std::string tryOpenStream(const std::string &path,
+                                            const std::string &message,
+                                            StreamCallbacks &callbacks,
+                                            ClientStream &handle); /* error; empty: none */
     void cancelStream(std::int32_t id);
     void sendOnStream(std::int32_t id, const std::string &message, bool last);
     void setClosedHandler(std::int32_t id, std::function<void()> handler);
--- a/src/cyclamenspool/wire/sessioncallbacks.cpp
+++ b/src/cyclamenspool/wire/sessioncallbacks.cpp
@@ -57,9 +57,11 @@
     }
     auto &stream = found->second;
     stream.receiveBuffer.append(reinterpret_cast<const char *>(data), length);
-    const bool isTooLarge = stream.receiveBuffer.size() >= internal::lengthPrefixBytes
-        && internal::decodeRecordLength(stream.receiveBuffer) > sessionOf(user).limits_.maxMessageBytes;
-    if (isTooLarge) {
+    const bool isLengthKnown = stream.receiveBuffer.size() >= internal::lengthPrefixBytes;
+    const auto recordLength = isLengthKnown ? internal::decodeRecordLength(stream.receiveBuffer) : 0;
+    // A client sends one record, so bytes beyond its announced length are an error.
+    const bool isBeyondRecord = isLengthKnown && sessionOf(user).isServer_ && stream.receiveBuffer.size() - internal::lengthPrefixBytes > recordLength;
+    if (recordLength > sessionOf(user).limits_.maxMessageBytes || isBeyondRecord) {
         nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, NGHTTP2_ENHANCE_YOUR_CALM);
         return 0;
     }
--- a/src/cyclamenspool/wire/sessionstreams.cpp
+++ b/src/cyclamenspool/wire/sessionstreams.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/wire/session.h>
 
+#include <cyclamenspool/telemetry/log.h>
 #include <cyclamenspool/wire/messagerecord.h>
 #include <cyclamenspool/wire/sessioncallbacks.h>
 
@@ -27,6 +28,17 @@
     return nv;
 }
 
+/** @brief Calls a handler from within nghttp2, through which no exception may pass: it is logged. */
+template<typename Handler>
+void callHandler(const Handler &handler)
+{
+    try {
+        handler();
+    } catch (const std::exception &error) {
+        telemetry::logRateLimited("handler_failed", {{"reason", error.what()}});
+    }
+}
+
 } // namespace internal
 
 void ClientStream::cancel()
@@ -52,11 +64,14 @@
 
 void ServerStream::onClosed(std::function<void()> handler)
 {
-    if (const auto session = session_.lock()) {
-        asio::dispatch(session->socket_.get_executor(), [session, id = id_, handler = std::move(handler)] {
-            session->setClosedHandler(id, handler);
-        });
+    const auto session = session_.lock();
+    if (session == nullptr) {
+        handler();
+        return;
     }
+    asio::dispatch(session->socket_.get_executor(), [session, id = id_, handler = std::move(handler)] {
+        session->setClosedHandler(id, handler);
+    });
 }
 
 std::shared_ptr<ClientStream> Session::submit(const std::string &path, std::string message, StreamCallbacks callbacks)
@@ -75,13 +90,20 @@
 
 void Session::openStream(const std::string &path, const std::string &message, StreamCallbacks callbacks, const std::shared_ptr<ClientStream> &handle)
 {
-    const std::lock_guard lock(handle->mutex_);
-    if (handle->cancelled_) {
-        return;
+    const auto failure = tryOpenStream(path, message, callbacks, *handle);
+    if (!failure.empty()) {
+        callbacks.onEnd({false, false, failure});
+    }
+}
+
+std::string Session::tryOpenStream(const std::string &path, const std::string &message, StreamCallbacks &callbacks, ClientStream &handle)
+{
+    const std::lock_guard lock(handle.mutex_);
+    if (handle.cancelled_) {
+        return {};
     }
     if (!open_) {
-        callbacks.onEnd({false, false, "the connection to the peer is closed"});
-        return;
+        return "the connection to the peer is closed";
     }
     const std::string method = "POST";
     const std::string scheme = "http";
@@ -91,16 +113,16 @@
     const auto provider = SessionCallbacks::dataProvider();
     const auto id = nghttp2_submit_request(session_, nullptr, headers.data(), headers.size(), &provider, nullptr);
     if (id < 0) {
-        callbacks.onEnd({false, false, nghttp2_strerror(id)});
-        return;
+        return nghttp2_strerror(id);
     }
     auto &stream = streams_[id];
     stream.sendBuffer = internal::encodeRecord(message);
     stream.lastMessageQueued = true;
     stream.callbacks = std::move(callbacks);
-    handle->session_ = weak_from_this();
-    handle->id_ = id;
+    handle.session_ = weak_from_this();
+    handle.id_ = id;
     write();
+    return {};
 }
 
 void Session::cancelStream(std::int32_t id)
@@ -163,11 +185,15 @@
         if (isServer_) {
             stream.receiveBuffer.clear();
             stream.receiveBuffer.shrink_to_fit();
-            handler_(std::make_shared<ServerStream>(shared_from_this(), id), stream.path, std::move(message));
+            internal::callHandler([&] {
+                handler_(std::make_shared<ServerStream>(shared_from_this(), id), stream.path, std::move(message));
+            });
             return;
         }
         if (stream.callbacks.onMessage) {
-            stream.callbacks.onMessage(std::move(message));
+            internal::callHandler([&] {
+                stream.callbacks.onMessage(std::move(message));
+            });
         }
     }
     stream.receiveBuffer.erase(0, consumed);
@@ -182,10 +208,12 @@
     auto stream = std::move(found->second);
     streams_.erase(found);
     if (stream.callbacks.onEnd) {
-        stream.callbacks.onEnd({stream.endStreamReceived, stream.frameSent && !refused, reason});
+        internal::callHandler([&] {
+            stream.callbacks.onEnd({stream.endStreamReceived, stream.frameSent && !refused, reason});
+        });
     }
     if (stream.onClosed) {
-        stream.onClosed();
+        internal::callHandler(stream.onClosed);
     }
 }
 
--- a/test/gateway/fleet.cpp
+++ b/test/gateway/fleet.cpp
@@ -246,3 +246,27 @@
     REQUIRE(reports.size() == 1);
     CHECK(reports.front().server == fleet.server(4).entry.id);
 }
+
+TEST_CASE("crash and failures at the peak: a server that fails requests can still give its cached histories, one that does not respond cannot",
+          "[gateway][fleet][history]")
+{
+    FilledFleet fleet(4);
+    auto &failing = fleet.server(0);
+    for (int i = 0; i < 10; ++i) {
+        fleet.recordOutcome(failing, Outcome::Failed, start);
+    }
+    REQUIRE(fleet.availabilityOf(failing, start) == Availability::Suspect);
+    CHECK(Fleet::canServeCacheFetch(failing, start));
+    const auto reports = fleet.suspicions(start);
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].isResponding);
+    auto &crashed = fleet.server(1);
+    fleet.recordOutcome(crashed, Outcome::Unreachable, start);
+    CHECK_FALSE(Fleet::canServeCacheFetch(crashed, start));
+    // Peers' reports tell the two apart as well.
+    fleet.onPeerSuspicion({"s2", 2000ms, true}, start);
+    fleet.onPeerSuspicion({"s3", 2000ms, false}, start);
+    CHECK(Fleet::canServeCacheFetch(fleet.server(2), start));
+    CHECK_FALSE(Fleet::canServeCacheFetch(fleet.server(3), start));
+    CHECK(Fleet::canServeCacheFetch(fleet.server(3), start + 2100ms));
+}
--- a/test/process/gatewayfaults.cpp
+++ b/test/process/gatewayfaults.cpp
@@ -5,6 +5,7 @@
 #include <harness/localfleet.h>
 
 #include <cyclamenspool/wire/endpoint.h>
+#include <cyclamenspool/wire/peerconnectionpool.h>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -434,3 +435,34 @@
         CHECK(response.body.find("error") == std::string::npos);
     }
 }
+
+TEST_CASE("a peer that sends bytes beyond its message, without end, is cut off within bounded memory", "[process][gateway][faults]")
+{
+    GatewayFleet fleet(1, 1);
+    boost::asio::io_context context;
+    PlainSocket socket(context);
+    socket.connect(wire::parseEndpoint(fleet.gateways[0].peerAddress));
+    // HTTP/2 by hand: preface, empty SETTINGS, HEADERS of a POST to /news (static table and literals), then DATA frames without end.
+    const std::string preface("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00", 33);
+    const std::string block = std::string("\x83\x86\x04\x05/news\x01\x04peer", 15);
+    std::string headers("\x00\x00\x00\x01\x04\x00\x00\x00\x01", 9);
+    headers[2] = static_cast<char>(block.size());
+    writeAll(socket, preface + headers + block);
+    std::string data("\x00\x40\x00\x00\x00\x00\x00\x00\x01", 9);
+    // The record announces five bytes.
+    const std::string payload = std::string("\x00\x00\x00\x05", 4) + std::string(16380, 'x');
+    static_cast<void>(writeUntilClosed(socket, data + payload, 0ms, 3s));
+    CHECK(peakMemoryOf(fleet) < 64e6);
+    CHECK(sendRequest(fleet.makeRequest("r1")).status == 200);
+}
+
+TEST_CASE("a malformed peer address is refused at once and leaves no connection attempt behind", "[process][gateway][faults]")
+{
+    boost::asio::io_context context;
+    wire::PeerConnectionPool pool(context, {});
+    for (int i = 0; i < 2; ++i) {
+        wire::StreamCallbacks callbacks;
+        callbacks.onEnd = [](const wire::StreamEnd &) {};
+        CHECK_THROWS(pool.submit("no address", "/news", "message", std::move(callbacks)));
+    }
+}
