--- a/test/harness/platformfakes.cpp
+++ b/test/harness/platformfakes.cpp
@@ -280,10 +280,21 @@
     handler_ = std::move(handler);
 }
 
-std::string FakeBackendServer::listEntry(const std::string &service, const std::string &state) const
+std::string FakeBackendServer::listEntry(const std::string &service, const std::string &state, const std::string &address) const
 {
-    return json::serialize(json::object{
-        {"service", service}, {"address", server_.address()}, {"zone", "az-a"}, {"slots", 8}, {"state", state}, {"cold_remaining_ms", 0}, {"sequence", 1}});
+    return json::serialize(json::object{{"service", service},
+                                        {"address", address.empty() ? server_.address() : address},
+                                        {"zone", "az-a"},
+                                        {"slots", 8},
+                                        {"state", state},
+                                        {"cold_remaining_ms", 0},
+                                        {"sequence", 1}});
+}
+
+std::map<std::string, int> FakeBackendServer::runCounts()
+{
+    const std::lock_guard lock(mutex_);
+    return runCounts_;
 }
 
 int FakeBackendServer::runCount(const std::string &requestId)
@@ -311,7 +322,8 @@
 bool FakeBackendServer::respond(const PlainRequest &request, PlainSocket &socket)
 {
     if (request["Cyclamenspool-Expect-Instance"] != id_) {
-        return writeAll(socket, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+        const std::string id(request["Cyclamenspool-Request-Id"]);
+        return writeAll(socket, "HTTP/1.1 421 Misdirected Request\r\nCyclamenspool-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
     }
     ThreadedServer::Handler handler;
     {
--- a/test/harness/platformfakes.h
+++ b/test/harness/platformfakes.h
@@ -138,8 +138,18 @@
     /** @brief Sets the handler of requests; the default one sends formatResponseWithDigest(). */
     void setHandler(ThreadedServer::Handler handler);
 
-    /** @brief Returns its entry in the list of backend servers as JSON. @param service Service that it belongs to. @param state Listed state. */
-    [[nodiscard]] std::string listEntry(const std::string &service, const std::string &state = "ready") const;
+    /** @brief Returns its entry in the list of backend servers as JSON. @param service Service that it belongs to. @param state Listed state.
+     * @param address Address in the entry; empty: its own. */
+    [[nodiscard]] std::string listEntry(const std::string &service, const std::string &state = "ready", const std::string &address = "") const;
+
+    /** @brief Returns the IP address and port of the server. */
+    [[nodiscard]] const std::string &address() const noexcept
+    {
+        return server_.address();
+    }
+
+    /** @brief Returns the number of runs by request id. */
+    [[nodiscard]] std::map<std::string, int> runCounts();
 
     /** @brief Returns how often a request was run. */
     [[nodiscard]] int runCount(const std::string &requestId);
