--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -272,20 +272,15 @@
 
 void Exchange::onDeadline()
 {
-    const bool hasAttempt = call_ != nullptr;
-    if (hasAttempt) {
-        call_->cancel();
-        finishAttempt(Outcome::Abandoned);
-    }
-    if (isRelayStarted()) {
-        abortResponse(core::ErrorKind::AnswerCut, "request deadline exceeded");
-        return;
-    }
-    mayHaveRun_ = mayHaveRun_ || hasAttempt;
-    refuse(mayHaveRun_ ? core::ErrorKind::DeadlineAfterSend : core::ErrorKind::DeadlineUnsent, "request deadline exceeded");
+    endNow(core::ErrorKind::DeadlineUnsent, core::ErrorKind::DeadlineAfterSend, "request deadline exceeded");
 }
 
 void Exchange::onShutdown()
+{
+    endNow(core::ErrorKind::ShuttingDown, core::ErrorKind::OutcomeUnknown, "the gateway's shutdown ended before the response");
+}
+
+void Exchange::endNow(core::ErrorKind kindIfUnsent, core::ErrorKind kindIfSent, const std::string &detail)
 {
     const bool hasAttempt = call_ != nullptr;
     if (hasAttempt) {
@@ -293,11 +288,11 @@
         finishAttempt(Outcome::Abandoned);
     }
     if (isRelayStarted()) {
-        abortResponse(core::ErrorKind::AnswerCut, "the gateway's shutdown ended before the response");
+        abortResponse(core::ErrorKind::AnswerCut, detail);
         return;
     }
     mayHaveRun_ = mayHaveRun_ || hasAttempt;
-    refuse(mayHaveRun_ ? core::ErrorKind::OutcomeUnknown : core::ErrorKind::ShuttingDown, "the gateway's shutdown ended before the response");
+    refuse(mayHaveRun_ ? kindIfSent : kindIfUnsent, detail);
 }
 
 void Exchange::finish(std::string_view requestOutcome, const std::string &detail)
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -76,6 +76,7 @@
     void refuse(core::ErrorKind kind, const std::string &detail);
     void abortResponse(core::ErrorKind kind, const std::string &detail);
     void onDeadline();
+    void endNow(core::ErrorKind kindIfUnsent, core::ErrorKind kindIfSent, const std::string &detail);
     void armStallTimer();
     void checkStall();
     void finish(std::string_view requestOutcome, const std::string &detail);
