--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -430,6 +430,9 @@
     pull.set_since_ms(request.sinceReply.count());
     wire::StreamCallbacks callbacks;
     callbacks.onMessage = [this](const std::string &message) {
+        if (message.empty()) {
+            return; // The peer has just started and has no totals yet; the end of the request counts as a failure.
+        }
         const auto totals = internal::logIfUnreadable(decodeZoneTotals(message), internal::zonePath, message.size());
         if (totals) {
             onZoneTotals(*totals, message.size());
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -80,6 +80,8 @@
         } catch (const internal::RevisionCompacted &) {
             needsList_ = true;
             isCompacted = true;
+        } catch (const boost::system::system_error &error) {
+            failure = error.code().message(); // what() would add the place in the library's source.
         } catch (const std::exception &error) {
             failure = error.what();
         }
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -317,6 +317,9 @@
     for (auto &response : responses) {
         CHECK(response.get().status == 200);
     }
+    for (const auto &gateway : fleet.gateways) {
+        CHECK(GatewayFleet::readLog(gateway).find("peer_message_unreadable") == std::string::npos);
+    }
     makeStoreUnavailable(fleet, 1);
     fleet.gateways[3].process.kill(); /* the only peer in the zone of the gateway */
     fleet.publishRouting(2, "pool", {"key-1", "key-2"});
@@ -410,6 +413,12 @@
     std::this_thread::sleep_for(700ms);
     CHECK(sendRequest(fleet.makeRequest("r1")).status == 200);
     CHECK(GatewayFleet::isReady(fleet.gateways[0]));
+    const auto log = GatewayFleet::readLog(fleet.gateways[0]);
+    const std::string event = "\"event\":\"store_lost\",\"section\":\"op/\"";
+    const auto lost = log.find(event);
+    REQUIRE(lost != std::string::npos);
+    CHECK(log.find(event, lost + 1) == std::string::npos); /* once for a loss, whatever the number of failed calls */
+    CHECK(log.find("/include/") == std::string::npos);
     fleet.publishRouting(2, "pool", {"key-1", "key-2"});
     fleet.store.compact();
     fleet.store.setStatus(200);
