Callers refused for a missing configuration return after the outage, not into it

Callers return once; with a Retry-After of 0.4 to 0.9 s they met the same gateways and were refused for good. Change: up to 3 s for this cause, still spread and within a third of the caller's time. Nothing else is delayed for longer.

--- a/src/cyclamenspool/gateway/refusal.cpp
+++ b/src/cyclamenspool/gateway/refusal.cpp
@@ -16,6 +16,14 @@
 constexpr double maxDelayFraction = 0.3; /* of the time until the caller's deadline; callers honour delays of up to a third of it */
 constexpr double minJitter = 0.4; /* the longest delay is multiplied by a random factor between this and 1 */
 constexpr std::chrono::milliseconds maxRetryDelay{900};
+constexpr std::chrono::milliseconds missingConfigurationDelay{3000}; /* a process without configuration waits for an outage to end, which takes seconds */
+
+/** @brief Returns the longest delay that suits the cause of a refusal. */
+std::chrono::milliseconds maxDelayOf(core::ErrorKind kind)
+{
+    const bool isConfigurationMissing = kind == core::ErrorKind::StaleView;
+    return isConfigurationMissing ? missingConfigurationDelay : std::min(core::ruleOf(kind).retryAfter, maxRetryDelay);
+}
 
 std::string formatBody(const GatewayRefusal &refusal)
 {
@@ -49,7 +57,7 @@
         return std::chrono::milliseconds(0);
     }
     const auto callerLimit = std::chrono::duration_cast<std::chrono::milliseconds>(remainingTime * internal::maxDelayFraction);
-    const auto maxDelay = std::min({callerLimit, rule.retryAfter, internal::maxRetryDelay});
+    const auto maxDelay = std::min(callerLimit, internal::maxDelayOf(kind));
     const double jitter = internal::minJitter + (1 - internal::minJitter) * random.uniform();
     return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(maxDelay * jitter), std::chrono::milliseconds(1));
 }
