The LF of a CRLF that ends an event belongs to that event, however the stream is split

With the events now ending at a CR, an LF that arrived later stayed in the incomplete event. Unit test and fuzz case kept; red before, green after.

--- a/src/cyclamenspool/gateway/eventscanner.cpp
+++ b/src/cyclamenspool/gateway/eventscanner.cpp
@@ -17,13 +17,10 @@
     std::size_t completeBytes = 0;
     while (scanned_ < partialEvent_.size()) {
         const char byte = partialEvent_[scanned_];
-        const bool isEventEnd = scanByte(byte);
+        // The LF of a CRLF that ended the event before belongs to that event, also if it arrives later.
+        const bool isRestOfEventEnd = byte == '\n' && isAfterCarriageReturn_ && scanned_ == completeBytes;
+        const bool isEventEnd = scanByte(byte) || isRestOfEventEnd;
         ++scanned_;
-        const bool isLineFeedNext = byte == '\r' && scanned_ < partialEvent_.size() && partialEvent_[scanned_] == '\n';
-        if (isEventEnd && isLineFeedNext) {
-            ++scanned_;
-            isAfterCarriageReturn_ = false;
-        }
         if (isEventEnd) {
             completeBytes = scanned_;
             lineStart_ = scanned_;
--- a/test/gateway/eventscanner.cpp
+++ b/test/gateway/eventscanner.cpp
@@ -34,6 +34,7 @@
         const auto first = scanner.append(stream.substr(0, cut));
         const auto second = scanner.append(stream.substr(cut));
         CHECK(first + second == stream);
+        CHECK(scanner.partialEvent().empty());
         CHECK(scanner.lastEventId() == "3");
     }
     EventScanner scanner("");
@@ -61,3 +62,11 @@
     static_cast<void>(scanner.append(std::string(20000, 'x')));
     CHECK(scanner.isOversized());
 }
+
+TEST_CASE("a CRLF that is split after an event's last CR leaves nothing behind", "[gateway]")
+{
+    EventScanner scanner("");
+    CHECK(scanner.append("data: a\r\n\r") == "data: a\r\n\r");
+    CHECK(scanner.append("\n") == "\n");
+    CHECK(scanner.partialEvent().empty());
+}
