--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -130,7 +130,6 @@
                                   {{"section", std::string(prefixOf(section))}, {"revision", state.replica.revision()}, {"failed_calls", state.failedCalls}});
     }
     state.isUnavailable = false;
-    state.isLossLogged = false;
     state.failedCalls = 0;
     state.lastRefresh = std::chrono::steady_clock::now();
     if (section == Section::Servers) {
@@ -152,10 +151,9 @@
 {
     auto &state = stateOf(section);
     ++state.failedCalls;
-    if (!state.isLossLogged) {
+    if (state.failedCalls == 1) {
         telemetry::logRateLimited("store_lost", {{"section", std::string(prefixOf(section))}, {"reason", reason}, {"revision", state.replica.revision()}});
     }
-    state.isLossLogged = true;
     state.isUnavailable = true;
     if (section == Section::Servers) {
         dispatcher_.withFleet([](Fleet &fleet, core::MonotonicTime) {
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -77,7 +77,6 @@
         member::StoreReplica replica;
         core::MonotonicTime lastRefresh{};
         bool isUnavailable = true;
-        bool isLossLogged = false;
         std::uint64_t failedCalls = 0; /* since the last successful one */
     };
 
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -249,10 +249,7 @@
             entry->set_outstanding(static_cast<std::uint32_t>(load.outstanding));
         }
         for (const auto &suspicion : fleet.suspicions(time)) {
-            auto *entry = update.add_suspicions();
-            entry->set_backend_server(suspicion.server);
-            entry->set_lasts_ms(suspicion.remaining.count());
-            entry->set_responds(suspicion.isResponding);
+            encodeSuspicion(suspicion, *update.add_suspicions());
         }
     });
     sharedUpdate_ = update.SerializeAsString();
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -104,6 +104,7 @@
     void applyLoads(const wire::GatewayNews &update);
     [[nodiscard]] std::string buildZoneTotals(core::Milliseconds placementAge);
     [[nodiscard]] bool isOtherZone(const Peer &peer) const;
+    [[nodiscard]] bool isLiveInOwnZone(const Peer &peer, core::MonotonicTime now) const;
     [[nodiscard]] std::size_t exchangePeerCount() const;
     [[nodiscard]] core::MonotonicTime lastSign(const Peer &peer) const;
     void pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision);
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -15,14 +15,18 @@
 
 } // namespace internal
 
+bool PeerGossip::isLiveInOwnZone(const Peer &peer, core::MonotonicTime now) const
+{
+    return peer.zone == settings_.zone && internal::elapsed(peer.lastSeen, now) < unresponsiveTimeout();
+}
+
 bool PeerGossip::isListWatcher() const
 {
     const auto now = std::chrono::steady_clock::now();
     const auto ownRank = core::hash64(settings_.peerAddress);
     const bool isAnyBefore = std::any_of(peers_.begin(), peers_.end(), [this, now, ownRank](const auto &entry) {
         const auto &[address, peer] = entry;
-        const bool isLive = peer.zone == settings_.zone && internal::elapsed(peer.lastSeen, now) < unresponsiveTimeout();
-        return isLive && !peer.isStoreUnavailable && core::hash64(address) < ownRank;
+        return isLiveInOwnZone(peer, now) && !peer.isStoreUnavailable && core::hash64(address) < ownRank;
     });
     return !isAnyBefore && !catalog_.isStoreUnavailable(Catalog::Section::Servers);
 }
@@ -32,7 +36,7 @@
     const auto now = std::chrono::steady_clock::now();
     const auto message = encodeListDelta(delta);
     for (const auto &[address, peer] : peers_) {
-        if (peer.zone == settings_.zone && internal::elapsed(peer.lastSeen, now) < unresponsiveTimeout()) {
+        if (isLiveInOwnZone(peer, now)) {
             wire::StreamCallbacks callbacks;
             callbacks.onEnd = [](const wire::StreamEnd &) {};
             connectionPool_.submit(address, internal::listPath, message, std::move(callbacks));
@@ -119,10 +123,7 @@
     dispatcher_.withFleet([&totals](const Fleet &fleet, core::MonotonicTime time) {
         setLoadReport(totals, fleet.ownZoneLoads(time));
         for (const auto &suspicion : fleet.ownZoneSuspicions(time)) {
-            auto *entry = totals.add_suspicions();
-            entry->set_backend_server(suspicion.server);
-            entry->set_lasts_ms(suspicion.remaining.count());
-            entry->set_responds(suspicion.isResponding);
+            encodeSuspicion(suspicion, *totals.add_suspicions());
         }
     });
     for (const auto &placement : dispatcher_.zoneHistoryPlacements(placementAge + internal::placementOverlap)) {
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -64,6 +64,13 @@
     return internal::suspicionsIn(totals);
 }
 
+void encodeSuspicion(const Suspicion &suspicion, wire::Suspicion &entry)
+{
+    entry.set_backend_server(suspicion.server);
+    entry.set_lasts_ms(suspicion.remaining.count());
+    entry.set_responds(suspicion.isResponding);
+}
+
 std::optional<wire::ZoneTotals> decodeZoneTotals(const std::string &bytes)
 {
     wire::ZoneTotals totals;
--- a/src/cyclamenspool/gateway/peermessages.h
+++ b/src/cyclamenspool/gateway/peermessages.h
@@ -24,6 +24,9 @@
 /** @brief Returns the suspected backend servers in a zone's totals, each with the remaining duration of the suspicion. */
 [[nodiscard]] std::vector<Suspicion> suspicionsOf(const wire::ZoneTotals &totals);
 
+/** @brief Writes a suspected backend server to an entry of a message. */
+void encodeSuspicion(const Suspicion &suspicion, wire::Suspicion &entry);
+
 /** @brief Decodes a zone's totals. @param bytes Serialized message. @return Totals; empty if they are malformed, if the lists of a pair differ in length, or if
  * a number is out of range. */
 [[nodiscard]] std::optional<wire::ZoneTotals> decodeZoneTotals(const std::string &bytes);
