A gateway that exits with open callers' connections ends cleanly; a short grace period cuts no request

Cause: a worker declared its event loop before the set of its sessions, so the set was destroyed first. The loop's destructor then destroyed the sessions that were still open, and each erased itself from the destroyed set: SIGABRT or SIGSEGV after the last answer. It shows when callers keep connections open to the end of the grace period. Second cause, found on the way: with a grace period below 3.8 s a draining gateway never refused new requests, so requests that it took in the last 800 ms ran and were cut. Third, by reading: closing the listening socket reset the connections in its queue and dropped one accepted just then.

Change: the loop is declared after what its handlers use; requests are refused and connections drained from the end of requests on at the latest; the queue is accepted before the listening socket is closed, which is now closed then too.

--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -133,7 +133,7 @@
 {
     auto &worker = *workers_[nextWorker_++ % workers_.size()];
     acceptor_.async_accept(worker.context(), [this, &worker](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
-        if (!acceptor_.is_open()) {
+        if (error && !acceptor_.is_open()) {
             return;
         }
         if (error) {
@@ -146,13 +146,35 @@
             });
             return;
         }
-        asio::post(worker.context(), [&worker, socket = std::move(socket)]() mutable {
-            std::make_shared<CallerSession>(worker, std::move(socket))->start();
-        });
-        accept();
+        startSession(worker, std::move(socket));
+        if (acceptor_.is_open()) {
+            accept();
+        }
+    });
+}
+
+void GatewayNode::startSession(Worker &worker, asio::ip::tcp::socket socket)
+{
+    asio::post(worker.context(), [&worker, socket = std::move(socket)]() mutable {
+        std::make_shared<CallerSession>(worker, std::move(socket))->start();
     });
 }
 
+void GatewayNode::closeAcceptor()
+{
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    // Closing the acceptor resets the connections that wait in its queue, so they are accepted first.
+    while (!error) {
+        auto &worker = *workers_[nextWorker_++ % workers_.size()];
+        auto socket = acceptor_.accept(worker.context(), error);
+        if (!error) {
+            startSession(worker, std::move(socket));
+        }
+    }
+    acceptor_.close(error);
+}
+
 void GatewayNode::watchSection(Catalog::Section section)
 {
     platform::StoreCallbacks callbacks;
@@ -270,6 +292,8 @@
             worker->closeIdleSessions();
         }
         if (areRequestsToEnd) {
+            worker->beginDrain();
+            worker->refuseNewRequests();
             worker->endRequests();
         }
     }
@@ -281,10 +305,9 @@
         stop();
         return;
     }
-    if (isDone) {
+    if ((isDone || areRequestsEnded_) && acceptor_.is_open()) {
         // A connection that was accepted just now is not counted yet: it is served until the next check.
-        boost::system::error_code ignored;
-        acceptor_.close(ignored);
+        closeAcceptor();
     }
     phaseTimer_.expires_after(internal::drainCheckPeriod);
     phaseTimer_.async_wait([this](const boost::system::error_code &error) {
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -38,6 +38,8 @@
     void listen();
     void acceptWhenConfigured();
     void accept();
+    static void startSession(Worker &worker, boost::asio::ip::tcp::socket socket);
+    void closeAcceptor();
     void watchSection(Catalog::Section section);
     void onStoreChanges(Catalog::Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision);
     [[nodiscard]] std::chrono::milliseconds serverWatchPause() const;
--- a/src/cyclamenspool/gateway/worker.cpp
+++ b/src/cyclamenspool/gateway/worker.cpp
@@ -12,8 +12,8 @@
 
 Worker::Worker(Dispatcher &dispatcher, std::uint64_t seed)
     : dispatcher_(dispatcher)
-    , connectionPool_(context_)
     , random_(seed)
+    , connectionPool_(context_)
 {
 }
 
--- a/src/cyclamenspool/gateway/worker.h
+++ b/src/cyclamenspool/gateway/worker.h
@@ -92,14 +92,14 @@
 private:
     void forEachSession(void (CallerSession::*action)());
 
-    boost::asio::io_context context_{1};
     Dispatcher &dispatcher_;
-    BackendConnectionPool connectionPool_;
     core::RandomSource random_;
     std::set<CallerSession *> sessions_;
     std::atomic<std::size_t> sessionCount_{0};
     std::atomic<bool> draining_{false};
     std::atomic<bool> refusing_{false};
+    boost::asio::io_context context_{1}; /* its destructor ends the sessions that are still open, which unregister from sessions_ */
+    BackendConnectionPool connectionPool_; /* its sockets belong to context_ */
 };
 
 } // namespace cyclamenspool::gateway
--- a/test/process/gatewayfaults.cpp
+++ b/test/process/gatewayfaults.cpp
@@ -81,6 +81,18 @@
     return result;
 }
 
+/** @brief Changes the grace period of a running gateway. @param seconds New value, as written in the settings file. */
+void setGracePeriod(GatewayFleet::Gateway &gateway, const std::string &seconds)
+{
+    auto settings = GatewayFleet::readSettings(gateway);
+    settings.replace(settings.find("grace_s: 6"), 10, "grace_s: " + seconds);
+    GatewayFleet::writeSettings(gateway, settings);
+    gateway.process.signal(SIGHUP);
+    REQUIRE(LocalFleet::waitUntil([&gateway] {
+        return GatewayFleet::readLog(gateway).find("in force\"") != std::string::npos;
+    }));
+}
+
 } // namespace
 
 TEST_CASE("a late second copy of a response without an id on a reused connection is not given to the next caller", "[process][gateway][faults]")
@@ -266,6 +278,11 @@
         });
     }
     auto &gateway = fleet.gateways[0];
+    const bool isGraceShort = GENERATE(false, true);
+    CAPTURE(isGraceShort);
+    if (isGraceShort) {
+        setGracePeriod(gateway, "1.5"); /* shorter than the time after which requests are refused */
+    }
     std::atomic<bool> isProcessGone{false};
     std::atomic<int> cut{0};
     std::atomic<int> answered{0};
@@ -306,13 +323,7 @@
 {
     GatewayFleet fleet(1, 1);
     auto &gateway = fleet.gateways[0];
-    auto settings = GatewayFleet::readSettings(gateway);
-    settings.replace(settings.find("grace_s: 6"), 10, "grace_s: 1.5");
-    GatewayFleet::writeSettings(gateway, settings);
-    gateway.process.signal(SIGHUP);
-    REQUIRE(LocalFleet::waitUntil([&gateway] {
-        return GatewayFleet::readLog(gateway).find("in force\"") != std::string::npos;
-    }));
+    setGracePeriod(gateway, "1.5");
     fleet.backendServers[0]->setHandler([](const PlainRequest &, PlainSocket &) {
         std::this_thread::sleep_for(3000ms);
         return false;
@@ -326,6 +337,36 @@
     CHECK(gateway.process.wait(3s) == 0);
 }
 
+TEST_CASE("a planned stop with callers that keep their connections open exits cleanly", "[process][gateway][faults]")
+{
+    GatewayFleet fleet(1, 1);
+    auto &gateway = fleet.gateways[0];
+    setGracePeriod(gateway, "1.5");
+    fleet.backendServers[0]->setHandler([](const PlainRequest &, PlainSocket &) {
+        std::this_thread::sleep_for(3000ms);
+        return false;
+    });
+    // Each connection stays open after its response until the process has exited.
+    boost::asio::io_context context;
+    std::vector<PlainSocket> sockets;
+    std::vector<std::future<KeptResult>> results;
+    for (int i = 0; i < 24; ++i) {
+        sockets.emplace_back(context).connect(wire::parseEndpoint(gateway.callerAddress));
+    }
+    for (auto &socket : sockets) {
+        const auto id = "kept-" + std::to_string(results.size());
+        results.push_back(std::async(std::launch::async, [&socket, id] {
+            return sendOn(socket, id);
+        }));
+    }
+    std::this_thread::sleep_for(200ms);
+    gateway.process.signal(SIGTERM);
+    CHECK(gateway.process.wait(3s) == 0);
+    for (auto &result : results) {
+        CHECK(result.get().status != 0);
+    }
+}
+
 TEST_CASE("malformed input from callers, peers, the balancer and the store does not end the process", "[process][gateway][faults]")
 {
     GatewayFleet fleet(2, 1);
