Histories are found by their longest known prefix: a chat's next turn follows the one before

Cause 1 (reading, then a test): a history was known by the hash of all its parts. A chat that grows by a part each turn has a new hash each turn, so its next turn went to another server by rendezvous hashing: 199 of 220 turns in the test.

Change: each prefix of a prompt is recorded with its holders (HistoryPrefix); holders are looked up by the longest known prefix. Most of a history counts as the whole unless another history continues the same prefix. 16 holders are kept, not 4.

--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -19,38 +19,6 @@
     return std::chrono::steady_clock::now();
 }
 
-std::uint64_t hashOf(std::uint64_t value)
-{
-    const auto hash = core::hash64({reinterpret_cast<const char *>(&value), sizeof(value)});
-    return hash == 0 ? 1 : hash;
-}
-
-/** @brief Returns the key of the prompt prefix that the requests of one history share: a hash of the ids of all parts but the last one, or of the only part.
- *
- * All parts count, as an engine reuses a part only together with all parts before it.
- * @return 0: none. */
-std::uint64_t historyKeyOf(const world::Route &route, const platform::RequestHead &head)
-{
-    if (!route.usesPromptCache || head.parts.empty()) {
-        return 0;
-    }
-    const auto prefixParts = std::max<std::size_t>(head.parts.size() - 1, 1);
-    std::uint64_t key = 0;
-    for (std::size_t i = 0; i < prefixParts; ++i) {
-        key = hashOf(key ^ head.parts[i].id);
-    }
-    return key;
-}
-
-std::uint32_t historyTokensOf(const platform::RequestHead &head)
-{
-    std::uint32_t tokens = 0;
-    for (std::size_t i = 0; i + 1 < head.parts.size(); ++i) {
-        tokens += head.parts[i].tokens;
-    }
-    return tokens;
-}
-
 /** @brief Chooses one of a route's services in proportion to their weights; equal keys get the same service. */
 const std::string &serviceOf(const world::Route &route, std::uint64_t key)
 {
@@ -59,7 +27,7 @@
         total += trafficShare.weight;
     }
     constexpr double range = 18446744073709551616.0; /* 2^64 */
-    double point = static_cast<double>(hashOf(key)) / range * total;
+    double point = static_cast<double>(core::hash64({reinterpret_cast<const char *>(&key), sizeof(key)})) / range * total;
     for (const auto &trafficShare : route.services) {
         if (point < trafficShare.weight) {
             return trafficShare.service;
@@ -174,10 +142,11 @@
         admission.workspace = owner->workspace;
         admission.urgency = owner->priority >= 0 ? owner->priority : route.priority;
     }
-    admission.historyKey = internal::historyKeyOf(route, head);
-    admission.historyTokens = internal::historyTokensOf(head);
+    if (route.usesPromptCache) {
+        admission.history = historyPrefixesOf(head.parts);
+    }
     const auto requestKey = head.id.empty() ? ++requestsWithoutId_ : core::hash64(head.id);
-    const auto serviceKey = admission.historyKey != 0 ? admission.historyKey : requestKey;
+    const auto serviceKey = admission.history.empty() ? requestKey : admission.history.back().key;
     admission.service = internal::serviceOf(route, serviceKey);
     return admission;
 }
@@ -205,9 +174,9 @@
     }
     PlacementQuery query;
     query.service = admission.service;
-    query.historyKey = admission.historyKey;
-    query.historyTokens = admission.historyTokens;
-    query.holders = histories_.holdersOf(admission.historyKey, now);
+    query.historyKey = admission.historyKey();
+    query.historyTokens = admission.history.empty() ? 0 : admission.history.back().tokens;
+    query.holders = findHistoryHolders(histories_, admission.history, now);
     query.tried = tried;
     const auto placement = gateway::place(fleet_, splitter_, query, limitsOf(admission), now);
     if (placement.server == nullptr) {
@@ -217,26 +186,39 @@
     (isRetry ? serviceCounts.retries : serviceCounts.requests).add(now);
     ++(isRetry ? counts_.retries : counts_.placed);
     beginRequest(*placement.server);
-    const auto source = recordHistoryPlacement(query, *placement.server, now);
+    const auto source = historySourceOf(query, *placement.server, now);
+    recordHistoryPlacement(admission.history, *placement.server, now);
     return {std::make_unique<InFlightRequest>(*this, placement.server), source, core::ErrorKind::NoCandidate, placement.reason};
 }
 
-std::string Dispatcher::recordHistoryPlacement(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now)
+std::string Dispatcher::historySourceOf(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now) const
 {
     if (query.historyKey == 0) {
         return {};
     }
-    const auto source = findHistorySource(fleet_, query.historyKey, server, query.holders, now);
-    const HistoryPlacement placement{query.historyKey, server.entry.id};
-    if (histories_.add(placement, now)) {
-        ++historyPlacementCount_;
-        historyPlacements_.push_back(placement);
-        recordZonePlacement(placement, now);
+    const auto source = findHistorySource(fleet_, query, server, now);
+    return source == nullptr ? std::string() : source->entry.address;
+}
+
+void Dispatcher::recordHistoryPlacement(const std::vector<HistoryPrefix> &history, const ServerState &server, core::MonotonicTime now)
+{
+    for (std::size_t i = 0; i < history.size(); ++i) {
+        const HistoryPlacement placement{history[i].key, server.entry.id};
+        const bool isNew = histories_.add(placement, now);
+        const bool isLongest = i + 1 == history.size();
+        if (!isLongest) {
+            histories_.setContinuation(history[i].key, history[i + 1].key);
+        }
+        // Peers see the shorter prefixes in requests of their own; only whole histories are worth the bytes of an update.
+        if (isNew && isLongest) {
+            ++historyPlacementCount_;
+            historyPlacements_.push_back(placement);
+            recordZonePlacement(placement, now);
+        }
     }
     if (historyPlacements_.size() > internal::maxHistoryPlacements) {
         historyPlacements_.pop_front();
     }
-    return source == nullptr ? std::string() : source->entry.address;
 }
 
 void Dispatcher::recordZonePlacement(const HistoryPlacement &placement, core::MonotonicTime now)
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -4,6 +4,7 @@
 #include <cyclamenspool/core/errorkind.h>
 #include <cyclamenspool/gateway/fleet.h>
 #include <cyclamenspool/gateway/historydirectory.h>
+#include <cyclamenspool/gateway/historyprefixes.h>
 #include <cyclamenspool/gateway/limitsplitter.h>
 #include <cyclamenspool/gateway/placement.h>
 #include <cyclamenspool/gateway/requestmeter.h>
@@ -33,9 +34,14 @@
     const world::Route *route = nullptr; /**< Owned by the table. */
     std::string service;
     std::string workspace; /**< Empty: none. */
-    std::uint64_t historyKey = 0; /**< Hash that identifies the history, see HistoryDirectory; 0: none. */
-    std::uint32_t historyTokens = 0; /**< Tokens of all prompt parts but the last one, which belongs to this request alone. */
+    std::vector<HistoryPrefix> history; /**< Prefixes of its prompt, see historyPrefixesOf(); empty: none. */
     int urgency = 0; /**< 0 is the most urgent. */
+
+    /** @brief Returns the hash that identifies the history; 0: none. */
+    [[nodiscard]] std::uint64_t historyKey() const noexcept
+    {
+        return history.empty() ? 0 : history.back().key;
+    }
 };
 
 class Dispatcher;
@@ -212,7 +218,8 @@
     [[nodiscard]] bool isUnresponsive(const ServerState &server) const;
     void endRequest(ServerState &server, Outcome outcome);
     [[nodiscard]] std::optional<boost::json::object> recordOutcome(ServerState &server, Outcome outcome);
-    [[nodiscard]] std::string recordHistoryPlacement(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now);
+    [[nodiscard]] std::string historySourceOf(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now) const;
+    void recordHistoryPlacement(const std::vector<HistoryPrefix> &history, const ServerState &server, core::MonotonicTime now);
     [[nodiscard]] PlacementLimits limitsOf(const Admission &admission) const;
     [[nodiscard]] ServiceCounts &countsOf(const std::string &service);
     [[nodiscard]] bool isRetryAllowed(const std::string &service, core::MonotonicTime now);
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -359,7 +359,7 @@
     }
     if (headersReceivedAt_ > arrivedAt_) {
         line["pause_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(maxBodyGap_).count();
-        line["history"] = admission_->historyKey;
+        line["history"] = admission_->historyKey();
     }
     if (!historySource_.empty()) {
         line["history_source"] = historySource_;
--- a/src/cyclamenspool/gateway/historydirectory.cpp
+++ b/src/cyclamenspool/gateway/historydirectory.cpp
@@ -6,7 +6,7 @@
 
 namespace internal {
 
-constexpr std::size_t maxHolders = 4;
+constexpr std::size_t maxHolders = 16;
 constexpr std::chrono::seconds holderExpiry{60}; /* an engine may evict a history that is unused for longer */
 
 } // namespace internal
@@ -44,6 +44,20 @@
     return isNew;
 }
 
+void HistoryDirectory::setContinuation(std::uint64_t historyKey, std::uint64_t continuation)
+{
+    const auto found = entries_.find(historyKey);
+    if (found != entries_.end()) {
+        found->second.continuation = continuation;
+    }
+}
+
+std::uint64_t HistoryDirectory::continuationOf(std::uint64_t historyKey) const
+{
+    const auto found = entries_.find(historyKey);
+    return found == entries_.end() ? 0 : found->second.continuation;
+}
+
 std::vector<std::string> HistoryDirectory::holdersOf(std::uint64_t historyKey, core::MonotonicTime now) const
 {
     std::vector<std::string> servers;
--- a/src/cyclamenspool/gateway/historydirectory.h
+++ b/src/cyclamenspool/gateway/historydirectory.h
@@ -37,7 +37,14 @@
      */
     bool add(const HistoryPlacement &placement, core::MonotonicTime now);
 
-    /** @brief Returns the ids of at most 4 backend servers that were sent a history within the last 60 s, the latest first. */
+    /** @brief Records the history that continues a known one by a further part; it replaces the one before. @param historyKey History. @param continuation
+     * Longer history. */
+    void setContinuation(std::uint64_t historyKey, std::uint64_t continuation);
+
+    /** @brief Returns the latest history that continues a known one; 0 if there is none. */
+    [[nodiscard]] std::uint64_t continuationOf(std::uint64_t historyKey) const;
+
+    /** @brief Returns the ids of at most 16 backend servers that were sent a history within the last 60 s, the latest first. */
     [[nodiscard]] std::vector<std::string> holdersOf(std::uint64_t historyKey, core::MonotonicTime now) const;
 
 private:
@@ -48,6 +55,7 @@
     struct Entry {
         std::vector<Holder> holders;
         std::list<std::uint64_t>::iterator position;
+        std::uint64_t continuation = 0;
     };
 
     std::size_t capacity_;
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -39,7 +39,7 @@
         return otherZone << 32U | static_cast<std::uint64_t>(load);
     }
     constexpr unsigned classShift = 62;
-    const std::uint64_t lacksHistory = containsId(query.holders, server.entry.id) ? 0 : 1;
+    const std::uint64_t lacksHistory = containsId(query.holders.whole, server.entry.id) ? 0 : 1;
     const bool isSmall = query.historyTokens <= maxSmallHistoryTokens;
     // For a large history, the zone only matters among holders: an extra copy for the own zone would cost more than it saves.
     const auto priorityClass = isSmall ? otherZone << 1U | lacksHistory : lacksHistory << 1U | (otherZone & ~lacksHistory);
@@ -86,6 +86,18 @@
     return first;
 }
 
+/** @brief Returns the first of some holders that can serve a fetch; null if none can. */
+ServerPtr firstSource(const Fleet &fleet, const std::vector<std::string> &holders, core::MonotonicTime now)
+{
+    for (const auto &id : holders) {
+        auto holder = fleet.find(id);
+        if (holder != nullptr && Fleet::canServeCacheFetch(*holder, now)) {
+            return holder;
+        }
+    }
+    return nullptr;
+}
+
 bool getsNoNewRequests(Availability availability)
 {
     return availability == Availability::Leaving || availability == Availability::Evacuated;
@@ -154,22 +166,24 @@
     return {nullptr, isColdLimitReached ? core::ErrorKind::ColdStart : core::ErrorKind::NoCandidate, "no backend server can get the request now"};
 }
 
-ServerPtr findHistorySource(const Fleet &fleet,
-                            std::uint64_t historyKey,
-                            const ServerState &chosen,
-                            const std::vector<std::string> &holders,
-                            core::MonotonicTime now)
+ServerPtr findHistorySource(const Fleet &fleet, const PlacementQuery &query, const ServerState &chosen, core::MonotonicTime now)
 {
-    if (internal::containsId(holders, chosen.entry.id)) {
+    const auto &holders = query.holders;
+    if (internal::containsId(holders.whole, chosen.entry.id)) {
         return nullptr;
     }
-    for (const auto &id : holders) {
-        auto holder = fleet.find(id);
-        if (holder != nullptr && Fleet::canServeCacheFetch(*holder, now)) {
-            return holder;
-        }
+    auto source = internal::firstSource(fleet, holders.whole, now);
+    if (source != nullptr) {
+        return source;
+    }
+    source = internal::likelyHolder(fleet, query.historyKey, chosen, now);
+    const bool holdsBeginning = source != nullptr && internal::containsId(holders.beginning, source->entry.id);
+    if (holdsBeginning || internal::containsId(holders.beginning, chosen.entry.id)) {
+        return source;
     }
-    return internal::likelyHolder(fleet, historyKey, chosen, now);
+    // The likely holder may well hold nothing of a new history; its beginning is certain to be found here.
+    auto holderOfBeginning = internal::firstSource(fleet, holders.beginning, now);
+    return holderOfBeginning != nullptr ? holderOfBeginning : source;
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/placement.h
+++ b/src/cyclamenspool/gateway/placement.h
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/core/errorkind.h>
 #include <cyclamenspool/gateway/fleet.h>
+#include <cyclamenspool/gateway/historyprefixes.h>
 #include <cyclamenspool/world/route.h>
 
 #include <cstdint>
@@ -15,7 +16,7 @@
     std::string service;
     std::uint64_t historyKey = 0; /**< Hash that identifies the history, see HistoryDirectory; 0: none. */
     std::uint32_t historyTokens = 0; /**< Tokens of all prompt parts but the last one, which belongs to this request alone. */
-    std::vector<std::string> holders; /**< Ids of the backend servers that were sent the history recently, the latest first. */
+    HistoryHolders holders; /**< Backend servers that were sent the history, or its beginning, recently. */
     std::vector<std::string> tried; /**< Ids of the backend servers that were already chosen for this request; they are not chosen again. */
 };
 
@@ -30,19 +31,14 @@
 };
 
 /**
- * @brief Finds a backend server from which the chosen one can fetch a history out of the prompt cache.
+ * @brief Finds a backend server from which the chosen one can fetch a history, or its beginning, out of the prompt cache.
  * @param fleet Backend servers.
- * @param historyKey Hash that identifies the history; not 0.
+ * @param query Request; it has a history.
  * @param chosen Backend server that the request goes to.
- * @param holders Backend servers that were sent the history, the latest first.
  * @param now Current time.
- * @return Source; null if the chosen server was sent the history already, or no other server is likely to hold it.
+ * @return Source; null if the chosen server was sent the history already, or no other server is likely to hold any of it.
  */
-[[nodiscard]] ServerPtr findHistorySource(const Fleet &fleet,
-                                          std::uint64_t historyKey,
-                                          const ServerState &chosen,
-                                          const std::vector<std::string> &holders,
-                                          core::MonotonicTime now);
+[[nodiscard]] ServerPtr findHistorySource(const Fleet &fleet, const PlacementQuery &query, const ServerState &chosen, core::MonotonicTime now);
 
 /** @brief Chosen backend server, or the reason why there is none. */
 struct Placement {
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -150,15 +150,15 @@
     Pool pool;
     const auto holder = pool.choose(7).server;
     const auto other = pool.choose(7, start, {holder->entry.id}).server;
-    const std::vector<std::string> holders{holder->entry.id};
-    CHECK(gateway::findHistorySource(pool.fleet, 7, *other, holders, start) == holder);
-    CHECK(gateway::findHistorySource(pool.fleet, 7, *holder, holders, start) == nullptr);
+    const PlacementQuery query{"pool", 7, pool.tokens, {{holder->entry.id}, {}}, {}};
+    CHECK(gateway::findHistorySource(pool.fleet, query, *other, start) == holder);
+    CHECK(gateway::findHistorySource(pool.fleet, query, *holder, start) == nullptr);
     auto leaving = holder->entry;
     leaving.leaving = true;
     pool.fleet.onServerListed(leaving, start);
-    CHECK(gateway::findHistorySource(pool.fleet, 7, *other, holders, start) == holder);
+    CHECK(gateway::findHistorySource(pool.fleet, query, *other, start) == holder);
     pool.fleet.onServerRemoved(leaving.id, start);
-    CHECK(gateway::findHistorySource(pool.fleet, 7, *other, holders, start) != holder);
+    CHECK(gateway::findHistorySource(pool.fleet, query, *other, start) != holder);
 }
 
 TEST_CASE("a new backend server fetches a history unknown to this gateway from the server that ranked first before it joined", "[gateway][history]")
@@ -173,7 +173,7 @@
         --before->outstanding;
     } while (pool.choose(7, start + 1min).server == before && joined < 1000);
     const auto chosen = pool.fleet.find(id);
-    CHECK(gateway::findHistorySource(pool.fleet, 7, *chosen, {}, start + 1min) == before);
+    CHECK(gateway::findHistorySource(pool.fleet, {"pool", 7, pool.tokens, {}, {}}, *chosen, start + 1min) == before);
 }
 
 TEST_CASE("the history directory returns the latest holder first, evicts the least recently used history and expires holders", "[gateway][history]")
@@ -198,7 +198,7 @@
     for (int i = 0; i < 40; ++i) {
         pool.add("new" + std::to_string(i), "az-0", start);
     }
-    const PlacementQuery query{"pool", 7, 10000, {holder}, {}};
+    const PlacementQuery query{"pool", 7, 10000, {{holder}, {}}, {}};
     CHECK(gateway::place(pool.fleet, pool.splitter, query, pool.limits, start).server->entry.id == holder);
 }
 
@@ -211,9 +211,9 @@
         CHECK(chosen->entry.zone == "az-0");
         --chosen->outstanding;
     }
-    const PlacementQuery query{"pool", 7, 10000, {"s1"}, {}};
+    const PlacementQuery query{"pool", 7, 10000, {{"s1"}, {}}, {}};
     CHECK(gateway::place(pool.fleet, pool.splitter, query, pool.limits, start).server->entry.id == "s1");
-    const PlacementQuery twoHolders{"pool", 7, 10000, {"s1", "s3"}, {}};
+    const PlacementQuery twoHolders{"pool", 7, 10000, {{"s1", "s3"}, {}}, {}};
     CHECK(gateway::place(pool.fleet, pool.splitter, twoHolders, pool.limits, start).server->entry.id == "s3");
 }
 
--- a/test/gateway/routetable.cpp
+++ b/test/gateway/routetable.cpp
@@ -125,11 +125,11 @@
     head.host = host;
     head.apiKey = "key-1";
     head.parts = {{1, 800}, {2, 400}, {3, 200}};
-    const auto one = dispatcher.admit(head, prefix + "x").historyKey;
+    const auto one = dispatcher.admit(head, prefix + "x").historyKey();
     head.parts[2].id = 4;
-    CHECK(dispatcher.admit(head, prefix + "x").historyKey == one);
+    CHECK(dispatcher.admit(head, prefix + "x").historyKey() == one);
     head.parts[0].id = 9;
-    CHECK(dispatcher.admit(head, prefix + "x").historyKey != one);
+    CHECK(dispatcher.admit(head, prefix + "x").historyKey() != one);
 }
 
 TEST_CASE("a changed retry window holds for services that have had requests", "[gateway]")
