Fewer calls to the store: long watches for gateways that a watcher serves, changes of a storm read together

While the list does not change, the watcher of a zone waits 5 s in its own call, so all other gateways find their copy old after 0.8 s and watch too, 5 s each: all 24 called every 6 s.

Change: gateway/watchpolicy (no sockets, no clock). A gateway that does not watch for its zone lets the store hold its call for 20 s; the watcher's stays at 5 s. After a change of the configuration the next watch follows after a quarter of the bound in which changes must take effect (new setting configuration_ms, from the platform's bound): the first change takes effect at once, those that follow closely are read together.

--- a/src/cyclamenspool/config/gatewaysettings.cpp
+++ b/src/cyclamenspool/config/gatewaysettings.cpp
@@ -29,6 +29,7 @@
         {"processor_share", &S::processorShare, false, {0.001, 1024}},
         {"grace_s", &S::gracePeriod, false, durationSeconds},
         {"leave_ms", &S::maxLeaveDelay, false, durationMs},
+        {"configuration_ms", &S::maxConfigurationDelay, false, durationMs},
         {"retry_ratio", &S::retryRatio, false, {0, 10}},
         {"retry_slack", &S::retrySlack, false, {0, 1000000}},
         {"retry_window_s", &S::retryWindow, false, durationSeconds},
--- a/src/cyclamenspool/config/gatewaysettings.h
+++ b/src/cyclamenspool/config/gatewaysettings.h
@@ -21,6 +21,7 @@
     double processorShare = 1.0; /**< Share of a CPU core that the process may use; 1.0 is one core. */
     std::chrono::duration<double> gracePeriod{8.0}; /**< Time from SIGTERM to SIGKILL. */
     std::chrono::milliseconds maxLeaveDelay{2000}; /**< Maximum time until a leaving backend server gets no new requests. */
+    std::chrono::milliseconds maxConfigurationDelay{2000}; /**< Maximum time until a change of the routing configuration takes effect. */
     double retryRatio = 0.2; /**< Allowed retries per request of a service, over all gateways. */
     double retrySlack = 50; /**< Retries per window allowed in addition to the ratio, over all gateways. */
     std::chrono::duration<double> retryWindow{10.0}; /**< Sliding window in which requests and retries are counted. */
--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -118,7 +118,11 @@
 
 void Catalog::onStoreChanges(Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision)
 {
-    apply(stateOf(section).replica.merge(changes, revision), "store");
+    auto &state = stateOf(section);
+    if (!changes.empty()) {
+        state.lastChange = std::chrono::steady_clock::now();
+    }
+    apply(state.replica.merge(changes, revision), "store");
     onStoreSuccess(section);
 }
 
@@ -234,6 +238,11 @@
     return std::chrono::duration_cast<core::Milliseconds>(std::chrono::steady_clock::now() - stateOf(section).lastRefresh);
 }
 
+core::Milliseconds Catalog::timeSinceChange(Section section) const
+{
+    return std::chrono::duration_cast<core::Milliseconds>(std::chrono::steady_clock::now() - stateOf(section).lastChange);
+}
+
 bool Catalog::isStoreUnavailable(Section section) const
 {
     return stateOf(section).isUnavailable;
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -57,6 +57,9 @@
     /** @brief Returns the time since a section's copy was last brought up to date, by a store call or a peer's changes; undefined before the first one. */
     [[nodiscard]] core::Milliseconds age(Section section) const;
 
+    /** @brief Returns the time since the store last returned changes of a section; very long if it never did. */
+    [[nodiscard]] core::Milliseconds timeSinceChange(Section section) const;
+
     /** @brief Returns whether the last store call for a section failed; also true before the first response. */
     [[nodiscard]] bool isStoreUnavailable(Section section) const;
 
@@ -76,6 +79,7 @@
     struct SectionState {
         member::StoreReplica replica;
         core::MonotonicTime lastRefresh{};
+        core::MonotonicTime lastChange{}; /* read by a watch */
         bool isUnavailable = true;
         std::uint64_t failedCalls = 0; /* since the last successful one */
     };
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/gateway/gatewaynode.h>
 
 #include <cyclamenspool/gateway/callersession.h>
+#include <cyclamenspool/gateway/watchpolicy.h>
 #include <cyclamenspool/http/refusal.h>
 #include <cyclamenspool/platform/headers.h>
 #include <cyclamenspool/telemetry/log.h>
@@ -27,11 +28,7 @@
 constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
 constexpr std::chrono::milliseconds settingsPollPeriod{5000}; /* the settings file may change without a SIGHUP */
 constexpr std::chrono::milliseconds drainCheckPeriod{100};
-constexpr std::chrono::milliseconds operatorWatchTimeout{20000};
-constexpr std::chrono::milliseconds serverWatchTimeout{5000};
 constexpr std::string_view statusPath = "/status"; /* every other path of the metrics address returns the metrics */
-constexpr int watchPauseDivisor = 3; /* of maxLeaveDelay, for a pause between two watches that lets a leaving backend server be noticed in time */
-constexpr double updateWaitFactor = 1.25; /* times that pause, a gateway waits for changes from the one that watches for its zone */
 
 std::vector<std::unique_ptr<Worker>> makeWorkers(Dispatcher &dispatcher, int count)
 {
@@ -194,11 +191,13 @@
         return catalog_.revision(section);
     };
     callbacks.pauseLeft = [this, section] {
-        return section == Catalog::Section::Servers ? serverWatchPause() : std::chrono::milliseconds(0);
+        return watchPause(section);
+    };
+    callbacks.watchTime = [this, section] {
+        return section == Catalog::Section::Servers ? listWatchTime(gossip_.isListWatcher()) : configurationWatchTime();
     };
-    const auto watchTimeout = section == Catalog::Section::OperatorConfig ? internal::operatorWatchTimeout : internal::serverWatchTimeout;
     const std::string prefix(Catalog::prefixOf(section));
-    storeClients_.push_back(std::make_unique<platform::StoreClient>(control(), settings_.storeAddress, prefix, watchTimeout, std::move(callbacks)));
+    storeClients_.push_back(std::make_unique<platform::StoreClient>(control(), settings_.storeAddress, prefix, std::move(callbacks)));
     storeClients_.back()->start();
 }
 
@@ -212,14 +211,14 @@
     }
 }
 
-std::chrono::milliseconds GatewayNode::serverWatchPause() const
+core::Milliseconds GatewayNode::watchPause(Catalog::Section section) const
 {
-    if (catalog_.revision(Catalog::Section::Servers) == 0) {
-        return std::chrono::milliseconds(0);
+    if (catalog_.revision(section) == 0) {
+        return core::Milliseconds(0);
     }
-    const std::chrono::duration<double, std::milli> pause = currentSettings_.maxLeaveDelay / internal::watchPauseDivisor;
-    const auto maxAge = gossip_.isListWatcher() ? pause : pause * internal::updateWaitFactor;
-    return std::chrono::ceil<std::chrono::milliseconds>(maxAge - catalog_.age(Catalog::Section::Servers));
+    const WatchBounds bounds{currentSettings_.maxLeaveDelay, currentSettings_.maxConfigurationDelay};
+    return section == Catalog::Section::Servers ? listPause(bounds, gossip_.isListWatcher(), catalog_.age(section))
+                                                : configurationPause(bounds, catalog_.timeSinceChange(section));
 }
 
 void GatewayNode::waitForSignal()
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -42,7 +42,7 @@
     void closeAcceptor();
     void watchSection(Catalog::Section section);
     void onStoreChanges(Catalog::Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision);
-    [[nodiscard]] std::chrono::milliseconds serverWatchPause() const;
+    [[nodiscard]] core::Milliseconds watchPause(Catalog::Section section) const;
     void waitForSignal();
     void onSignal(int signal);
     void reload();
--- /dev/null
+++ b/src/cyclamenspool/gateway/watchpolicy.cpp
@@ -0,0 +1,35 @@
+#include <cyclamenspool/gateway/watchpolicy.h>
+
+namespace cyclamenspool::gateway {
+
+namespace internal {
+
+constexpr core::Milliseconds watcherTime{5000};
+constexpr core::Milliseconds longWatchTime{20000};
+constexpr int leavingDivisor = 3; /* of the bound for leaving servers; the rest is for the call, the message to the zone and the requests on their way */
+constexpr int configurationDivisor = 4; /* of the bound for the configuration; the rest is for calls that fail */
+
+} // namespace internal
+
+core::Milliseconds listPause(const WatchBounds &bounds, bool isWatcher, core::Milliseconds age) noexcept
+{
+    const auto pause = bounds.leaving / internal::leavingDivisor;
+    return pause + (isWatcher ? core::Milliseconds(0) : pause / 4) - age;
+}
+
+core::Milliseconds listWatchTime(bool isWatcher) noexcept
+{
+    return isWatcher ? internal::watcherTime : internal::longWatchTime;
+}
+
+core::Milliseconds configurationPause(const WatchBounds &bounds, core::Milliseconds sinceChange) noexcept
+{
+    return bounds.configuration / internal::configurationDivisor - sinceChange;
+}
+
+core::Milliseconds configurationWatchTime() noexcept
+{
+    return internal::longWatchTime;
+}
+
+} // namespace cyclamenspool::gateway
--- /dev/null
+++ b/src/cyclamenspool/gateway/watchpolicy.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cyclamenspool/core/now.h>
+
+namespace cyclamenspool::gateway {
+
+/** @brief Delays within which changes in the store must take effect; from the settings. */
+struct WatchBounds {
+    core::Milliseconds leaving{2000}; /**< Of a backend server that starts leaving. */
+    core::Milliseconds configuration{2000}; /**< Of the routing configuration. */
+};
+
+/**
+ * @brief Returns the time until the next watch of the list of backend servers.
+ *
+ * A watcher pauses between two watches, so that reports of many servers arrive in one call. The other gateways of its zone get the changes from it, and watch
+ * the list themselves once their copy is older than the watcher's pause.
+ * @param bounds Bounds.
+ * @param isWatcher True if this gateway watches the list for its zone.
+ * @param age Time since the copy was last known to be up to date.
+ * @return Zero or less: now.
+ */
+[[nodiscard]] core::Milliseconds listPause(const WatchBounds &bounds, bool isWatcher, core::Milliseconds age) noexcept;
+
+/**
+ * @brief Returns how long the store may hold a watch of the list of backend servers without a change.
+ *
+ * A watcher's is short, since a call that the store never answers would hide changes from its zone. The others' calls are held longer: the watcher's changes
+ * reach them meanwhile.
+ * @param isWatcher As in listPause().
+ */
+[[nodiscard]] core::Milliseconds listWatchTime(bool isWatcher) noexcept;
+
+/**
+ * @brief Returns the time until the next watch of the routing configuration.
+ *
+ * The first change takes effect at once; changes that follow closely are read together.
+ * @param bounds Bounds.
+ * @param sinceChange Time since the latest change was read.
+ * @return Zero or less: now.
+ */
+[[nodiscard]] core::Milliseconds configurationPause(const WatchBounds &bounds, core::Milliseconds sinceChange) noexcept;
+
+/** @brief Returns how long the store may hold a watch of the routing configuration without a change. */
+[[nodiscard]] core::Milliseconds configurationWatchTime() noexcept;
+
+} // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -46,11 +46,10 @@
 
 } // namespace internal
 
-StoreClient::StoreClient(asio::io_context &context, std::string address, std::string prefix, std::chrono::milliseconds watchTimeout, StoreCallbacks callbacks)
+StoreClient::StoreClient(asio::io_context &context, std::string address, std::string prefix, StoreCallbacks callbacks)
     : context_(context)
     , address_(std::move(address))
     , prefix_(std::move(prefix))
-    , watchTimeout_(watchTimeout)
     , callbacks_(std::move(callbacks))
     , timer_(context)
 {
@@ -153,7 +152,7 @@
 
 asio::awaitable<void> StoreClient::watch()
 {
-    const auto wait = hasFailed_ ? internal::waitAfterFailure : watchTimeout_;
+    const auto wait = hasFailed_ ? internal::waitAfterFailure : callbacks_.watchTime();
     const std::string target = "/-/kv-watch?prefix=" + prefix_ + "&after=" + std::to_string(callbacks_.revision()) + "&wait_ms=" + std::to_string(wait.count());
     const auto page = readWatchPage(co_await call(target, wait + internal::callTimeout), callbacks_.onMalformed);
     hasFailed_ = false;
--- a/src/cyclamenspool/platform/storeclient.h
+++ b/src/cyclamenspool/platform/storeclient.h
@@ -25,6 +25,7 @@
     std::function<void(const std::string &, const std::string &)> onMalformed; /**< An item was skipped. Arguments: key, reason. */
     std::function<std::uint64_t()> revision; /**< Returns the revision after which the watch continues; 0: list first. */
     std::function<std::chrono::milliseconds()> pauseLeft; /**< Returns the time until the next watch is needed; 0: now. Asked again after that time. */
+    std::function<std::chrono::milliseconds()> watchTime; /**< Returns the longest time that the store may hold the next watch without a change. */
 };
 
 /** @brief Client of the platform's store for one key prefix: lists it, then watches it for changes, on one connection. Retries until stopped. */
@@ -36,10 +37,9 @@
      * @param context Runs all calls and callbacks.
      * @param address IP address and port of the store.
      * @param prefix Prefix of the keys.
-     * @param watchTimeout Longest time that the store keeps a watch open without a change.
      * @param callbacks Receiver of the items and failures.
      */
-    StoreClient(boost::asio::io_context &context, std::string address, std::string prefix, std::chrono::milliseconds watchTimeout, StoreCallbacks callbacks);
+    StoreClient(boost::asio::io_context &context, std::string address, std::string prefix, StoreCallbacks callbacks);
 
     /** @brief Starts listing and watching. */
     void start();
@@ -61,7 +61,6 @@
     boost::asio::io_context &context_;
     std::string address_;
     std::string prefix_;
-    std::chrono::milliseconds watchTimeout_;
     StoreCallbacks callbacks_;
     boost::asio::steady_timer timer_;
     std::unique_ptr<boost::beast::tcp_stream> stream_;
