Admission by backlog: what would wait longer than its caller is refused at once, the least urgent first

Nothing in the dispatcher decided on admission; urgency only went on to the engine.

Change: gateway/servicebacklog (no sockets, time comes in) counts the requests of a service that wait for their headers and the waits of the last 0.5 s; a first attempt is refused as pool_full when the latest responses missed the objective and the waiting requests take longer than half of the caller's patience, for each less urgent class that competes half of that. Retry-After up to three tenths of the caller's time, as callers may return only once. Before a request is sent on, and after each connect, the gateway looks whether the caller has closed its connection.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -66,6 +66,9 @@
             handler->onConnectFailed(error.message());
             return;
         }
+        if (!self->handler_->isStillWanted()) {
+            return;
+        }
         wire::setTcpKeepAlive(self->socket_, internal::backendKeepAlive);
         self->send();
     });
--- a/src/cyclamenspool/gateway/backendcall.h
+++ b/src/cyclamenspool/gateway/backendcall.h
@@ -32,6 +32,9 @@
 public:
     virtual ~BackendCallHandler() = default;
 
+    /** @brief Asks, once a new connection is open, whether the request should still be sent. @return False if it must not; the call has been cancelled then. */
+    virtual bool isStillWanted() = 0;
+
     /** @brief Handles a failed connect; nothing was sent. @param reason Error text. */
     virtual void onConnectFailed(const std::string &reason) = 0;
 
--- a/src/cyclamenspool/gateway/backendconnectionpool.cpp
+++ b/src/cyclamenspool/gateway/backendconnectionpool.cpp
@@ -1,5 +1,7 @@
 #include <cyclamenspool/gateway/backendconnectionpool.h>
 
+#include <cyclamenspool/wire/socketstate.h>
+
 #include <algorithm>
 
 namespace cyclamenspool::gateway {
@@ -9,19 +11,6 @@
 constexpr std::chrono::milliseconds evictionPeriod{1000};
 constexpr std::size_t maxIdlePerServer = 32;
 
-/** @brief Returns whether a connection is open and has no unread bytes, which would belong to no request. */
-bool isReusable(boost::asio::ip::tcp::socket &socket)
-{
-    boost::system::error_code error;
-    socket.non_blocking(true, error);
-    if (error) {
-        return false;
-    }
-    char byte = 0;
-    socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
-    return error == boost::asio::error::would_block;
-}
-
 } // namespace internal
 
 BackendConnectionPool::BackendConnectionPool(boost::asio::io_context &context)
@@ -46,7 +35,7 @@
         }
         auto socket = std::move(connections.back().socket);
         connections.pop_back();
-        if (internal::isReusable(socket)) {
+        if (wire::isQuiet(socket)) {
             return socket;
         }
     }
@@ -68,7 +57,7 @@
     for (auto server = connections_.begin(); server != connections_.end();) {
         auto &connections = server->second;
         const auto isExpired = [now](IdleConnection &connection) {
-            return connection.reusableUntil <= now || !internal::isReusable(connection.socket);
+            return connection.reusableUntil <= now || !wire::isQuiet(connection.socket);
         };
         connections.erase(std::remove_if(connections.begin(), connections.end(), isExpired), connections.end());
         server = connections.empty() ? connections_.erase(server) : std::next(server);
--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/gateway/exchange.h>
 #include <cyclamenspool/gateway/refusal.h>
+#include <cyclamenspool/wire/socketstate.h>
 #include <cyclamenspool/wire/tcpkeepalive.h>
 
 #include <boost/asio/post.hpp>
@@ -278,6 +279,11 @@
     }
 }
 
+bool CallerSession::hasCallerLeft()
+{
+    return isClosed_ || wire::isClosedByPeer(socket_);
+}
+
 void CallerSession::closeIfIdle()
 {
     boost::system::error_code ignored;
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -61,6 +61,9 @@
         keepAlive_ = false;
     }
 
+    /** @brief Returns whether the caller has closed the connection, also if the event loop is too late to have noticed. */
+    [[nodiscard]] bool hasCallerLeft();
+
     /** @brief Ends the request in progress because the process is about to exit, see Exchange::onShutdown(). */
     void endRequest();
 
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -39,9 +39,10 @@
 
 } // namespace internal
 
-InFlightRequest::InFlightRequest(Dispatcher &dispatcher, ServerPtr server)
+InFlightRequest::InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string service)
     : dispatcher_(dispatcher)
     , server_(std::move(server))
+    , service_(std::move(service))
     , serverEntry_(server_->entry)
     , placedAt_(internal::now())
 {
@@ -62,7 +63,8 @@
 void InFlightRequest::onHeadersReceived()
 {
     if (isOpen_) {
-        dispatcher_.onHeadersReceived(*server_, placedAt_);
+        isAwaitingHeaders_ = false;
+        dispatcher_.onHeadersReceived(*server_, service_, placedAt_);
     }
 }
 
@@ -75,6 +77,9 @@
 {
     if (isOpen_) {
         isOpen_ = false;
+        if (isAwaitingHeaders_) {
+            dispatcher_.onGivenUp(service_);
+        }
         dispatcher_.endRequest(*server_, outcome);
     }
 }
@@ -164,7 +169,7 @@
     return limits;
 }
 
-PlacementResult Dispatcher::place(const Admission &admission, const std::vector<std::string> &tried)
+PlacementResult Dispatcher::place(const Admission &admission, const std::vector<std::string> &tried, core::Milliseconds patience)
 {
     const std::lock_guard lock(mutex_);
     const auto now = internal::now();
@@ -172,6 +177,10 @@
     if (isRetry && !isRetryAllowed(admission.service, now)) {
         return {nullptr, {}, core::ErrorKind::RetryBudget, "the retry budget is exhausted"};
     }
+    auto &serviceCounts = countsOf(admission.service);
+    if (!isRetry && !serviceCounts.backlog.isAdmitted({patience, admission.route->latencyObjective, admission.urgency}, now)) {
+        return {nullptr, {}, core::ErrorKind::PoolFull, "the requests that wait for the service take longer than the caller waits"};
+    }
     PlacementQuery query;
     query.service = admission.service;
     query.historyKey = admission.historyKey();
@@ -182,13 +191,13 @@
     if (placement.server == nullptr) {
         return {nullptr, {}, placement.refusal, placement.reason};
     }
-    auto &serviceCounts = countsOf(admission.service);
+    serviceCounts.backlog.onSent();
     (isRetry ? serviceCounts.retries : serviceCounts.requests).add(now);
     ++(isRetry ? counts_.retries : counts_.placed);
     beginRequest(*placement.server);
     const auto source = historySourceOf(query, *placement.server, now);
     recordHistoryPlacement(admission.history, *placement.server, now);
-    return {std::make_unique<InFlightRequest>(*this, placement.server), source, core::ErrorKind::NoCandidate, placement.reason};
+    return {std::make_unique<InFlightRequest>(*this, placement.server, admission.service), source, core::ErrorKind::NoCandidate, placement.reason};
 }
 
 std::string Dispatcher::historySourceOf(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now) const
@@ -296,14 +305,21 @@
     server.awaitingBytesSince = internal::now();
 }
 
-void Dispatcher::onHeadersReceived(ServerState &server, core::MonotonicTime placedAt)
+void Dispatcher::onHeadersReceived(ServerState &server, const std::string &service, core::MonotonicTime placedAt)
 {
     const std::lock_guard lock(mutex_);
     const auto now = internal::now();
+    countsOf(service).backlog.onHeaders(now, now - placedAt);
     server.awaitingBytesSince = now;
     Fleet::recordTimeToHeaders(server, now - placedAt);
 }
 
+void Dispatcher::onGivenUp(const std::string &service)
+{
+    const std::lock_guard lock(mutex_);
+    countsOf(service).backlog.onGivenUp();
+}
+
 bool Dispatcher::isUnresponsive(const ServerState &server) const
 {
     const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -9,6 +9,7 @@
 #include <cyclamenspool/gateway/placement.h>
 #include <cyclamenspool/gateway/requestmeter.h>
 #include <cyclamenspool/gateway/routetable.h>
+#include <cyclamenspool/gateway/servicebacklog.h>
 #include <cyclamenspool/platform/headers.h>
 #include <cyclamenspool/policy/slidingwindowcounter.h>
 
@@ -50,8 +51,9 @@
 class InFlightRequest
 {
 public:
-    /** @brief Creates the guard of a request that the dispatcher has just counted. @param dispatcher Must outlive the guard. @param server Backend server. */
-    InFlightRequest(Dispatcher &dispatcher, ServerPtr server);
+    /** @brief Creates the guard of a request that the dispatcher has just counted. @param dispatcher Must outlive the guard. @param server Backend server.
+     * @param service Service that the request is counted for. */
+    InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string service);
     ~InFlightRequest();
     InFlightRequest(const InFlightRequest &) = delete;
     InFlightRequest &operator=(const InFlightRequest &) = delete;
@@ -77,8 +79,10 @@
 private:
     Dispatcher &dispatcher_;
     ServerPtr server_;
+    std::string service_;
     world::BackendServer serverEntry_;
     core::MonotonicTime placedAt_;
+    bool isAwaitingHeaders_ = true;
     bool isOpen_ = true;
 };
 
@@ -148,9 +152,10 @@
      * @brief Chooses a backend server for a request and counts the request as in flight.
      * @param admission Request.
      * @param tried Ids of the backend servers that were already chosen for it; if not empty, this is a retry and counts against the retry budget.
+     * @param patience Time after which the caller has left or the deadline has passed; a first attempt that will probably wait too long for it is refused.
      * @return Guard or refusal.
      */
-    [[nodiscard]] PlacementResult place(const Admission &admission, const std::vector<std::string> &tried);
+    [[nodiscard]] PlacementResult place(const Admission &admission, const std::vector<std::string> &tried, core::Milliseconds patience);
 
     /** @brief Records the histories that a peer has sent to backend servers. @param placements Histories. @param isOwnZone True if the peer is in the own
      * zone; other zones then get them from this gateway too. */
@@ -203,6 +208,7 @@
 
         policy::SlidingWindowCounter requests;
         policy::SlidingWindowCounter retries;
+        ServiceBacklog backlog;
     };
 
     /** @brief History placement of a gateway of the own zone, with its time at this gateway. */
@@ -214,8 +220,9 @@
     void recordZonePlacement(const HistoryPlacement &placement, core::MonotonicTime now);
     void beginRequest(ServerState &server);
     void onBytesReceived(ServerState &server);
-    void onHeadersReceived(ServerState &server, core::MonotonicTime placedAt);
+    void onHeadersReceived(ServerState &server, const std::string &service, core::MonotonicTime placedAt);
     [[nodiscard]] bool isUnresponsive(const ServerState &server) const;
+    void onGivenUp(const std::string &service);
     void endRequest(ServerState &server, Outcome outcome);
     [[nodiscard]] std::optional<boost::json::object> recordOutcome(ServerState &server, Outcome outcome);
     [[nodiscard]] std::string historySourceOf(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now) const;
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/gateway/exchange.h>
 
 #include <cyclamenspool/gateway/refusal.h>
+#include <cyclamenspool/platform/streampatience.h>
 #include <cyclamenspool/telemetry/log.h>
 
 #include <algorithm>
@@ -53,6 +54,9 @@
         refuse(error.kind(), error.what());
         return;
     }
+    if (leaveIfCallerLeft()) {
+        return;
+    }
     deadlineTimer_.expires_at(deadline_);
     auto self = shared_from_this();
     deadlineTimer_.async_wait([self](const boost::system::error_code &error) {
@@ -66,6 +70,22 @@
     }
 }
 
+bool Exchange::leaveIfCallerLeft()
+{
+    if (!session_->hasCallerLeft()) {
+        return false;
+    }
+    auto *session = session_;
+    onCallerDisconnected();
+    session->abort();
+    return true;
+}
+
+bool Exchange::isStillWanted()
+{
+    return !leaveIfCallerLeft();
+}
+
 void Exchange::armStallTimer()
 {
     stallTimer_.expires_after(internal::stallCheckPeriod);
@@ -84,7 +104,7 @@
     const bool canSwitchServer = canContinueElsewhere && call_ != nullptr && sentAttempts_ < admission_->route->maxAttempts;
     if (canSwitchServer && isStalled()) {
         // The current attempt is cancelled only if another backend server accepts the request.
-        auto placement = worker_.dispatcher().place(*admission_, triedServers_);
+        auto placement = worker_.dispatcher().place(*admission_, triedServers_, patience());
         if (placement.inFlight != nullptr) {
             mayHaveRun_ = true;
             call_->cancel();
@@ -134,6 +154,12 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - std::chrono::steady_clock::now());
 }
 
+std::chrono::milliseconds Exchange::patience() const
+{
+    const auto &route = *admission_->route;
+    return route.kind == world::RouteKind::Streaming ? std::min(remainingTime(), platform::streamPatience(route)) : remainingTime();
+}
+
 std::chrono::milliseconds Exchange::callerRemainingTime() const
 {
     const auto timeout = requestHead_.callerTimeout.value_or(internal::assumedCallerTimeout);
@@ -152,7 +178,7 @@
         retryOrFail(kind, "too little time left before the deadline to send the request", false);
         return;
     }
-    auto placement = worker_.dispatcher().place(*admission_, triedServers_);
+    auto placement = worker_.dispatcher().place(*admission_, triedServers_, patience());
     if (placement.inFlight == nullptr) {
         retryOrFail(placement.refusal, placement.reason, false);
         return;
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -50,6 +50,7 @@
     /** @brief Resumes reading from the backend server after all pending bytes were written to the caller. */
     void onCallerWritesDrained();
 
+    bool isStillWanted() override;
     void onConnectFailed(const std::string &reason) override;
     void onResponseHeaders(unsigned status, const platform::Fields &fields, const platform::ResponseHead &head) override;
     bool onResponseBody(std::string bytes) override;
@@ -65,6 +66,7 @@
     };
 
     void admit();
+    bool leaveIfCallerLeft(); /* true if the exchange has ended, as its caller has left */
     void tryNextServer();
     void startAttempt(PlacementResult placement);
     void sendRequest(const world::BackendServer &server);
@@ -88,6 +90,7 @@
     [[nodiscard]] bool isWithoutProgress() const;
     [[nodiscard]] std::chrono::milliseconds remainingTime() const;
     [[nodiscard]] std::chrono::milliseconds callerRemainingTime() const;
+    [[nodiscard]] std::chrono::milliseconds patience() const;
     [[nodiscard]] std::chrono::milliseconds maxIdleTime() const;
     [[nodiscard]] bool isRelayStarted() const noexcept
     {
--- a/src/cyclamenspool/gateway/refusal.cpp
+++ b/src/cyclamenspool/gateway/refusal.cpp
@@ -17,12 +17,19 @@
 constexpr double minJitter = 0.4; /* the longest delay is multiplied by a random factor between this and 1 */
 constexpr std::chrono::milliseconds maxRetryDelay{900};
 constexpr std::chrono::milliseconds missingConfigurationDelay{3000}; /* a process without configuration waits for an outage to end, which takes seconds */
+constexpr std::chrono::milliseconds overloadDelay{10000}; /* an overload takes seconds, and a caller may return only once */
 
 /** @brief Returns the longest delay that suits the cause of a refusal. */
 std::chrono::milliseconds maxDelayOf(core::ErrorKind kind)
 {
-    const bool isConfigurationMissing = kind == core::ErrorKind::StaleView;
-    return isConfigurationMissing ? missingConfigurationDelay : std::min(core::ruleOf(kind).retryAfter, maxRetryDelay);
+    switch (kind) {
+    case core::ErrorKind::StaleView:
+        return missingConfigurationDelay;
+    case core::ErrorKind::PoolFull:
+        return overloadDelay;
+    default:
+        return std::min(core::ruleOf(kind).retryAfter, maxRetryDelay);
+    }
 }
 
 std::string formatBody(const GatewayRefusal &refusal)
--- /dev/null
+++ b/src/cyclamenspool/gateway/servicebacklog.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cyclamenspool/core/now.h>
+
+#include <array>
+#include <deque>
+
+namespace cyclamenspool::gateway {
+
+/** @brief Request that asks for admission to a service. */
+struct BacklogQuery {
+    core::Milliseconds patience{0}; /**< Time after which its caller has left or its deadline has passed, whichever is first. */
+    core::Milliseconds objective{0}; /**< Target for the time to the response headers. */
+    int urgency = 0; /**< 0 is the most urgent, 9 the least. */
+};
+
+/**
+ * @brief Requests of this gateway to one service that wait for their response headers. Not thread safe.
+ *
+ * Tells whether a further request would wait longer than its caller does. A service counts as slow only if it responds and its latest responses were slow: a
+ * service that is silent, or has a sudden burst of requests, is not judged.
+ */
+class ServiceBacklog
+{
+public:
+    /** @brief Counts a request as waiting. */
+    void onSent() noexcept
+    {
+        ++waiting_;
+    }
+
+    /** @brief Counts a request as no longer waiting, as its response headers arrived. @param now Current time. @param wait Time since it was sent. */
+    void onHeaders(core::MonotonicTime now, core::MonotonicTime::duration wait);
+
+    /** @brief Counts a request as no longer waiting, as its attempt ended without response headers. */
+    void onGivenUp() noexcept
+    {
+        --waiting_;
+    }
+
+    /** @brief Returns the mean time to the latest response headers; zero without enough of them. */
+    [[nodiscard]] core::Milliseconds latestWait(core::MonotonicTime now);
+
+    /** @brief Returns the time until the waiting requests are served at the latest rate; zero without enough responses. */
+    [[nodiscard]] core::Milliseconds timeToServe(core::MonotonicTime now);
+
+    /**
+     * @brief Returns whether a request should be sent, as it will probably be served in time.
+     *
+     * The most urgent requests of the last seconds may wait for half of their callers' patience, those of each further urgency for half as long, and
+     * none longer than more urgent ones: the less urgent give way first. Nothing is refused while the service meets the objectives of what it is asked for.
+     * @param query Request.
+     * @param now Current time.
+     */
+    [[nodiscard]] bool isAdmitted(const BacklogQuery &query, core::MonotonicTime now);
+
+private:
+    static constexpr std::size_t urgencyCount = 10;
+
+    /** @brief Latest request of an urgency. */
+    struct Ask {
+        core::MonotonicTime at{};
+        core::Milliseconds patience{0};
+        core::Milliseconds objective{0};
+    };
+
+    /** @brief Limits that hold for a request. */
+    struct Limits {
+        core::Milliseconds wait{0}; /* longest time to serve */
+        core::Milliseconds objective{0}; /* smallest of the objectives of this request and of more urgent ones */
+    };
+
+    struct Response {
+        core::MonotonicTime at;
+        core::MonotonicTime::duration wait;
+    };
+
+    void discardOld(core::MonotonicTime now);
+    [[nodiscard]] Limits limitsOf(const BacklogQuery &query, core::MonotonicTime now);
+
+    int waiting_ = 0;
+    std::array<Ask, urgencyCount> asks_; /* by urgency */
+    std::deque<Response> responses_; /* of the latest window, oldest first */
+    core::MonotonicTime::duration totalWait_{}; /* of responses_ */
+};
+
+} // namespace cyclamenspool::gateway
--- /dev/null
+++ b/src/cyclamenspool/wire/socketstate.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace cyclamenspool::wire {
+
+/** @brief Returns whether a connection is open and has no unread bytes. */
+[[nodiscard]] bool isQuiet(boost::asio::ip::tcp::socket &socket);
+
+/** @brief Returns whether the peer has closed or reset a connection whose bytes have all been read. */
+[[nodiscard]] bool isClosedByPeer(boost::asio::ip::tcp::socket &socket);
+
+} // namespace cyclamenspool::wire
--- a/test/gateway/historyprefixes.cpp
+++ b/test/gateway/historyprefixes.cpp
@@ -48,7 +48,7 @@
         platform::RequestHead head;
         head.host = "desk.example";
         head.parts = parts;
-        const auto placement = dispatcher.place(dispatcher.admit(head, "/x"), {});
+        const auto placement = dispatcher.place(dispatcher.admit(head, "/x"), {}, 1s);
         return {placement.inFlight->server().id, placement.historySource};
     }
 
--- a/test/gateway/refusal.cpp
+++ b/test/gateway/refusal.cpp
@@ -45,6 +45,15 @@
     CHECK(delays.front() > 0ms);
 }
 
+TEST_CASE("overload: a caller that may return only once comes back as late as it honours, spread", "[gateway][refusal]")
+{
+    const auto delays = delaysFor(core::ErrorKind::PoolFull, 12000ms);
+    CHECK(delays.front() > 1400ms);
+    CHECK(delays.back() > 3000ms);
+    CHECK(delays.back() <= 4000ms);
+    CHECK(delaysFor(core::ErrorKind::PoolFull, 3000ms).back() <= 1000ms);
+}
+
 TEST_CASE("no delay is given where the request may have run, and a short one where no time is left", "[gateway][refusal]")
 {
     CHECK(delaysFor(core::ErrorKind::OutcomeUnknown, 12000ms).back() == 0ms);
--- a/test/gateway/routetable.cpp
+++ b/test/gateway/routetable.cpp
@@ -6,6 +6,7 @@
 #include <thread>
 
 using namespace cyclamenspool;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -79,11 +80,11 @@
     head.apiKey = "key-1";
     const auto admission = dispatcher.admit(head, "/a/x");
     for (int i = 0; i < 50; ++i) {
-        dispatcher.place(admission, {}).inFlight->finish(gateway::Outcome::Answered);
+        dispatcher.place(admission, {}, 1s).inFlight->finish(gateway::Outcome::Answered);
     }
     int retries = 0;
     for (int i = 0; i < 200; ++i) {
-        const auto result = dispatcher.place(admission, {"another"});
+        const auto result = dispatcher.place(admission, {"another"}, 1s);
         retries += result.inFlight != nullptr ? 1 : 0;
         if (result.inFlight != nullptr) {
             result.inFlight->finish(gateway::Outcome::Answered);
@@ -151,11 +152,11 @@
     head.apiKey = "key-1";
     const auto admission = dispatcher.admit(head, "/a/x");
     for (int i = 0; i < 50; ++i) {
-        dispatcher.place(admission, {}).inFlight->finish(gateway::Outcome::Answered);
+        dispatcher.place(admission, {}, 1s).inFlight->finish(gateway::Outcome::Answered);
     }
-    CHECK(dispatcher.place(admission, {"another"}).inFlight != nullptr);
+    CHECK(dispatcher.place(admission, {"another"}, 1s).inFlight != nullptr);
     settings.retryWindow = std::chrono::milliseconds(1);
     dispatcher.applySettings(settings);
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    CHECK(dispatcher.place(admission, {"another"}).inFlight == nullptr);
+    CHECK(dispatcher.place(admission, {"another"}, 1s).inFlight == nullptr);
 }
--- a/test/process/gatewayfaults.cpp
+++ b/test/process/gatewayfaults.cpp
@@ -367,6 +367,31 @@
     }
 }
 
+TEST_CASE("slow gateway: a request whose caller has left before it was read is not sent on", "[process][gateway][faults]")
+{
+    GatewayFleet fleet(1, 2);
+    auto &gateway = fleet.gateways[0];
+    CHECK(sendRequest(fleet.makeRequest("warm")).status == 200);
+    gateway.process.signal(SIGSTOP);
+    boost::asio::io_context context;
+    for (int i = 0; i < 10; ++i) {
+        PlainSocket socket(context);
+        socket.connect(wire::parseEndpoint(gateway.callerAddress));
+        writeAll(socket,
+                 "POST /once/x HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-1\r\nCyclamenspool-Request-Id: left-" + std::to_string(i)
+                     + "\r\nContent-Length: 0\r\n\r\n");
+    }
+    gateway.process.signal(SIGCONT);
+    CHECK(sendRequest(fleet.makeRequest("after")).status == 200);
+    int runs = 0;
+    for (int i = 0; i < 10; ++i) {
+        for (auto &server : fleet.backendServers) {
+            runs += server->runCount("left-" + std::to_string(i));
+        }
+    }
+    CHECK(runs == 0);
+}
+
 TEST_CASE("malformed input from callers, peers, the balancer and the store does not end the process", "[process][gateway][faults]")
 {
     GatewayFleet fleet(2, 1);
