--- a/test/gateway/servicebacklog.cpp
+++ b/test/gateway/servicebacklog.cpp
@@ -7,7 +7,6 @@
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
 using core::Milliseconds;
-using gateway::BacklogQuery;
 using gateway::ServiceBacklog;
 
 namespace {
