The fake store loses no change that a waiting watch has not received

Ruled out: the product's pauses (at most 0.8 s + 0.5 s of the 2 s). Change: a watch whose revision is compacted while it waits ends with 410.

--- a/test/harness/platformfakes.cpp
+++ b/test/harness/platformfakes.cpp
@@ -145,10 +145,10 @@
 
 FakeStore::FakeStore()
     : server_([this](const PlainRequest &request, PlainSocket &socket) {
-        return respond(request, socket, status_);
+        return writeAll(socket, formatResponse(request, status_));
     })
     , secondServer_([this](const PlainRequest &request, PlainSocket &socket) {
-        return respond(request, socket, secondStatus_);
+        return respondUnlessLost(request, socket);
     })
 {
 }
@@ -190,6 +190,12 @@
     const std::lock_guard lock(mutex_);
     history_.clear();
     oldestRevision_ = revision_;
+    itemsChanged_.notify_all();
+}
+
+void FakeStore::setLosingSecondResponses(bool isLosing)
+{
+    isLosingSecondResponses_ = isLosing;
 }
 
 int FakeStore::callCount(const std::string &prefix)
@@ -223,6 +229,10 @@
         return "";
     }
     json::array events;
+    // A waiting watch that has not received a change before it is dropped ends as well: the store loses none.
+    const auto isCompacted = [&] {
+        return after < oldestRevision_;
+    };
     const auto collect = [&] {
         for (const auto &change : history_) {
             if (change.revision <= after || !hasPrefix(change.key, prefix)) {
@@ -236,13 +246,16 @@
             }
             events.push_back(std::move(event));
         }
-        return !events.empty() || forcedStatus != 200;
+        return !events.empty() || forcedStatus != 200 || isCompacted();
     };
     itemsChanged_.wait_for(lock, std::min(timeout, std::chrono::milliseconds(1000)), collect);
+    if (events.empty() && isCompacted()) {
+        return "";
+    }
     return json::serialize(json::object{{"events", std::move(events)}, {"store_revision", revision_}});
 }
 
-bool FakeStore::respond(const PlainRequest &request, PlainSocket &socket, const std::atomic<int> &forcedStatus)
+std::string FakeStore::formatResponse(const PlainRequest &request, const std::atomic<int> &forcedStatus)
 {
     const std::string target(request.target());
     const auto prefix = queryValue(target, "prefix");
@@ -251,7 +264,7 @@
     const bool isRange = target.find("/-/kv-range") == 0;
     const bool isWatch = target.find("/-/kv-watch") == 0 && isNumber(after) && isNumber(wait);
     if (!isRange && !isWatch) {
-        return writeAll(socket, "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n");
+        return "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n";
     }
     {
         const std::lock_guard lock(mutex_);
@@ -260,7 +273,24 @@
     const auto body = isRange ? range(prefix, after) : watch(prefix, std::stoull(after), std::chrono::milliseconds(std::stol(wait)), forcedStatus);
     const int status = forcedStatus != 200 ? forcedStatus.load() : (body.empty() ? 410 : 200);
     const auto head = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: ";
-    return writeAll(socket, head + std::to_string(body.size()) + "\r\n\r\n" + body);
+    return head + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+bool FakeStore::respondUnlessLost(const PlainRequest &request, PlainSocket &socket)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (silentConnections_.count(&socket) > 0) {
+            return true;
+        }
+    }
+    const auto response = formatResponse(request, secondStatus_);
+    if (!isLosingSecondResponses_) {
+        return writeAll(socket, response);
+    }
+    const std::lock_guard lock(mutex_);
+    silentConnections_.insert(&socket);
+    return true;
 }
 
 FakeBackendServer::FakeBackendServer(std::string id)
--- a/test/harness/platformfakes.h
+++ b/test/harness/platformfakes.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -83,6 +84,9 @@
     /** @brief Forces the HTTP status of all responses at the second address. @param status Status; 200 ends the override. */
     void setSecondStatus(int status);
 
+    /** @brief Sets whether responses at the second address are lost; a connection on which one was lost stays open and returns nothing further. */
+    void setLosingSecondResponses(bool isLosing);
+
     /** @brief Returns the number of calls so far, at both addresses. @param prefix Prefix of the keys that were asked for. */
     [[nodiscard]] int callCount(const std::string &prefix);
 
@@ -109,7 +113,8 @@
         bool isDeleted = false;
     };
 
-    bool respond(const PlainRequest &request, PlainSocket &socket, const std::atomic<int> &forcedStatus);
+    [[nodiscard]] std::string formatResponse(const PlainRequest &request, const std::atomic<int> &forcedStatus);
+    bool respondUnlessLost(const PlainRequest &request, PlainSocket &socket);
     [[nodiscard]] std::string range(const std::string &prefix, const std::string &after);
     [[nodiscard]] std::string watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds timeout, const std::atomic<int> &forcedStatus);
     void record(const Change &change);
@@ -123,6 +128,8 @@
     std::uint64_t oldestRevision_ = 0;
     std::atomic<int> status_{200};
     std::atomic<int> secondStatus_{200};
+    std::atomic<bool> isLosingSecondResponses_{false};
+    std::set<const PlainSocket *> silentConnections_; /* on which a response was lost */
     ThreadedServer server_;
     ThreadedServer secondServer_;
 };
