A store call that is never answered delays no change: what a peer has read and this gateway lacks is overdue after a while

Change: gateways report the revision of the latest change they know; one that lacks it for 3/8 of the bound takes the peer's copy and replaces its call, which is logged once and is no failure. The list of servers: a copy older than 0.55 of the bound for leaving servers, while a peer's is later.

--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -112,7 +112,7 @@
 
 void Catalog::onStoreList(Section section, const member::StoreSnapshot &list)
 {
-    apply(stateOf(section).replica.replace(list), "store");
+    apply(section, stateOf(section).replica.replace(list), "store");
     onStoreSuccess(section);
 }
 
@@ -122,7 +122,7 @@
     if (!changes.empty()) {
         state.lastChange = std::chrono::steady_clock::now();
     }
-    apply(state.replica.merge(changes, revision), "store");
+    apply(section, state.replica.merge(changes, revision), "store");
     onStoreSuccess(section);
 }
 
@@ -168,7 +168,7 @@
 
 void Catalog::onPeerSnapshot(Section section, const member::StoreSnapshot &peerSnapshot)
 {
-    apply(stateOf(section).replica.replace(peerSnapshot), "peer");
+    apply(section, stateOf(section).replica.replace(peerSnapshot), "peer");
     refreshComplete();
 }
 
@@ -196,7 +196,7 @@
             fleet.onStoreOutageReported(now - *delta.storeAvailableTime);
         });
     }
-    apply(state.replica.merge(delta.items, delta.revision), "peer");
+    apply(Section::Servers, state.replica.merge(delta.items, delta.revision), "peer");
     dispatcher_.withFleet([&delta](Fleet &fleet, core::MonotonicTime now) {
         for (const auto hash : delta.reported) {
             fleet.onServerReported(hash, now);
@@ -207,9 +207,11 @@
     return true;
 }
 
-void Catalog::apply(const std::vector<member::StoreItem> &changes, const char *source)
+void Catalog::apply(Section section, const std::vector<member::StoreItem> &changes, const char *source)
 {
+    auto &latest = stateOf(section).changeRevision;
     for (const auto &item : changes) {
+        latest = std::max(latest, item.revision);
         applyOne(item, source);
     }
 }
@@ -233,6 +235,11 @@
     return stateOf(section).replica.revision();
 }
 
+std::uint64_t Catalog::changeRevision(Section section) const
+{
+    return stateOf(section).changeRevision;
+}
+
 core::Milliseconds Catalog::age(Section section) const
 {
     return std::chrono::duration_cast<core::Milliseconds>(std::chrono::steady_clock::now() - stateOf(section).lastRefresh);
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -38,7 +38,7 @@
     void onStoreFailure(Section section, const std::string &reason);
 
     /** @brief Applies a peer's snapshot of a section. @param peerSnapshot Snapshot; ignored if it is older than the cached copy. Callers ask for
-     * one only while the store is unavailable; this is not checked here. */
+     * one only while the store is unavailable or its answer is missing; this is not checked here. */
     void onPeerSnapshot(Section section, const member::StoreSnapshot &peerSnapshot);
 
     /**
@@ -54,6 +54,9 @@
     /** @brief Returns the revision of a section's cached copy; 0 if there is no data yet. */
     [[nodiscard]] std::uint64_t revision(Section section) const;
 
+    /** @brief Returns the revision of the latest known change of a section; 0 if there is no data yet. */
+    [[nodiscard]] std::uint64_t changeRevision(Section section) const;
+
     /** @brief Returns the time since a section's copy was last brought up to date, by a store call or a peer's changes; undefined before the first one. */
     [[nodiscard]] core::Milliseconds age(Section section) const;
 
@@ -80,13 +83,14 @@
         member::StoreReplica replica;
         core::MonotonicTime lastRefresh{};
         core::MonotonicTime lastChange{}; /* read by a watch */
+        std::uint64_t changeRevision = 0;
         bool isUnavailable = true;
         std::uint64_t failedCalls = 0; /* since the last successful one */
     };
 
     void onStoreSuccess(Section section);
     void refreshComplete();
-    void apply(const std::vector<member::StoreItem> &changes, const char *source);
+    void apply(Section section, const std::vector<member::StoreItem> &changes, const char *source);
     void applyOne(const member::StoreItem &item, const char *source);
     [[nodiscard]] SectionState &stateOf(Section section);
     [[nodiscard]] const SectionState &stateOf(Section section) const;
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -28,6 +28,7 @@
 constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
 constexpr std::chrono::milliseconds settingsPollPeriod{5000}; /* the settings file may change without a SIGHUP */
 constexpr std::chrono::milliseconds drainCheckPeriod{100};
+constexpr std::chrono::milliseconds unansweredCallAge{1000}; /* of a store call that is replaced once a peer has a later copy */
 constexpr std::string_view statusPath = "/status"; /* every other path of the metrics address returns the metrics */
 
 std::vector<std::unique_ptr<Worker>> makeWorkers(Dispatcher &dispatcher, int count)
@@ -67,6 +68,9 @@
     telemetry::logRateLimited("started", {{"zone", settings_.zone}, {"caller_address", settings_.callerAddress}});
     waitForSignal();
     watchSettings();
+    gossip_.setUnansweredHandler([this](Catalog::Section section) {
+        onStoreUnanswered(section);
+    });
     gossip_.start();
     watchSection(Catalog::Section::OperatorConfig);
     watchSection(Catalog::Section::Servers);
@@ -201,6 +205,14 @@
     storeClients_.back()->start();
 }
 
+void GatewayNode::onStoreUnanswered(Catalog::Section section)
+{
+    const auto index = static_cast<std::size_t>(section);
+    if (index < storeClients_.size() && storeClients_[index]->replaceCall(internal::unansweredCallAge)) {
+        telemetry::logRateLimited("store_call_replaced", {{"section", std::string(Catalog::prefixOf(section))}, {"revision", catalog_.revision(section)}});
+    }
+}
+
 void GatewayNode::onStoreChanges(Catalog::Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision)
 {
     const bool isPublished = section == Catalog::Section::Servers && gossip_.isListWatcher();
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -3,6 +3,7 @@
 #include <cyclamenspool/core/hash.h>
 #include <cyclamenspool/gateway/gossipsupport.h>
 #include <cyclamenspool/gateway/peermessages.h>
+#include <cyclamenspool/gateway/watchpolicy.h>
 #include <cyclamenspool/telemetry/log.h>
 #include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/generated/messages.pb.h>
@@ -26,6 +27,7 @@
 constexpr Milliseconds sharedUpdateMaxAge{20}; /* loads and suspicions are collected once for all updates of a tick */
 constexpr Milliseconds peerExpiry{60000}; /* a peer without a message for longer is forgotten, unless it is a seed */
 constexpr Milliseconds minPullInterval{300};
+constexpr Milliseconds minOverduePullInterval{1000}; /* while the store is available; a slow store delays many gateways at once */
 constexpr const char *updatePath = "/news";
 constexpr const char *itemsPath = "/items";
 
@@ -266,7 +268,8 @@
         entry->set_history(placement.historyKey);
         entry->set_backend_server(placement.server);
     }
-    update.set_operator_revision(catalog_.revision(Catalog::Section::OperatorConfig));
+    // The copy's revision also rises when a watch ends without a change, so peers could not tell from it that they lack one.
+    update.set_operator_revision(catalog_.changeRevision(Catalog::Section::OperatorConfig));
     update.set_server_revision(catalog_.revision(Catalog::Section::Servers));
     update.set_store_unavailable(catalog_.isStoreUnavailable(Catalog::Section::Servers));
     // Concatenated protobuf messages parse as one merged message.
@@ -357,14 +360,29 @@
     });
 }
 
+bool PeerGossip::isOverdue(Catalog::Section section, std::uint64_t revision, core::MonotonicTime now)
+{
+    const WatchBounds bounds{settings_.maxLeaveDelay, settings_.maxConfigurationDelay};
+    const auto ownRevision = catalog_.revision(section);
+    if (section == Catalog::Section::OperatorConfig) {
+        return missedConfiguration_.onPeerRevision(revision, ownRevision, configurationOverdueTime(bounds), now);
+    }
+    return revision > ownRevision && catalog_.age(section) >= listOverdueAge(bounds);
+}
+
 void PeerGossip::pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision)
 {
     const auto now = std::chrono::steady_clock::now();
-    const bool isOutdated = catalog_.isStoreUnavailable(section) && revision > catalog_.revision(section);
-    if (!isOutdated || internal::elapsed(lastPulls_[section], now) < internal::minPullInterval) {
+    const bool isUnavailable = catalog_.isStoreUnavailable(section);
+    const bool isOutdated = isUnavailable ? revision > catalog_.revision(section) : isOverdue(section, revision, now);
+    const auto minInterval = isUnavailable ? internal::minPullInterval : internal::minOverduePullInterval;
+    if (!isOutdated || internal::elapsed(lastPulls_[section], now) < minInterval) {
         return;
     }
     lastPulls_[section] = now;
+    if (!isUnavailable && onUnanswered_) {
+        onUnanswered_(section);
+    }
     wire::ItemPull pull;
     pull.set_prefix(std::string(Catalog::prefixOf(section)));
     wire::StreamCallbacks callbacks;
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -5,6 +5,7 @@
 #include <cyclamenspool/gateway/catalog.h>
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/listdelta.h>
+#include <cyclamenspool/gateway/missedchange.h>
 #include <cyclamenspool/gateway/zonepulls.h>
 #include <cyclamenspool/wire/peerconnectionpool.h>
 #include <cyclamenspool/wire/peerserver.h>
@@ -13,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -53,6 +55,12 @@
      */
     PeerGossip(boost::asio::io_context &context, const config::GatewaySettings &settings, Dispatcher &dispatcher, Catalog &catalog);
 
+    /** @brief Sets the function to call when a section's copy was taken from a peer because the store has not answered this gateway's call. */
+    void setUnansweredHandler(std::function<void(Catalog::Section)> handler)
+    {
+        onUnanswered_ = std::move(handler);
+    }
+
     /** @brief Listens for peers and starts sending updates to the seeds. @throws boost::system::system_error If the address cannot be bound. */
     void start();
 
@@ -108,6 +116,7 @@
     [[nodiscard]] std::size_t exchangePeerCount() const;
     [[nodiscard]] core::MonotonicTime lastSign(const Peer &peer) const;
     void pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision);
+    [[nodiscard]] bool isOverdue(Catalog::Section section, std::uint64_t revision, core::MonotonicTime now);
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message);
     void expirePeers(core::MonotonicTime now);
     void advertisePeers(Peer &recipient, wire::GatewayNews &update, core::MonotonicTime now) const;
@@ -130,6 +139,8 @@
     core::MonotonicTime startTime_;
     std::string lastAdvertisedToZones_; /* address of the peer of the own zone advertised last; the rotation continues after it */
     std::map<Catalog::Section, core::MonotonicTime> lastPulls_;
+    MissedChange missedConfiguration_;
+    std::function<void(Catalog::Section)> onUnanswered_; /* may be empty */
     std::uint64_t lastUpdateId_ = 0;
     std::string sharedUpdate_; /* serialized part of the update that is equal for all peers */
     core::MonotonicTime sharedUpdateTime_{};
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -131,7 +131,7 @@
         totals.add_placed_histories(placement.historyKey);
     }
     advertiseZonePeers(totals, now);
-    totals.set_operator_revision(catalog_.revision(Catalog::Section::OperatorConfig));
+    totals.set_operator_revision(catalog_.changeRevision(Catalog::Section::OperatorConfig));
     totals.set_server_revision(catalog_.revision(Catalog::Section::Servers));
     return totals.SerializeAsString();
 }
--- a/src/cyclamenspool/gateway/watchpolicy.cpp
+++ b/src/cyclamenspool/gateway/watchpolicy.cpp
@@ -9,6 +9,13 @@
 constexpr int leavingDivisor = 3; /* of the bound for leaving servers; the rest is for the call, the message to the zone and the requests on their way */
 constexpr int updateDivisor = 4; /* of the watcher's pause, for its update to arrive */
 constexpr int configurationDivisor = 4; /* of the bound for the configuration; the rest is for calls that fail */
+constexpr double listOverdueShare = 0.55; /* of the bound for leaving servers; longer than the pause of a gateway that does not watch the list */
+constexpr double configurationOverdueShare = 0.375; /* of the bound for the configuration; longer than the pause after a change */
+
+core::Milliseconds scale(core::Milliseconds time, double factor) noexcept
+{
+    return std::chrono::duration_cast<core::Milliseconds>(time * factor);
+}
 
 } // namespace internal
 
@@ -28,6 +35,16 @@
     return bounds.configuration / internal::configurationDivisor - sinceChange;
 }
 
+core::Milliseconds listOverdueAge(const WatchBounds &bounds) noexcept
+{
+    return internal::scale(bounds.leaving, internal::listOverdueShare);
+}
+
+core::Milliseconds configurationOverdueTime(const WatchBounds &bounds) noexcept
+{
+    return internal::scale(bounds.configuration, internal::configurationOverdueShare);
+}
+
 core::Milliseconds configurationWatchTime() noexcept
 {
     return internal::longWatchTime;
--- a/src/cyclamenspool/gateway/watchpolicy.h
+++ b/src/cyclamenspool/gateway/watchpolicy.h
@@ -41,6 +41,18 @@
  */
 [[nodiscard]] core::Milliseconds configurationPause(const WatchBounds &bounds, core::Milliseconds sinceChange) noexcept;
 
+/**
+ * @brief Returns the age from which a copy of the list of backend servers is overdue if a peer has a later one: the gateway's own call is not answered.
+ * @param bounds Bounds.
+ */
+[[nodiscard]] core::Milliseconds listOverdueAge(const WatchBounds &bounds) noexcept;
+
+/**
+ * @brief Returns the time after which a change of the routing configuration that a peer has read is overdue: the gateway's own call is not answered.
+ * @param bounds Bounds.
+ */
+[[nodiscard]] core::Milliseconds configurationOverdueTime(const WatchBounds &bounds) noexcept;
+
 /** @brief Returns how long the store may hold a watch of the routing configuration without a change. */
 [[nodiscard]] core::Milliseconds configurationWatchTime() noexcept;
 
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <iterator>
 #include <stdexcept>
+#include <utility>
 
 namespace cyclamenspool::platform {
 
@@ -69,6 +70,17 @@
     }
 }
 
+bool StoreClient::replaceCall(std::chrono::milliseconds minAge)
+{
+    const bool isOld = callStart_ && std::chrono::steady_clock::now() - *callStart_ >= minAge;
+    if (!isOld || stream_ == nullptr) {
+        return false;
+    }
+    isCallReplaced_ = true;
+    stream_->cancel();
+    return true;
+}
+
 asio::awaitable<void> StoreClient::run()
 {
     while (!stopping_) {
@@ -84,6 +96,11 @@
         } catch (const std::exception &error) {
             failure = error.what();
         }
+        callStart_.reset();
+        if (std::exchange(isCallReplaced_, false) && !failure.empty()) {
+            stream_.reset();
+            continue;
+        }
         if (!failure.empty() && !stopping_) {
             stream_.reset();
             hasFailed_ = true;
@@ -171,6 +188,7 @@
 
 asio::awaitable<std::string> StoreClient::call(std::string target, std::chrono::milliseconds timeout)
 {
+    callStart_ = std::chrono::steady_clock::now();
     if (stream_ == nullptr) {
         co_await connect();
     }
--- a/src/cyclamenspool/platform/storeclient.h
+++ b/src/cyclamenspool/platform/storeclient.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cyclamenspool::platform {
@@ -44,6 +45,13 @@
     /** @brief Starts listing and watching. */
     void start();
 
+    /**
+     * @brief Replaces the call in progress by a new one on a new connection; does not count as a failure.
+     * @param minAge Age from which a call is replaced.
+     * @return True if a call was replaced.
+     */
+    bool replaceCall(std::chrono::milliseconds minAge);
+
     /** @brief Cancels the call in progress and ends the watch for good. Call on the context's thread. */
     void stop();
 
@@ -65,6 +73,8 @@
     boost::asio::steady_timer timer_;
     std::unique_ptr<boost::beast::tcp_stream> stream_;
     boost::beast::flat_buffer buffer_;
+    std::optional<std::chrono::steady_clock::time_point> callStart_; /* of the call in progress */
+    bool isCallReplaced_ = false;
     bool needsList_ = false; /* the store has compacted the changes after the revision */
     int failuresInRow_ = 0; /* failed calls, and lists after a compaction, since the last successful watch */
     bool hasFailed_ = false; /* a call has failed since the last successful watch; shortens the wait of the next watch */
--- /dev/null
+++ b/test/gateway/missedchange.cpp
@@ -0,0 +1,54 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/gateway/missedchange.h>
+#include <cyclamenspool/gateway/watchpolicy.h>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using gateway::MissedChange;
+
+namespace {
+
+constexpr core::MonotonicTime start{std::chrono::hours(1)};
+
+} // namespace
+
+TEST_CASE("lost answer of a watch: a change that a peer has read is missed once it is overdue, not before", "[gateway][watches]")
+{
+    MissedChange missed;
+    CHECK_FALSE(missed.onPeerRevision(10, 10, 750ms, start));
+    CHECK_FALSE(missed.onPeerRevision(11, 10, 750ms, start + 100ms));
+    CHECK_FALSE(missed.onPeerRevision(11, 10, 750ms, start + 800ms));
+    CHECK(missed.onPeerRevision(11, 10, 750ms, start + 850ms));
+}
+
+TEST_CASE("answered watch: changes that peers read a little earlier are never missed", "[gateway][watches]")
+{
+    MissedChange missed;
+    for (int i = 0; i < 100; ++i) {
+        const auto revision = static_cast<std::uint64_t>(i);
+        const auto at = start + i * 500ms;
+        CHECK_FALSE(missed.onPeerRevision(revision + 1, revision, 750ms, at));
+        CHECK_FALSE(missed.onPeerRevision(revision + 1, revision + 1, 750ms, at + 400ms));
+    }
+}
+
+TEST_CASE("lost answer of a watch: a peer that has missed the change as well does not hide it", "[gateway][watches]")
+{
+    MissedChange missed;
+    CHECK_FALSE(missed.onPeerRevision(11, 10, 750ms, start));
+    CHECK_FALSE(missed.onPeerRevision(9, 10, 750ms, start + 800ms)); /* nothing to be had from this peer */
+    CHECK(missed.onPeerRevision(12, 10, 750ms, start + 900ms));
+    CHECK_FALSE(missed.onPeerRevision(12, 12, 750ms, start + 1000ms));
+}
+
+TEST_CASE("overdue times lie between the pauses of the watches and the bounds", "[gateway][watches]")
+{
+    for (const auto bound : {500ms, 2000ms, 4000ms, 6000ms}) {
+        const gateway::WatchBounds bounds{bound, bound};
+        CHECK(gateway::listOverdueAge(bounds) > gateway::listPause(bounds, false, 0ms));
+        CHECK(gateway::configurationOverdueTime(bounds) > gateway::configurationPause(bounds, 0ms));
+        CHECK(gateway::listOverdueAge(bounds) < bound * 2 / 3); /* the rest is for the peer's report and its copy */
+        CHECK(gateway::configurationOverdueTime(bounds) < bound / 2);
+    }
+}
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -32,7 +32,7 @@
 namespace {
 
 /** @brief Restarts one gateway with the store's second address and makes the store answer 503 there; the other gateways keep the first address. */
-void makeStoreUnavailable(GatewayFleet &fleet, std::size_t index)
+void useSecondStoreAddress(GatewayFleet &fleet, std::size_t index)
 {
     auto &gateway = fleet.gateways[index];
     auto settings = GatewayFleet::readSettings(gateway);
@@ -44,6 +44,11 @@
     REQUIRE(LocalFleet::waitUntil([&gateway] {
         return GatewayFleet::isReady(gateway);
     }));
+}
+
+void makeStoreUnavailable(GatewayFleet &fleet, std::size_t index)
+{
+    useSecondStoreAddress(fleet, index);
     fleet.store.setSecondStatus(503);
     // An open watch request may still deliver a change.
     std::this_thread::sleep_for(300ms);
@@ -332,6 +337,59 @@
         2000ms));
 }
 
+TEST_CASE("lost answers of the store: a change of the configuration is in force within two seconds of the recovery", "[process][gateway]")
+{
+    GatewayFleet fleet(2, 1);
+    useSecondStoreAddress(fleet, 1);
+    std::this_thread::sleep_for(1500ms); /* both gateways wait for a change */
+    fleet.store.setLosingSecondResponses(true);
+    fleet.publishRouting(2, "pool", {"key-1", "key-2"});
+    std::this_thread::sleep_for(200ms);
+    fleet.store.setLosingSecondResponses(false);
+    auto call = fleet.makeRequest("probe", "/once/x", 1);
+    call.headers[3].second = "Bearer key-2";
+    CHECK(LocalFleet::waitUntil(
+        [&call] {
+            return sendRequest(call).status == 200;
+        },
+        2000ms));
+    // The call that was not answered has been replaced: the next change needs no peer.
+    fleet.gateways[0].process.kill();
+    fleet.publishRouting(3, "pool", {"key-1", "key-3"});
+    call.headers[3].second = "Bearer key-3";
+    CHECK(LocalFleet::waitUntil(
+        [&call] {
+            return sendRequest(call).status == 200;
+        },
+        2000ms));
+}
+
+TEST_CASE("lost answers of the store: a leaving server gets nothing two seconds after the recovery, whichever gateway watches the list", "[process][gateway]")
+{
+    GatewayFleet fleet(2, 2);
+    useSecondStoreAddress(fleet, 1);
+    std::atomic<bool> isStopped{false};
+    auto reports = std::async(std::launch::async, [&] {
+        while (!isStopped) {
+            fleet.store.put("servers/i-1", fleet.backendServers[1]->listEntry("pool"));
+            std::this_thread::sleep_for(100ms);
+        }
+    });
+    std::this_thread::sleep_for(1500ms);
+    fleet.store.setLosingSecondResponses(true);
+    std::this_thread::sleep_for(800ms); /* longer than the pause between two calls for the list */
+    fleet.store.setLosingSecondResponses(false);
+    fleet.store.put("servers/i-0", fleet.backendServers[0]->listEntry("pool", "draining"));
+    std::this_thread::sleep_for(2000ms);
+    const int runs = fleet.backendServers[0]->totalRunCount();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(sendRequest(fleet.makeRequest("r" + std::to_string(i), "/once/x", 1)).status == 200);
+    }
+    CHECK(fleet.backendServers[0]->totalRunCount() == runs);
+    isStopped = true;
+    reports.get();
+}
+
 TEST_CASE("one gateway of a zone watches the list of servers for the others, and they watch it themselves once it is gone", "[process][gateway]")
 {
     GatewayFleet fleet(4, 2);
