A request without an id never gets a late copy of another response

Cause: a response without an id on a connection in use again was rejected only if the request had an id; a request without one got the late second copy of the response before it (5 of 10 in the new test on the binary before). Change: such a request gets a connection of its own. After: 0 of 10.

--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -168,6 +168,9 @@
 
 std::chrono::milliseconds Exchange::maxIdleTime() const
 {
+    if (requestHead_.id.empty()) {
+        return std::chrono::milliseconds(0); // Nothing would tell its response from a late copy of the one before it on the connection.
+    }
     return admission_->route->isRetryable() ? internal::maxIdleRetryable : internal::maxIdleNonRetryable;
 }
 
--- a/test/process/gatewayfaults.cpp
+++ b/test/process/gatewayfaults.cpp
@@ -121,6 +121,25 @@
     CHECK(reused > 0);
 }
 
+TEST_CASE("a late second copy of a response is not given to a next request that has no id", "[process][gateway][faults]")
+{
+    GatewayFleet fleet(1, 1);
+    fleet.backendServers[0]->setHandler([](const PlainRequest &request, PlainSocket &socket) {
+        static thread_local int requestsOnConnection = 0;
+        const bool isCopySent = ++requestsOnConnection > 1 && writeAll(socket, staleResponse);
+        std::this_thread::sleep_for(isCopySent ? 20ms : 0ms);
+        return writeAll(socket, formatResponseWithDigest(request, "own"));
+    });
+    for (int i = 0; i < 10; ++i) {
+        CHECK(sendRequest(fleet.makeRequest("r" + std::to_string(i))).body != "stale");
+        auto withoutId = fleet.makeRequest("");
+        withoutId.headers.erase(withoutId.headers.begin() + 1);
+        const auto response = sendRequest(withoutId);
+        CHECK(response.body != "stale");
+        CHECK(response.status >= 200);
+    }
+}
+
 TEST_CASE("bytes without end that are no response end the call: memory stays bounded and the caller is told the truth", "[process][gateway][faults]")
 {
     GatewayFleet fleet(1, 1);
