Own interface: what a newcomer or a malformed message could break

The router's streams are announced before they are opened, and a reply that cannot be read ends its attempt as possibly run. Replies to pushes are counted.

--- a/src/cyclamenspool/agent/agentnode.cpp
+++ b/src/cyclamenspool/agent/agentnode.cpp
@@ -24,16 +24,28 @@
     return options;
 }
 
-/** @brief Parses a message and passes it to a handler; drops and logs a malformed message. */
+/** @brief Parses a message and passes it to a handler; drops and logs a malformed message. @return False if the message is malformed. */
 template<typename Message, typename Handler>
-void handleMessage(const std::string &bytes, const char *name, const Handler &handler)
+bool handleMessage(const std::string &bytes, const char *name, const Handler &handler)
 {
     Message message;
-    if (message.ParseFromString(bytes)) {
+    const bool isValid = message.ParseFromString(bytes);
+    if (isValid) {
         handler(message);
     } else {
         telemetry::logEvent("malformed_message", name);
     }
+    return isValid;
+}
+
+/** @brief Returns the reply to a submission that cannot be read. */
+wire::Reply malformedSubmitReply()
+{
+    wire::Reply reply;
+    auto *failed = reply.mutable_failed();
+    failed->set_kind(static_cast<int>(core::ErrorKind::BadRequest));
+    failed->set_detail("the agent cannot read the message");
+    return reply;
 }
 
 } // namespace internal
@@ -107,20 +119,23 @@
     if (path == "/submit") {
         onSubmit(stream, message);
     } else if (path == "/exchange") {
+        std::string reply;
         internal::handleMessage<wire::Exchange>(message, "exchange", [&](const wire::Exchange &request) {
-            const auto reply = core_.onExchange(request, core::Now::read()).SerializeAsString();
-            exchangeBytes_ += message.size() + reply.size();
-            stream->send(reply, true);
+            reply = core_.onExchange(request, core::Now::read()).SerializeAsString();
         });
+        exchangeBytes_ += message.size() + reply.size();
+        stream->send(reply, true);
     } else if (path == "/placed") {
         internal::handleMessage<wire::Placed>(message, "placed", [this](const wire::Placed &placed) {
             core_.onChatPlacement(placed, core::Now::read());
         });
         stream->send("", true);
     } else if (path == "/handover") {
+        std::string reply;
         internal::handleMessage<wire::HandOverRequest>(message, "handover", [&](const wire::HandOverRequest &request) {
-            stream->send(core_.onHandOverRequest(request, core::Now::read()).SerializeAsString(), true);
+            reply = core_.onHandOverRequest(request, core::Now::read()).SerializeAsString();
         });
+        stream->send(reply, true);
     } else {
         telemetry::logEvent("unknown_message", path);
         stream->send("", true);
@@ -141,9 +156,12 @@
         }
         execute(core_.onStreamClosed(id, core::Now::read()));
     });
-    internal::handleMessage<wire::Submit>(message, "submit", [this, id](const wire::Submit &request) {
+    const bool isValid = internal::handleMessage<wire::Submit>(message, "submit", [this, id](const wire::Submit &request) {
         execute(core_.onSubmit(id, request, core::Now::read()));
     });
+    if (!isValid) {
+        sendReply({id, internal::malformedSubmitReply(), true});
+    }
 }
 
 void AgentNode::execute(const Actions &actions)
--- a/src/cyclamenspool/config/settings.cpp
+++ b/src/cyclamenspool/config/settings.cpp
@@ -1,6 +1,8 @@
 #include <cyclamenspool/config/fieldreader.h>
 #include <cyclamenspool/config/settings.h>
 
+#include <boost/asio/ip/address.hpp>
+
 #include <algorithm>
 #include <charconv>
 
@@ -78,8 +80,13 @@
     if (parsed.ec != std::errc() || parsed.ptr != end) {
         throw std::invalid_argument("has no valid port");
     }
-    const auto host = address.substr(0, colon);
-    if (host.find_first_not_of("0123456789.abcdefABCDEF:[]") != std::string::npos) {
+    auto host = address.substr(0, colon);
+    if (host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    boost::system::error_code error;
+    static_cast<void>(boost::asio::ip::make_address(host, error));
+    if (error) {
         throw std::invalid_argument("must start with an IP address");
     }
     return {host, port};
--- a/src/cyclamenspool/member/meanestimator.cpp
+++ b/src/cyclamenspool/member/meanestimator.cpp
@@ -75,7 +75,9 @@
 
     wire::Exchange answer(const wire::Exchange &request, core::Now now) override
     {
-        enterEpoch(std::max(epochOf(now), request.epoch()));
+        // The peer's clock may be a little ahead; an epoch further away is malformed and would end all averaging if it were adopted.
+        const auto ownEpoch = epochOf(now);
+        enterEpoch(std::clamp(request.epoch(), ownEpoch, ownEpoch + 1));
         auto reply = message(request.sequence());
         const bool isAwaitingReply = pendingSequence_ != 0 && now.monotonic - pendingSince_ < parameters_.replyTimeout;
         if (isAwaitingReply || request.epoch() != epoch_) {
--- a/src/cyclamenspool/node/documentsync.cpp
+++ b/src/cyclamenspool/node/documentsync.cpp
@@ -24,6 +24,7 @@
 constexpr core::Milliseconds errorBackoff{500}; /* before the next call after an error or an invalid document */
 constexpr core::Milliseconds peerReplyTime{300}; /* wait for the replies of peers after a pull */
 constexpr core::Milliseconds serviceTimeout{1000}; /* for a call, in addition to its long-poll wait */
+constexpr core::Milliseconds maxContactAge{std::chrono::hours(24 * 365)}; /* also the age before the first contact */
 constexpr const char *vmListName = "vms"; /* document with the list of VMs */
 
 } // namespace internal
@@ -39,6 +40,7 @@
     , peers_(peers)
     , onChange_(std::move(onChange))
     , random_(std::random_device{}())
+    , lastServiceContact_(std::chrono::steady_clock::now() - internal::maxContactAge)
 {
 }
 
@@ -310,7 +312,9 @@
         ++counts_.pushes;
         counts_.documentBytes += message.size();
         wire::StreamCallbacks callbacks;
-        callbacks.onMessage = [](const std::string &) {};
+        callbacks.onMessage = [this](const std::string &reply) {
+            counts_.documentBytes += reply.size();
+        };
         callbacks.onEnd = [](const wire::StreamEnd &) {};
         peers_.submit(address, "/push", message, std::move(callbacks));
     }
@@ -330,8 +334,9 @@
 
 void DocumentSync::recordServiceContact(core::Milliseconds timeSince)
 {
+    const auto age = std::clamp(timeSince, core::Milliseconds(0), internal::maxContactAge);
     const std::lock_guard lock(mutex_);
-    lastServiceContact_ = std::max(lastServiceContact_, std::chrono::steady_clock::now() - timeSince);
+    lastServiceContact_ = std::max(lastServiceContact_, std::chrono::steady_clock::now() - age);
 }
 
 core::Milliseconds DocumentSync::timeSinceServiceContact() const
--- a/src/cyclamenspool/node/documentsync.h
+++ b/src/cyclamenspool/node/documentsync.h
@@ -83,7 +83,7 @@
 
     /**
      * @brief Returns the time since the last contact with the platform's services, directly or through peers.
-     * @return Time; before the first contact, the time since the epoch of the steady clock.
+     * @return Time; before the first contact, a year or more.
      */
     [[nodiscard]] core::Milliseconds timeSinceServiceContact() const;
 
--- a/src/cyclamenspool/policy/idempotencyregister.cpp
+++ b/src/cyclamenspool/policy/idempotencyregister.cpp
@@ -45,9 +45,16 @@
     return IdempotencyVerdict::Run;
 }
 
+std::map<std::string, IdempotencyRecord>::iterator IdempotencyRegister::findRecord(const RecordId &id)
+{
+    const auto found = records_.find(id.key);
+    const bool isCurrent = found != records_.end() && found->second.recorded == id.recorded;
+    return isCurrent ? found : records_.end();
+}
+
 void IdempotencyRegister::insert(IdempotencyRecord record)
 {
-    expiryQueue_.emplace_back(record.recorded, record.key);
+    expiryQueue_.push_back({record.recorded, record.key});
     const auto key = record.key;
     records_.insert_or_assign(key, std::move(record));
 }
@@ -60,27 +67,34 @@
     }
     auto &record = found->second;
     record.finished = true;
-    if (!response) {
-        return;
+    if (response && !record.hasStoredResponse) {
+        storeResponse(record, std::move(*response));
     }
+}
+
+void IdempotencyRegister::storeResponse(IdempotencyRecord &record, StoredResponse response)
+{
     record.hasStoredResponse = true;
-    storedBytes_ += response->body.size();
-    record.response = std::move(*response);
-    storedKeys_.push_back(key);
+    record.response = std::move(response);
+    storedBytes_ += record.response.body.size();
+    storedKeys_.push_back({record.recorded, record.key});
     evictOldestResponses();
 }
 
 void IdempotencyRegister::evictOldestResponses()
 {
-    while (storedBytes_ > internal::maxStoredBytes && !storedKeys_.empty()) {
-        const auto found = records_.find(storedKeys_.front());
+    while (!storedKeys_.empty()) {
+        const auto oldest = findRecord(storedKeys_.front());
+        const bool isStored = oldest != records_.end() && oldest->second.hasStoredResponse;
+        if (isStored && storedBytes_ <= internal::maxStoredBytes) {
+            return;
+        }
         storedKeys_.pop_front();
-        if (found == records_.end() || !found->second.hasStoredResponse) {
-            continue;
+        if (isStored) {
+            storedBytes_ -= oldest->second.response.body.size();
+            oldest->second.response = {};
+            oldest->second.hasStoredResponse = false;
         }
-        storedBytes_ -= found->second.response.body.size();
-        found->second.response = {};
-        found->second.hasStoredResponse = false;
     }
 }
 
@@ -103,11 +117,11 @@
     if (records_.count(record.key) > 0) {
         return;
     }
-    insert(record);
+    auto imported = record;
+    imported.hasStoredResponse = false;
+    insert(std::move(imported));
     if (record.hasStoredResponse) {
-        storedBytes_ += record.response.body.size();
-        storedKeys_.push_back(record.key);
-        evictOldestResponses();
+        storeResponse(records_.at(record.key), record.response);
     }
 }
 
@@ -125,15 +139,15 @@
 void IdempotencyRegister::expire(core::WallTime at)
 {
     const auto recordLifetime = bounds_.retention + 2 * bounds_.maxClockSkew;
-    while (!expiryQueue_.empty() && expiryQueue_.front().first + recordLifetime < at) {
-        const auto found = records_.find(expiryQueue_.front().second);
-        const bool isCurrent = found != records_.end() && found->second.recorded == expiryQueue_.front().first;
-        if (isCurrent) {
+    while (!expiryQueue_.empty() && expiryQueue_.front().recorded + recordLifetime < at) {
+        const auto found = findRecord(expiryQueue_.front());
+        if (found != records_.end()) {
             storedBytes_ -= found->second.hasStoredResponse ? found->second.response.body.size() : 0;
             records_.erase(found);
         }
         expiryQueue_.pop_front();
     }
+    evictOldestResponses();
 }
 
 } // namespace cyclamenspool::policy
--- a/src/cyclamenspool/policy/idempotencyregister.h
+++ b/src/cyclamenspool/policy/idempotencyregister.h
@@ -83,7 +83,7 @@
     IdempotencyVerdict admit(const std::string &key, std::optional<core::WallTime> created, std::uint64_t requestHash, bool neverSentBefore, core::WallTime at);
 
     /**
-     * @brief Marks a request as finished and stores its response; does nothing if the key is unknown.
+     * @brief Marks a request as finished and stores its response; does nothing if the key is unknown or has a stored response.
      * @param key Scoped key.
      * @param response Response, evicted oldest first when the stored bodies exceed 4 MiB; none if it is too large to store.
      */
@@ -115,15 +115,23 @@
     }
 
 private:
+    /** @brief Names one record; a key can be recorded again once its record has been removed. */
+    struct RecordId {
+        core::WallTime recorded;
+        std::string key;
+    };
+
+    [[nodiscard]] std::map<std::string, IdempotencyRecord>::iterator findRecord(const RecordId &id);
     void insert(IdempotencyRecord record);
+    void storeResponse(IdempotencyRecord &record, StoredResponse response);
     void evictOldestResponses();
     [[nodiscard]] IdempotencyVerdict verdictOnKnownKey(const IdempotencyRecord &record, std::uint64_t requestHash) const;
 
     IdempotencyBounds bounds_;
     core::WallTime homeSince_;
     std::map<std::string, IdempotencyRecord> records_;
-    std::deque<std::pair<core::WallTime, std::string>> expiryQueue_; /* in order of insertion */
-    std::deque<std::string> storedKeys_; /* keys with a stored response, oldest first; may name removed records */
+    std::deque<RecordId> expiryQueue_; /* in order of insertion */
+    std::deque<RecordId> storedKeys_; /* records with a stored response, oldest first; may name removed ones behind the first */
     std::size_t storedBytes_ = 0;
 };
 
--- a/src/cyclamenspool/router/core/routerattempts.cpp
+++ b/src/cyclamenspool/router/core/routerattempts.cpp
@@ -31,13 +31,13 @@
     actions.emplace_back(std::move(decision));
     pending.triedServers.insert(server);
     pending.server = server;
-    ++pending.attemptCount;
-    ++counts_.attempts;
     const auto *member = view_->find(pending.request.pool, server);
     if (member == nullptr || !member->accepting) {
         tryNextCandidate(pending, ErrorKind::Leaving, "backend server '" + server + "' is not listed as accepting new requests", false, now, actions);
         return;
     }
+    ++pending.attemptCount;
+    ++counts_.attempts;
     pending.attemptId = nextAttemptId_++;
     requestIdsByAttempt_[pending.attemptId] = pending.request.id;
     const auto &request = pending.request;
@@ -108,7 +108,7 @@
     if (pending.rejectedBy.empty()) {
         return false;
     }
-    const bool isRoundUnfinished = pending.retryRounds > 0 && pending.attemptsInRound <= pending.rejectedBy.size();
+    const bool isRoundUnfinished = pending.retryRounds > 0 && pending.attemptsInRound < pending.rejectedBy.size();
     if (isRoundUnfinished) {
         sendToLeastLoaded(pending, now, actions);
         return true;
--- a/src/cyclamenspool/router/routernode.cpp
+++ b/src/cyclamenspool/router/routernode.cpp
@@ -113,33 +113,29 @@
         wire::Reply reply;
         if (reply.ParseFromString(message)) {
             execute(core_.onReply(attemptId, reply, core::Now::read()));
+            return;
         }
+        telemetry::logEvent("malformed_message", "submit reply");
+        execute(core_.onAttemptLost(attemptId, true, "the agent's reply cannot be read", core::Now::read()));
+        cancel(attemptId);
     };
     callbacks.onEnd = [this, attemptId](const wire::StreamEnd &end) {
-        {
-            const std::lock_guard lock(mutex_);
-            streams_.erase(attemptId);
-        }
+        streams_.remove(attemptId);
         execute(core_.onAttemptLost(attemptId, end.maybeProcessed, end.reason, core::Now::read()));
     };
+    streams_.announce(attemptId);
     auto stream = node_.peers().submit(action.address, "/submit", action.message.SerializeAsString(), std::move(callbacks));
-    const std::lock_guard lock(mutex_);
-    streams_[attemptId] = std::move(stream);
+    if (!streams_.store(attemptId, stream)) {
+        stream->cancel();
+    }
 }
 
 void RouterNode::cancel(std::uint64_t attemptId)
 {
-    std::shared_ptr<wire::ClientStream> stream;
-    {
-        const std::lock_guard lock(mutex_);
-        const auto found = streams_.find(attemptId);
-        if (found == streams_.end()) {
-            return;
-        }
-        stream = found->second;
-        streams_.erase(found);
+    const auto stream = streams_.remove(attemptId);
+    if (stream != nullptr) {
+        stream->cancel();
     }
-    stream->cancel();
 }
 
 void RouterNode::push(const std::string &requestId, ResponseEvent event)
--- a/src/cyclamenspool/router/routernode.h
+++ b/src/cyclamenspool/router/routernode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamenspool/node/node.h>
+#include <cyclamenspool/router/attemptstreams.h>
 #include <cyclamenspool/router/callerchannel.h>
 #include <cyclamenspool/router/core/routercore.h>
 
@@ -39,10 +40,10 @@
     node::Node &node_;
     RouterCore core_;
     std::atomic<bool> refreshing_{false}; /* a refresh of the documents is in progress */
+    AttemptStreams<wire::ClientStream> streams_; /* has its own lock */
     mutable std::mutex mutex_; /* guards the members below; no other lock is taken while it is held */
     std::shared_ptr<const member::FleetView> view_;
     std::map<std::string, std::shared_ptr<CallerChannel>> channels_; /* by request id */
-    std::map<std::uint64_t, std::shared_ptr<wire::ClientStream>> streams_; /* by attempt */
 };
 
 } // namespace cyclamenspool::router
--- a/test/config/settings.cpp
+++ b/test/config/settings.cpp
@@ -47,3 +47,13 @@
     const auto errors = errorsOf(validSettings + "workers: 0\nnonsense: 1\n");
     CHECK(std::count(errors.begin(), errors.end(), '\n') == 2);
 }
+
+TEST_CASE("an address is an IP address and a port; words of hexadecimal digits are none", "[config]")
+{
+    for (const std::string address : {"cafe:80", "dead.beef:80", "1.2.3:80", "1.2.3.4.5:80", "300.1.1.1:80", "[::1:80", ":80", "10.0.0.1:", "10.0.0.1:70000"}) {
+        CAPTURE(address);
+        CHECK_THROWS_AS(splitAddress(address), std::invalid_argument);
+    }
+    CHECK(splitAddress("10.0.0.1:80") == std::pair<std::string, unsigned short>("10.0.0.1", 80));
+    CHECK(splitAddress("[::1]:80") == std::pair<std::string, unsigned short>("::1", 80));
+}
--- a/test/member/members.cpp
+++ b/test/member/members.cpp
@@ -74,6 +74,19 @@
     CHECK(a->startExchange(timeAt(1700)).load_average() == Approx(second.load_average()));
 }
 
+TEST_CASE("a peer's epoch far in the future is not adopted", "[member]")
+{
+    auto estimator = member::makePairwiseEstimator({});
+    estimator->setLoad(10, 1, timeAt(0));
+    wire::Exchange request;
+    request.set_epoch(std::uint64_t{1} << 62U);
+    request.set_sequence(1);
+    const auto reply = estimator->answer(request, timeAt(100));
+    CHECK(reply.busy());
+    constexpr std::uint64_t epochNow = 3600 / 2;
+    CHECK(reply.epoch() <= epochNow + 1);
+}
+
 TEST_CASE("the suspicion of a flapping member doubles with each failure and ends on a response", "[member]")
 {
     member::SuspectList suspects;
--- a/test/policy/idempotencyregister.cpp
+++ b/test/policy/idempotencyregister.cpp
@@ -111,3 +111,29 @@
     CHECK(newHome.admit("running", at(2000), 1, false, at(3000)) == IdempotencyVerdict::MayHaveRun);
     CHECK(newHome.admit("done", at(2000), 2, false, at(3000)) == IdempotencyVerdict::Replay);
 }
+
+TEST_CASE("a request that is reported finished twice is stored once", "[policy]")
+{
+    IdempotencyRegister keys(bounds, homeSince);
+    REQUIRE(keys.admit("k", at(2000), 1, false, at(2100)) == IdempotencyVerdict::Run);
+    const policy::StoredResponse response{200, "text/plain", std::string(3 * 1024 * 1024, 'x')};
+    keys.finish("k", response);
+    keys.finish("k", response);
+    CHECK(keys.admit("k", at(2000), 1, false, at(2300)) == IdempotencyVerdict::Replay);
+}
+
+TEST_CASE("a key that is used again after its record expired does not make a later response the first to be evicted", "[policy]")
+{
+    IdempotencyRegister keys(bounds, homeSince);
+    const policy::StoredResponse response{200, "text/plain", std::string(3 * 1024 * 1024, 'x')};
+    REQUIRE(keys.admit("k", at(1000), 1, false, at(1000)) == IdempotencyVerdict::Run);
+    keys.finish("k", policy::StoredResponse{200, "text/plain", "x"});
+    keys.expire(at(700000));
+    REQUIRE(keys.size() == 0);
+    REQUIRE(keys.admit("other", at(700000), 1, false, at(700000)) == IdempotencyVerdict::Run);
+    keys.finish("other", response);
+    REQUIRE(keys.admit("k", at(700001), 1, false, at(700001)) == IdempotencyVerdict::Run);
+    keys.finish("k", response);
+    CHECK(keys.admit("k", at(700001), 1, false, at(700002)) == IdempotencyVerdict::Replay);
+    CHECK(keys.admit("other", at(700000), 1, false, at(700002)) == IdempotencyVerdict::AlreadyRun);
+}
--- a/test/process/failure.cpp
+++ b/test/process/failure.cpp
@@ -2,13 +2,19 @@
 
 #include <harness/localfleet.h>
 
+#include <cyclamenspool/core/errorkind.h>
 #include <cyclamenspool/core/uuid.h>
+#include <cyclamenspool/wire/generated/messages.pb.h>
+#include <cyclamenspool/wire/peerconnectionpool.h>
 
+#include <boost/asio/io_context.hpp>
 #include <boost/json/parse.hpp>
 
 #include <atomic>
 #include <csignal>
 #include <future>
+#include <map>
+#include <string>
 #include <thread>
 
 using namespace cyclamenspool;
@@ -265,3 +271,32 @@
     CHECK(failed == 0);
     CHECK(completed > 20);
 }
+
+TEST_CASE("an agent answers a message that it cannot read at once, and a malformed submission as not run", "[process]")
+{
+    harness::FleetShape shape;
+    shape.routerCount = 1;
+    shape.zones = {"az-a"};
+    shape.enginesPerZone = 1;
+    LocalFleet fleet(shape);
+    boost::asio::io_context context;
+    wire::PeerConnectionPool pool(context, {});
+    std::map<std::string, std::string> replies;
+    int ended = 0;
+    for (const std::string path : {"/submit", "/exchange", "/handover", "/placed", "/unknown"}) {
+        wire::StreamCallbacks callbacks;
+        callbacks.onMessage = [&replies, path](const std::string &message) {
+            replies[path] = message;
+        };
+        callbacks.onEnd = [&ended](const wire::StreamEnd &) {
+            ++ended;
+        };
+        pool.submit(fleet.services[0].peerAddress, path, "\xff\xff\xff", std::move(callbacks));
+    }
+    context.run_for(seconds(1));
+    CHECK(ended == 5);
+    wire::Reply reply;
+    REQUIRE(reply.ParseFromString(replies["/submit"]));
+    REQUIRE(reply.has_failed());
+    CHECK(core::ruleOf(static_cast<core::ErrorKind>(reply.failed().kind())).runState == core::RunState::NotRun);
+}
--- a/test/router/limits.cpp
+++ b/test/router/limits.cpp
@@ -2,6 +2,10 @@
 
 #include <fault/matrixfleet.h>
 
+#include <memory>
+#include <string>
+#include <utility>
+
 using namespace cyclamenspool;
 using core::ErrorKind;
 using core::Milliseconds;
@@ -111,6 +115,63 @@
     CHECK(failure->runState == RunState::Unknown);
 }
 
+namespace {
+
+/** @brief Router core with the matrix's view; answers each attempt as the test says. */
+struct RouterWithView {
+    RouterWithView()
+    {
+        auto table = std::make_shared<config::Table>();
+        table->apply(config::parseRows(fault::matrixTable({}), "table"));
+        table->apply(config::parseRows(fault::matrixVms(), "vms"));
+        static_cast<void>(router.onView(std::make_shared<const member::FleetView>(table, 1), now));
+    }
+
+    /** @brief Rejects each attempt for lack of capacity until none is sent any more. @param actions Actions of the request. @param candidate Backend server
+     * that the first rejection names. @return Number of attempts sent. */
+    std::size_t rejectAll(router::Actions actions, const std::string &candidate)
+    {
+        std::size_t sent = 0;
+        for (bool isSent = true; isSent;) {
+            isSent = false;
+            for (const auto &action : std::exchange(actions, {})) {
+                const auto *attempt = std::get_if<router::SendAttempt>(&action);
+                if (attempt == nullptr) {
+                    continue;
+                }
+                isSent = true;
+                wire::Reply reply;
+                reply.set_request_id("r");
+                reply.set_attempt(attempt->attemptId);
+                reply.mutable_failed()->set_kind(static_cast<int>(ErrorKind::Overloaded));
+                reply.mutable_failed()->set_load(1.0);
+                reply.mutable_failed()->set_candidate(++sent == 1 ? candidate : "");
+                actions = router.onReply(attempt->attemptId, reply, now);
+            }
+        }
+        return sent;
+    }
+
+    core::Now now = core::Now::read();
+    router::RouterCore router{"router-0", {}, 1};
+};
+
+} // namespace
+
+TEST_CASE("a retry round sends the request once for each backend server that rejected it", "[router]")
+{
+    RouterWithView fixture;
+    // Three engines reject it, then the first round begins at once; the second one waits.
+    CHECK(fixture.rejectAll(fixture.router.onRequest(fault::makeRequest(RequestKind::Chat, "r", ""), fixture.now), "") == 3 + 3);
+}
+
+TEST_CASE("only attempts that are sent are counted", "[router]")
+{
+    RouterWithView fixture;
+    const auto sent = fixture.rejectAll(fixture.router.onRequest(fault::makeRequest(RequestKind::Chat, "r", ""), fixture.now), "engine-that-is-not-listed");
+    CHECK(fixture.router.counts().attempts == sent);
+}
+
 TEST_CASE("a request to suspended backend servers fails at its deadline with an unknown run state", "[router]")
 {
     MatrixFleet matrix;
