Totals of other zones are asked for once a zone and shared in it; reports of the list in a few bytes; both passed on in a tree

Cause: each of 103 gateways asked each other zone for its totals: about 9 KB/s between zones from each. Change: one gateway of a zone asks (rendezvous hash by zone) and shares the reply; the others ask for themselves after 1.5 periods without a share. Of the list, the servers without a further report are named if they are fewer.

--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -197,8 +197,9 @@
         });
     }
     apply(Section::Servers, state.replica.merge(delta.items, delta.revision), "peer");
-    dispatcher_.withFleet([&delta](Fleet &fleet, core::MonotonicTime now) {
-        for (const auto hash : delta.reported) {
+    const auto reported = reportedServers(delta, state.replica);
+    dispatcher_.withFleet([&reported](Fleet &fleet, core::MonotonicTime now) {
+        for (const auto hash : reported) {
             fleet.onServerReported(hash, now);
         }
         fleet.onStoreAvailable(now);
--- a/src/cyclamenspool/gateway/gossipsupport.h
+++ b/src/cyclamenspool/gateway/gossipsupport.h
@@ -15,6 +15,7 @@
 inline constexpr Milliseconds advertisedMaxAge{10000}; /* only peers with a more recent sign of life are advertised, and count as live in other zones */
 inline constexpr const char *zonePath = "/zone";
 inline constexpr const char *listPath = "/list";
+inline constexpr const char *sharePath = "/totals";
 
 /** @brief Returns the time between two points in time. */
 [[nodiscard]] inline Milliseconds elapsed(core::MonotonicTime time, core::MonotonicTime now)
--- a/src/cyclamenspool/gateway/listdelta.cpp
+++ b/src/cyclamenspool/gateway/listdelta.cpp
@@ -3,7 +3,9 @@
 #include <cyclamenspool/gateway/fleet.h>
 #include <cyclamenspool/platform/documents.h>
 
+#include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -31,6 +33,30 @@
     }
 }
 
+std::uint32_t hashOfKey(const std::string &key)
+{
+    return serverHash(key.substr(std::min(key.size(), platform::serverPrefix.size())));
+}
+
+/** @brief Names the servers without a further report instead of those with one if they are fewer. */
+void nameFewer(ListDelta &delta, const member::StoreReplica &replica)
+{
+    const std::set<std::uint32_t> reported(delta.reported.begin(), delta.reported.end());
+    std::set<std::uint32_t> others;
+    for (const auto &[key, item] : replica.items()) {
+        if (reported.count(hashOfKey(key)) == 0) {
+            others.insert(hashOfKey(key));
+        }
+    }
+    for (const auto &item : delta.items) {
+        others.insert(hashOfKey(item.key));
+    }
+    if (others.size() < reported.size()) {
+        delta.isReportedAllBut = true;
+        delta.reported.assign(others.begin(), others.end());
+    }
+}
+
 } // namespace internal
 
 ListDelta reduceListChanges(const member::StoreReplica &replica, const std::vector<member::StoreItem> &changes, std::uint64_t revision)
@@ -50,7 +76,24 @@
             delta.items.push_back(change);
         }
     }
+    internal::nameFewer(delta, replica);
     return delta;
 }
 
+std::vector<std::uint32_t> reportedServers(const ListDelta &delta, const member::StoreReplica &replica)
+{
+    if (!delta.isReportedAllBut) {
+        return delta.reported;
+    }
+    const std::set<std::uint32_t> others(delta.reported.begin(), delta.reported.end());
+    std::vector<std::uint32_t> reported;
+    for (const auto &[key, item] : replica.items()) {
+        const auto hash = internal::hashOfKey(key);
+        if (others.count(hash) == 0) {
+            reported.push_back(hash);
+        }
+    }
+    return reported;
+}
+
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/listdelta.h
+++ b/src/cyclamenspool/gateway/listdelta.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace cyclamenspool::gateway {
@@ -15,6 +16,8 @@
     std::uint64_t revision = 0; /**< Revision up to which the changes are complete. */
     std::vector<member::StoreItem> items; /**< Changed by more than a further report, removed, or not readable. */
     std::vector<std::uint32_t> reported; /**< Servers with a further report only, by serverHash(). */
+    bool isReportedAllBut = false; /**< The servers in reported are those without a further report only; all other listed ones have one. */
+    std::string source; /**< Peer address of the gateway that watches the list. */
     std::optional<core::Milliseconds> storeAvailableTime; /**< Time since the end of the store's latest outage; empty if there was none. */
 };
 
@@ -22,11 +25,14 @@
  * @brief Reduces changes of the list of backend servers.
  *
  * Backend servers write their entries about once a second, mostly without a change that matters. A cold server's entry always matters, as it holds the
- * remaining time.
+ * remaining time. If most servers have a further report, those without one are named instead.
  * @param replica Copy without the changes.
  * @param changes Changes after the replica's revision, in their order.
  * @param revision Revision up to which they are complete.
  */
 [[nodiscard]] ListDelta reduceListChanges(const member::StoreReplica &replica, const std::vector<member::StoreItem> &changes, std::uint64_t revision);
 
+/** @brief Returns the servers with a further report, by serverHash(). @param delta Changes. @param replica Copy with the changes. */
+[[nodiscard]] std::vector<std::uint32_t> reportedServers(const ListDelta &delta, const member::StoreReplica &replica);
+
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <random>
 
 namespace cyclamenspool::gateway {
 
@@ -60,6 +61,7 @@
     , timer_(context)
     , zonePulls_(settings.peerAddress)
     , startTime_(std::chrono::steady_clock::now())
+    , boot_(std::random_device{}() + (static_cast<std::uint64_t>(std::random_device{}()) << 32U))
 {
     addSeeds(settings_.seedPeers);
 }
@@ -172,7 +174,7 @@
             sendUpdate(address, peer, now);
         }
     }
-    for (const auto &request : zonePulls_.takeDue(now + tickPeriod / 2)) {
+    for (const auto &request : zonePulls_.takeDue(now + tickPeriod / 2, liveMembers())) {
         sendZonePull(request);
     }
     timer_.expires_after(tickPeriod);
@@ -412,7 +414,12 @@
     } else if (path == internal::listPath) {
         const auto delta = internal::logIfUnreadable(decodeListDelta(message), internal::listPath, message.size());
         if (delta) {
-            catalog_.onPeerListDelta(*delta);
+            onListDelta(*delta, message);
+        }
+    } else if (path == internal::sharePath) {
+        const auto share = internal::logIfUnreadable(decodeZoneShare(message), internal::sharePath, message.size());
+        if (share) {
+            onZoneShare(*share, message);
         }
     }
     stream->send(reply, true);
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -23,6 +23,7 @@
 namespace cyclamenspool::wire {
 class GatewayNews;
 class KnownPeer;
+class ZoneShare;
 class ZoneTotals;
 } // namespace cyclamenspool::wire
 
@@ -39,7 +40,8 @@
  * @brief Gossips with the other gateways: sends and receives updates with loads, suspicions, history placements and store revisions, and discovers peers from
  * seed addresses.
  *
- * Gateways of one zone exchange updates in pairs. Of each other zone, a gateway requests the zone's totals from one gateway there.
+ * Gateways of one zone exchange updates in pairs. Of each other zone, one gateway requests the zone's totals from one gateway there, and shares them with the
+ * other gateways of its own zone.
  *
  * Must be used on the control thread only.
  */
@@ -78,7 +80,7 @@
     [[nodiscard]] bool isListWatcher() const;
 
     /** @brief Sends changes of the list of backend servers to the other gateways of the zone. @param delta Changes. */
-    void publishListDelta(const ListDelta &delta);
+    void publishListDelta(ListDelta delta);
 
     /** @brief Returns the number of peers whose last message is recent, including those known only from another peer's report. */
     [[nodiscard]] std::size_t livePeerCount() const;
@@ -102,6 +104,12 @@
         std::uint64_t placementsPosition = 0; /* for Dispatcher::historyPlacementsSince() */
     };
 
+    /** @brief Names the latest share of a gateway that was received; earlier ones and copies are ignored. */
+    struct ShareMark {
+        std::uint64_t boot = 0;
+        std::uint64_t sequence = 0;
+    };
+
     void tick();
     void sendUpdate(const std::string &address, Peer &peer, core::MonotonicTime now);
     bool onUpdate(const wire::GatewayNews &update);
@@ -109,6 +117,12 @@
     void onKnownPeer(const wire::KnownPeer &known, core::MonotonicTime now);
     void sendZonePull(const ZonePullRequest &request);
     void onZoneTotals(const wire::ZoneTotals &totals, std::size_t bytes);
+    [[nodiscard]] bool applyZoneTotals(const wire::ZoneTotals &totals, std::size_t bytes);
+    void shareZoneTotals(const wire::ZoneTotals &totals);
+    void onZoneShare(const wire::ZoneShare &share, const std::string &message);
+    void onListDelta(const ListDelta &delta, const std::string &message);
+    void passOn(const std::string &source, const char *path, const std::string &message);
+    [[nodiscard]] std::vector<std::string> liveMembers() const;
     void applyLoads(const wire::GatewayNews &update);
     [[nodiscard]] std::string buildZoneTotals(core::Milliseconds placementAge);
     [[nodiscard]] bool isOtherZone(const Peer &peer) const;
@@ -121,6 +135,7 @@
     void expirePeers(core::MonotonicTime now);
     void advertisePeers(Peer &recipient, wire::GatewayNews &update, core::MonotonicTime now) const;
     void advertiseZonePeers(wire::ZoneTotals &totals, core::MonotonicTime now);
+    [[nodiscard]] std::size_t advertisedCount(std::size_t members) const;
     void refreshSharedUpdate(core::MonotonicTime now);
     [[nodiscard]] std::string buildUpdate(Peer &recipient);
     [[nodiscard]] std::chrono::milliseconds updatePeriod() const;
@@ -138,6 +153,10 @@
     ZonePulls zonePulls_;
     core::MonotonicTime startTime_;
     std::string lastAdvertisedToZones_; /* address of the peer of the own zone advertised last; the rotation continues after it */
+    const std::uint64_t boot_; /* random; names this process in shares */
+    std::uint64_t lastShareSequence_ = 0; /* of this process */
+    std::map<std::string, ShareMark> lastShares_; /* passed on, by source */
+    std::uint64_t lastListRevision_ = 0; /* of the latest changes of the list that were passed on */
     std::map<Catalog::Section, core::MonotonicTime> lastPulls_;
     MissedChange missedConfiguration_;
     std::function<void(Catalog::Section)> onUnanswered_; /* may be empty */
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/gateway/peergossip.h>
 
 #include <cyclamenspool/core/hash.h>
+#include <cyclamenspool/gateway/fanout.h>
 #include <cyclamenspool/gateway/gossipsupport.h>
 #include <cyclamenspool/gateway/peermessages.h>
 
@@ -11,6 +12,7 @@
 namespace internal {
 
 constexpr Milliseconds totalsWarmUp{1000}; /* after the start: the loads of the own zone are not complete yet and are not given to other zones */
+constexpr Milliseconds rotationTime{5000}; /* in which all gateways of the own zone are advertised to another one; shorter than advertisedMaxAge */
 constexpr Milliseconds placementOverlap{300}; /* placements are sent to a zone for this much longer than the time since its last reply */
 
 } // namespace internal
@@ -31,23 +33,55 @@
     return !isAnyBefore && !catalog_.isStoreUnavailable(Catalog::Section::Servers);
 }
 
-void PeerGossip::publishListDelta(const ListDelta &delta)
+std::vector<std::string> PeerGossip::liveMembers() const
 {
     const auto now = std::chrono::steady_clock::now();
-    const auto message = encodeListDelta(delta);
+    std::vector<std::string> members;
     for (const auto &[address, peer] : peers_) {
         if (isLiveInOwnZone(peer, now)) {
-            wire::StreamCallbacks callbacks;
-            callbacks.onEnd = [](const wire::StreamEnd &) {};
-            connectionPool_.submit(address, internal::listPath, message, std::move(callbacks));
+            members.push_back(address);
         }
     }
+    return members;
+}
+
+void PeerGossip::passOn(const std::string &source, const char *path, const std::string &message)
+{
+    for (const auto &address : fanOutTargets(source, settings_.peerAddress, liveMembers())) {
+        wire::StreamCallbacks callbacks;
+        callbacks.onEnd = [](const wire::StreamEnd &) {};
+        connectionPool_.submit(address, path, message, std::move(callbacks));
+    }
+}
+
+void PeerGossip::publishListDelta(ListDelta delta)
+{
+    delta.source = settings_.peerAddress;
+    passOn(delta.source, internal::listPath, encodeListDelta(delta));
+}
+
+void PeerGossip::onListDelta(const ListDelta &delta, const std::string &message)
+{
+    const bool isNew = delta.revision > lastListRevision_;
+    lastListRevision_ = std::max(lastListRevision_, delta.revision);
+    catalog_.onPeerListDelta(delta);
+    // A gateway that lacks earlier changes passes these on as well: the next ones may be able to use them.
+    if (isNew && internal::isValidAddress(delta.source) && delta.source != settings_.peerAddress) {
+        passOn(delta.source, internal::listPath, message);
+    }
+}
+
+std::size_t PeerGossip::advertisedCount(std::size_t members) const
+{
+    const auto replies = std::max<std::int64_t>(internal::rotationTime / zonePulls_.period(), 1);
+    return std::max(internal::peersPerUpdate, members / static_cast<std::size_t>(replies) + 1);
 }
 
 void PeerGossip::advertiseZonePeers(wire::ZoneTotals &totals, core::MonotonicTime now)
 {
     std::size_t count = 0;
-    for (std::size_t i = 0; i < peers_.size() && count < internal::peersPerUpdate; ++i) {
+    const auto wanted = advertisedCount(liveMembers().size());
+    for (std::size_t i = 0; i < peers_.size() && count < wanted; ++i) {
         auto next = peers_.upper_bound(lastAdvertisedToZones_);
         next = next == peers_.end() ? peers_.begin() : next;
         lastAdvertisedToZones_ = next->first;
@@ -83,15 +117,54 @@
 }
 
 void PeerGossip::onZoneTotals(const wire::ZoneTotals &totals, std::size_t bytes)
+{
+    if (!applyZoneTotals(totals, bytes)) {
+        return;
+    }
+    pullIfOutdated(totals.address(), Catalog::Section::OperatorConfig, totals.operator_revision());
+    pullIfOutdated(totals.address(), Catalog::Section::Servers, totals.server_revision());
+    if (isOnDuty(totals.zone(), settings_.peerAddress, liveMembers())) {
+        shareZoneTotals(totals);
+    }
+}
+
+void PeerGossip::shareZoneTotals(const wire::ZoneTotals &totals)
+{
+    wire::ZoneShare share;
+    share.set_source(settings_.peerAddress);
+    share.set_boot(boot_);
+    share.set_sequence(++lastShareSequence_);
+    *share.mutable_totals() = totals;
+    passOn(settings_.peerAddress, internal::sharePath, share.SerializeAsString());
+}
+
+void PeerGossip::onZoneShare(const wire::ZoneShare &share, const std::string &message)
+{
+    const bool isOwn = share.source() == settings_.peerAddress || share.totals().zone() == settings_.zone;
+    if (isOwn || !internal::isValidAddress(share.source())) {
+        return;
+    }
+    auto &latest = lastShares_[share.source()];
+    const bool isCopy = share.boot() == latest.boot && share.sequence() <= latest.sequence;
+    if (isCopy) {
+        return;
+    }
+    latest = {share.boot(), share.sequence()};
+    if (applyZoneTotals(share.totals(), share.totals().ByteSizeLong())) {
+        passOn(share.source(), internal::sharePath, message);
+    }
+}
+
+bool PeerGossip::applyZoneTotals(const wire::ZoneTotals &totals, std::size_t bytes)
 {
     const auto now = std::chrono::steady_clock::now();
     if (totals.address() == settings_.peerAddress || !internal::isValidAddress(totals.address())) {
-        return;
+        return false;
     }
     auto &peer = peers_[totals.address()];
     onPeerMessage(peer, totals.address(), totals.vm(), totals.zone());
     if (!isOtherZone(peer)) {
-        return;
+        return false;
     }
     zonePulls_.onReply(totals.zone(), bytes, now);
     std::vector<HistoryPlacement> placements;
@@ -106,8 +179,7 @@
     for (const auto &known : totals.peers()) {
         onKnownPeer(known, now);
     }
-    pullIfOutdated(totals.address(), Catalog::Section::OperatorConfig, totals.operator_revision());
-    pullIfOutdated(totals.address(), Catalog::Section::Servers, totals.server_revision());
+    return true;
 }
 
 std::string PeerGossip::buildZoneTotals(core::Milliseconds placementAge)
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -20,6 +20,18 @@
     entry.set_deleted(item.isDeleted);
 }
 
+/** @brief Returns whether the lists of a pair have the same length, and all numbers are in range. */
+bool areTotalsValid(const wire::ZoneTotals &totals)
+{
+    const bool arePairsComplete
+        = totals.load_servers_size() == totals.load_outstanding_size() && totals.placed_servers_size() == totals.placed_histories_size();
+    const bool areLoadsPlausible = std::all_of(totals.load_outstanding().begin(), totals.load_outstanding().end(), [](std::uint32_t outstanding) {
+        return outstanding <= internal::maxOutstanding;
+    });
+    const bool isAgePlausible = totals.load_age_ms() >= 0 && totals.load_age_ms() <= internal::maxLoadAge;
+    return arePairsComplete && areLoadsPlausible && isAgePlausible && totals.gateways() <= internal::maxGateways && !totals.zone().empty();
+}
+
 template<typename Message>
 std::vector<Suspicion> suspicionsIn(const Message &message)
 {
@@ -74,19 +86,17 @@
 std::optional<wire::ZoneTotals> decodeZoneTotals(const std::string &bytes)
 {
     wire::ZoneTotals totals;
-    if (bytes.empty() || !totals.ParseFromString(bytes)) {
-        return std::nullopt;
-    }
-    const bool arePairsComplete
-        = totals.load_servers_size() == totals.load_outstanding_size() && totals.placed_servers_size() == totals.placed_histories_size();
-    const bool areLoadsPlausible = std::all_of(totals.load_outstanding().begin(), totals.load_outstanding().end(), [](std::uint32_t outstanding) {
-        return outstanding <= internal::maxOutstanding;
-    });
-    const bool isAgePlausible = totals.load_age_ms() >= 0 && totals.load_age_ms() <= internal::maxLoadAge;
-    const bool isValid = arePairsComplete && areLoadsPlausible && isAgePlausible && totals.gateways() <= internal::maxGateways && !totals.zone().empty();
+    const bool isValid = !bytes.empty() && totals.ParseFromString(bytes) && internal::areTotalsValid(totals);
     return isValid ? std::optional(std::move(totals)) : std::nullopt;
 }
 
+std::optional<wire::ZoneShare> decodeZoneShare(const std::string &bytes)
+{
+    wire::ZoneShare share;
+    const bool isValid = !bytes.empty() && share.ParseFromString(bytes) && !share.source().empty() && internal::areTotalsValid(share.totals());
+    return isValid ? std::optional(std::move(share)) : std::nullopt;
+}
+
 std::optional<core::Milliseconds> decodeZonePull(const std::string &bytes)
 {
     wire::ZonePull pull;
@@ -144,6 +154,8 @@
         delta.items.push_back({item.key(), item.value(), item.revision(), item.deleted()});
     }
     delta.reported.assign(message.reported().begin(), message.reported().end());
+    delta.isReportedAllBut = message.reported_all_but();
+    delta.source = message.source();
     if (message.has_available_ms()) {
         const auto time = std::clamp<std::int64_t>(message.available_ms(), 0, internal::maxAvailableTime);
         delta.storeAvailableTime = core::Milliseconds(time);
@@ -162,6 +174,8 @@
     for (const auto hash : delta.reported) {
         message.add_reported(hash);
     }
+    message.set_reported_all_but(delta.isReportedAllBut);
+    message.set_source(delta.source);
     if (delta.storeAvailableTime) {
         message.set_available_ms(delta.storeAvailableTime->count());
     }
--- a/src/cyclamenspool/gateway/zonepulls.cpp
+++ b/src/cyclamenspool/gateway/zonepulls.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/gateway/zonepulls.h>
 
 #include <cyclamenspool/core/hash.h>
+#include <cyclamenspool/gateway/fanout.h>
 
 #include <algorithm>
 #include <utility>
@@ -16,6 +17,8 @@
 constexpr Milliseconds partnerAvoidance{5000}; /* longer than a restart */
 constexpr Milliseconds minTotalsMaxAge{1500};
 constexpr int maxAgePeriods = 3; /* the same age in periods; the longer one applies */
+constexpr double sharePeriods = 1.5; /* time without a shared reply, in periods, after which a gateway asks for itself */
+constexpr Milliseconds shareMargin{100}; /* added to that time: a share passes through several gateways */
 constexpr Milliseconds neverReplied{60000};
 constexpr double replyBytesPerSecond = 9000; /* of the 19 KB/s that a gateway may use for control messages */
 constexpr std::size_t messageOverhead = 200; /* bytes of a request and of the headers of both messages */
@@ -66,8 +69,9 @@
     return best;
 }
 
-std::vector<ZonePullRequest> ZonePulls::takeDue(core::MonotonicTime now)
+std::vector<ZonePullRequest> ZonePulls::takeDue(core::MonotonicTime now, const std::vector<std::string> &members)
 {
+    const auto shareTimeout = std::chrono::duration_cast<core::Milliseconds>(period() * internal::sharePeriods) + internal::shareMargin;
     std::vector<ZonePullRequest> requests;
     for (auto &[name, zone] : zones_) {
         const auto sinceRequest = now - zone.requestedAt;
@@ -75,7 +79,8 @@
         if (isTimedOut) {
             avoid(std::exchange(zone.pendingAddress, {}), now);
         }
-        const bool isDue = zone.pendingAddress.empty() && (isTimedOut || sinceRequest >= period());
+        const bool isExpected = now - zone.repliedAt < shareTimeout && !isOnDuty(name, self_, members);
+        const bool isDue = zone.pendingAddress.empty() && !isExpected && (isTimedOut || sinceRequest >= period());
         const auto *partner = isDue ? choosePartner(name, now) : nullptr;
         if (partner == nullptr) {
             continue;
--- a/src/cyclamenspool/gateway/zonepulls.h
+++ b/src/cyclamenspool/gateway/zonepulls.h
@@ -19,7 +19,7 @@
 /**
  * @brief Decides when the totals of each other zone are requested, and from which of its gateways. Does no I/O. Not thread safe.
  *
- * Each gateway prefers its own partner in a zone, by rendezvous hashing, so that requests are spread over the zone. A partner that does not reply is avoided
+ * A gateway prefers its own partner in a zone, by rendezvous hashing, so that requests are spread over the zone. A partner that does not reply is avoided
  * for 5 s. The period follows the size of the replies, so that they take a bounded number of bytes per second at any fleet size.
  */
 class ZonePulls
@@ -34,10 +34,17 @@
     /** @brief Removes a gateway; a zone without gateways is no longer requested. */
     void removeGateway(const std::string &address);
 
-    /** @brief Returns the requests that are due, and counts them as sent. A request without a reply for 400 ms has failed. @param now Current time. */
-    [[nodiscard]] std::vector<ZonePullRequest> takeDue(core::MonotonicTime now);
-
-    /** @brief Records a reply. @param zone Zone. @param bytes Size of the reply. @param now Current time. */
+    /**
+     * @brief Returns the requests that are due, and counts them as sent. A request without a reply for 400 ms has failed.
+     *
+     * One gateway of the own zone asks each other zone and shares the reply; the others ask only if nothing has been shared for longer than the period.
+     * @param now Current time.
+     * @param members Peer addresses of the other live gateways of the own zone.
+     */
+    [[nodiscard]] std::vector<ZonePullRequest> takeDue(core::MonotonicTime now, const std::vector<std::string> &members = {});
+
+    /** @brief Records a reply, also one that another gateway of the own zone has shared. @param zone Zone. @param bytes Size of the reply. @param now Current
+     * time. */
     void onReply(const std::string &zone, std::size_t bytes, core::MonotonicTime now);
 
     /** @brief Handles the end of a request; without a reply until then it has failed. @param zone Zone. @param address Gateway that was asked.
--- a/src/cyclamenspool/member/storereplica.h
+++ b/src/cyclamenspool/member/storereplica.h
@@ -25,7 +25,7 @@
  * @brief Local replica of the items under one prefix of the platform's store. Not thread safe.
  *
  * Updates come from the store or from peers in any order; an older revision of an item never replaces a newer one. Deleted items leave
- * no tombstone: until the revision of the replica reaches that of a deletion, an older change can restore the item.
+ * no tombstone: changes up to the revision of the replica are ignored, and that is never below a deletion that the replica has applied.
  */
 class StoreReplica
 {
@@ -47,6 +47,12 @@
     /** @brief Finds an item. @param key Key. @return Item, valid until the next change; null if there is none. */
     [[nodiscard]] const StoreItem *find(const std::string &key) const;
 
+    /** @brief Returns the items by key, without deleted ones. */
+    [[nodiscard]] const std::map<std::string, StoreItem> &items() const noexcept
+    {
+        return items_;
+    }
+
     /** @brief Returns a snapshot of the replica, without deleted items. */
     [[nodiscard]] StoreSnapshot toSnapshot() const;
 
--- a/test/gateway/zonepulls.cpp
+++ b/test/gateway/zonepulls.cpp
@@ -180,3 +180,54 @@
     CHECK_FALSE(gateway::decodeZoneTotals(""));
     CHECK_FALSE(gateway::decodeZonePull("\xff\xff"));
 }
+
+TEST_CASE("103 gateways in 6 zones: one gateway of a zone asks each other zone, whatever the number of gateways", "[gateway][zonepulls]")
+{
+    constexpr int gatewaysPerZone = 17;
+    constexpr std::size_t replyBytes = 1500;
+    std::vector<std::string> own;
+    std::vector<OtherZones> gateways;
+    for (int self = 0; self < gatewaysPerZone; ++self) {
+        own.push_back(addressOf(9, self));
+        gateways.emplace_back(own.back(), 5, gatewaysPerZone);
+    }
+    std::size_t bytesBetweenZones = 0;
+    core::Milliseconds oldest{0};
+    std::map<std::string, core::MonotonicTime> shared;
+    constexpr auto duration = 60s;
+    for (auto time = start; time < start + duration; time += 25ms) {
+        for (std::size_t self = 0; self < gateways.size(); ++self) {
+            auto members = own;
+            members.erase(members.begin() + static_cast<std::ptrdiff_t>(self));
+            for (const auto &request : gateways[self].pulls.takeDue(time, members)) {
+                bytesBetweenZones += replyBytes;
+                for (auto &other : gateways) {
+                    other.pulls.onReply(request.zone, replyBytes, time);
+                }
+                const auto before = shared.count(request.zone) > 0 ? shared[request.zone] : time;
+                oldest = std::max(oldest, std::chrono::duration_cast<core::Milliseconds>(time - before));
+                shared[request.zone] = time;
+            }
+        }
+    }
+    constexpr double budget = 9000; /* bytes per second of one gateway, now of the zone */
+    CHECK(static_cast<double>(bytesBetweenZones) / 60.0 < 2 * budget);
+    CHECK(oldest <= gateways[0].pulls.period() + 50ms);
+}
+
+TEST_CASE("the gateway that asks another zone is lost: the others ask for themselves within the age at which totals are dropped", "[gateway][zonepulls]")
+{
+    const std::vector<std::string> own{addressOf(9, 0), addressOf(9, 1), addressOf(9, 2)};
+    for (const auto &self : own) {
+        auto members = own;
+        std::erase(members, self);
+        OtherZones zones(self, 1, 4);
+        REQUIRE(zones.pulls.takeDue(start, members).size() == 1); /* it knows nothing yet */
+        zones.pulls.onReply("az-0", 500, start);
+        bool isAsked = false;
+        for (auto time = start; time < start + zones.pulls.maxAge() / 2 && !isAsked; time += 25ms) {
+            isAsked = !zones.pulls.takeDue(time, members).empty();
+        }
+        CHECK(isAsked);
+    }
+}
