--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -3,12 +3,14 @@
 #include <cyclamenspool/core/hash.h>
 #include <cyclamenspool/gateway/gossipsupport.h>
 #include <cyclamenspool/gateway/peermessages.h>
+#include <cyclamenspool/gateway/watchpolicy.h>
 #include <cyclamenspool/telemetry/log.h>
 #include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/generated/messages.pb.h>
 
 #include <algorithm>
 #include <optional>
+#include <random>
 
 namespace cyclamenspool::gateway {
 
@@ -26,6 +28,7 @@
 constexpr Milliseconds sharedUpdateMaxAge{20}; /* loads and suspicions are collected once for all updates of a tick */
 constexpr Milliseconds peerExpiry{60000}; /* a peer without a message for longer is forgotten, unless it is a seed */
 constexpr Milliseconds minPullInterval{300};
+constexpr Milliseconds minOverduePullInterval{1000}; /* while the store is available; a slow store delays many gateways at once */
 constexpr const char *updatePath = "/news";
 constexpr const char *itemsPath = "/items";
 
@@ -58,6 +61,7 @@
     , timer_(context)
     , zonePulls_(settings.peerAddress)
     , startTime_(std::chrono::steady_clock::now())
+    , boot_(std::random_device{}() + (static_cast<std::uint64_t>(std::random_device{}()) << 32U))
 {
     addSeeds(settings_.seedPeers);
 }
@@ -170,7 +174,7 @@
             sendUpdate(address, peer, now);
         }
     }
-    for (const auto &request : zonePulls_.takeDue(now + tickPeriod / 2)) {
+    for (const auto &request : zonePulls_.takeDue(now + tickPeriod / 2, liveMembers())) {
         sendZonePull(request);
     }
     timer_.expires_after(tickPeriod);
@@ -266,7 +270,8 @@
         entry->set_history(placement.historyKey);
         entry->set_backend_server(placement.server);
     }
-    update.set_operator_revision(catalog_.revision(Catalog::Section::OperatorConfig));
+    // The copy's revision also rises when a watch ends without a change, so peers could not tell from it that they lack one.
+    update.set_operator_revision(catalog_.changeRevision(Catalog::Section::OperatorConfig));
     update.set_server_revision(catalog_.revision(Catalog::Section::Servers));
     update.set_store_unavailable(catalog_.isStoreUnavailable(Catalog::Section::Servers));
     // Concatenated protobuf messages parse as one merged message.
@@ -357,14 +362,29 @@
     });
 }
 
+bool PeerGossip::isOverdue(Catalog::Section section, std::uint64_t revision, core::MonotonicTime now)
+{
+    const WatchBounds bounds{settings_.maxLeaveDelay, settings_.maxConfigurationDelay};
+    const auto ownRevision = catalog_.revision(section);
+    if (section == Catalog::Section::OperatorConfig) {
+        return missedConfiguration_.onPeerRevision(revision, ownRevision, configurationOverdueTime(bounds), now);
+    }
+    return revision > ownRevision && catalog_.age(section) >= listOverdueAge(bounds);
+}
+
 void PeerGossip::pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision)
 {
     const auto now = std::chrono::steady_clock::now();
-    const bool isOutdated = catalog_.isStoreUnavailable(section) && revision > catalog_.revision(section);
-    if (!isOutdated || internal::elapsed(lastPulls_[section], now) < internal::minPullInterval) {
+    const bool isUnavailable = catalog_.isStoreUnavailable(section);
+    const bool isOutdated = isUnavailable ? revision > catalog_.revision(section) : isOverdue(section, revision, now);
+    const auto minInterval = isUnavailable ? internal::minPullInterval : internal::minOverduePullInterval;
+    if (!isOutdated || internal::elapsed(lastPulls_[section], now) < minInterval) {
         return;
     }
     lastPulls_[section] = now;
+    if (!isUnavailable && onUnanswered_) {
+        onUnanswered_(section);
+    }
     wire::ItemPull pull;
     pull.set_prefix(std::string(Catalog::prefixOf(section)));
     wire::StreamCallbacks callbacks;
@@ -394,7 +414,12 @@
     } else if (path == internal::listPath) {
         const auto delta = internal::logIfUnreadable(decodeListDelta(message), internal::listPath, message.size());
         if (delta) {
-            catalog_.onPeerListDelta(*delta);
+            onListDelta(*delta, message);
+        }
+    } else if (path == internal::sharePath) {
+        const auto share = internal::logIfUnreadable(decodeZoneShare(message), internal::sharePath, message.size());
+        if (share) {
+            onZoneShare(*share, message);
         }
     }
     stream->send(reply, true);
