Admission: in an overload the requests of the largest workspace are refused first

Cause: admission looked at urgency and time alone; a workspace that sends many times as much as the others took their place as well.

--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -39,10 +39,11 @@
 
 } // namespace internal
 
-InFlightRequest::InFlightRequest(Dispatcher &dispatcher, ServerPtr server)
+InFlightRequest::InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace)
     : dispatcher_(dispatcher)
     , server_(std::move(server))
     , serverEntry_(server_->entry)
+    , workspace_(std::move(workspace))
     , placedAt_(internal::now())
 {
 }
@@ -63,7 +64,7 @@
 {
     if (isOpen_) {
         isAwaitingHeaders_ = false;
-        dispatcher_.onHeadersReceived(*server_, serverEntry_.service, placedAt_);
+        dispatcher_.onHeadersReceived(*server_, serverEntry_.service, workspace_, placedAt_);
     }
 }
 
@@ -77,7 +78,7 @@
     if (isOpen_) {
         isOpen_ = false;
         if (isAwaitingHeaders_) {
-            dispatcher_.onEndedWithoutHeaders(serverEntry_.service);
+            dispatcher_.onEndedWithoutHeaders(serverEntry_.service, workspace_);
         }
         dispatcher_.endRequest(*server_, outcome);
     }
@@ -177,7 +178,7 @@
         return {nullptr, {}, core::ErrorKind::RetryBudget, "the retry budget is exhausted"};
     }
     auto &serviceCounts = countsOf(admission.service);
-    if (!isRetry && !serviceCounts.backlog.isAdmitted({callerWait, admission.route->latencyObjective, admission.urgency}, now)) {
+    if (!isRetry && !serviceCounts.backlog.isAdmitted({callerWait, admission.route->latencyObjective, admission.urgency, admission.workspace}, now)) {
         return {nullptr, {}, core::ErrorKind::PoolFull, "the requests that wait for the service take longer than the caller waits"};
     }
     PlacementQuery query;
@@ -190,13 +191,13 @@
     if (placement.server == nullptr) {
         return {nullptr, {}, placement.refusal, placement.reason};
     }
-    serviceCounts.backlog.onSent();
+    serviceCounts.backlog.onSent(admission.workspace);
     (isRetry ? serviceCounts.retries : serviceCounts.requests).add(now);
     ++(isRetry ? counts_.retries : counts_.placed);
     beginRequest(*placement.server);
     const auto source = historySourceOf(query, *placement.server, now);
     recordHistoryPlacement(admission.history, *placement.server, now);
-    return {std::make_unique<InFlightRequest>(*this, placement.server), source, core::ErrorKind::NoCandidate, placement.reason};
+    return {std::make_unique<InFlightRequest>(*this, placement.server, admission.workspace), source, core::ErrorKind::NoCandidate, placement.reason};
 }
 
 std::string Dispatcher::historySourceOf(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now) const
@@ -304,19 +305,19 @@
     server.awaitingBytesSince = internal::now();
 }
 
-void Dispatcher::onHeadersReceived(ServerState &server, const std::string &service, core::MonotonicTime placedAt)
+void Dispatcher::onHeadersReceived(ServerState &server, const std::string &service, const std::string &workspace, core::MonotonicTime placedAt)
 {
     const std::lock_guard lock(mutex_);
     const auto now = internal::now();
-    countsOf(service).backlog.onHeaders(now, now - placedAt);
+    countsOf(service).backlog.onHeaders(now, now - placedAt, workspace);
     server.awaitingBytesSince = now;
     Fleet::recordTimeToHeaders(server, now - placedAt);
 }
 
-void Dispatcher::onEndedWithoutHeaders(const std::string &service)
+void Dispatcher::onEndedWithoutHeaders(const std::string &service, const std::string &workspace)
 {
     const std::lock_guard lock(mutex_);
-    countsOf(service).backlog.onEndedWithoutHeaders();
+    countsOf(service).backlog.onEndedWithoutHeaders(workspace);
 }
 
 bool Dispatcher::isUnresponsive(const ServerState &server) const
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -51,8 +51,9 @@
 class InFlightRequest
 {
 public:
-    /** @brief Creates the guard of a request that the dispatcher has just counted. @param dispatcher Must outlive the guard. @param server Backend server. */
-    InFlightRequest(Dispatcher &dispatcher, ServerPtr server);
+    /** @brief Creates the guard of a request that the dispatcher has just counted. @param dispatcher Must outlive the guard. @param server Backend server.
+     * @param workspace The request's workspace; empty: none. */
+    InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace);
     ~InFlightRequest();
     InFlightRequest(const InFlightRequest &) = delete;
     InFlightRequest &operator=(const InFlightRequest &) = delete;
@@ -79,6 +80,7 @@
     Dispatcher &dispatcher_;
     ServerPtr server_;
     world::BackendServer serverEntry_;
+    std::string workspace_;
     core::MonotonicTime placedAt_;
     bool isAwaitingHeaders_ = true;
     bool isOpen_ = true;
@@ -218,9 +220,9 @@
     void recordZonePlacement(const HistoryPlacement &placement, core::MonotonicTime now);
     void beginRequest(ServerState &server);
     void onBytesReceived(ServerState &server);
-    void onHeadersReceived(ServerState &server, const std::string &service, core::MonotonicTime placedAt);
+    void onHeadersReceived(ServerState &server, const std::string &service, const std::string &workspace, core::MonotonicTime placedAt);
     [[nodiscard]] bool isUnresponsive(const ServerState &server) const;
-    void onEndedWithoutHeaders(const std::string &service);
+    void onEndedWithoutHeaders(const std::string &service, const std::string &workspace);
     void endRequest(ServerState &server, Outcome outcome);
     [[nodiscard]] std::optional<boost::json::object> recordOutcome(ServerState &server, Outcome outcome);
     [[nodiscard]] std::string historySourceOf(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now) const;
--- a/src/cyclamenspool/gateway/servicebacklog.h
+++ b/src/cyclamenspool/gateway/servicebacklog.h
@@ -4,6 +4,8 @@
 
 #include <array>
 #include <deque>
+#include <map>
+#include <string>
 
 namespace cyclamenspool::gateway {
 
@@ -12,6 +14,7 @@
     core::Milliseconds callerWait{0}; /**< Time after which its caller has left or its deadline has passed, whichever is first. */
     core::Milliseconds objective{0}; /**< Target for the time to the response headers. */
     int urgency = 0; /**< 0 is the most urgent, 9 the least. */
+    std::string workspace{}; /**< Empty: none. */
 };
 
 /**
@@ -23,20 +26,15 @@
 class ServiceBacklog
 {
 public:
-    /** @brief Counts a request as waiting. */
-    void onSent() noexcept
-    {
-        ++waiting_;
-    }
+    /** @brief Counts a request as waiting. @param workspace Its workspace; empty: none. */
+    void onSent(const std::string &workspace = {});
 
-    /** @brief Counts a request as no longer waiting, as its response headers arrived. @param now Current time. @param wait Time since it was sent. */
-    void onHeaders(core::MonotonicTime now, core::MonotonicTime::duration wait);
+    /** @brief Counts a request as no longer waiting, as its response headers arrived. @param now Current time. @param wait Time since it was sent.
+     * @param workspace As in onSent(). */
+    void onHeaders(core::MonotonicTime now, core::MonotonicTime::duration wait, const std::string &workspace = {});
 
-    /** @brief Counts a request as no longer waiting, as its attempt ended without response headers. */
-    void onEndedWithoutHeaders() noexcept
-    {
-        --waiting_;
-    }
+    /** @brief Counts a request as no longer waiting, as its attempt ended without response headers. @param workspace As in onSent(). */
+    void onEndedWithoutHeaders(const std::string &workspace = {});
 
     /** @brief Returns the mean time to the latest response headers; zero without enough of them. */
     [[nodiscard]] core::Milliseconds latestWait(core::MonotonicTime now);
@@ -48,7 +46,9 @@
      * @brief Returns whether a request should be sent, as it will probably be served in time.
      *
      * The most urgent requests of the last seconds may wait for half of the time that their callers wait, those of each further urgency for half as long, and
-     * none longer than more urgent ones: the less urgent are refused first. Nothing is refused while the service meets the objectives of its requests.
+     * none longer than more urgent ones: the less urgent are refused first. A workspace with over twice its equal share of the waiting requests gets half of
+     * that time, one below its equal share half more, so that the requests of the largest are refused first. Nothing is refused while the service meets the
+     * objectives of its requests.
      * @param query Request.
      * @param now Current time.
      */
@@ -76,9 +76,12 @@
     };
 
     void discardOld(core::MonotonicTime now);
+    void endWaiting(const std::string &workspace);
+    [[nodiscard]] double shareFactor(const std::string &workspace) const;
     [[nodiscard]] Limits limitsOf(const BacklogQuery &query, core::MonotonicTime now);
 
     int waiting_ = 0;
+    std::map<std::string, int> waitingByWorkspace_; /* those with waiting requests */
     std::array<LatestRequest, urgencyCount> latestRequests_; /* by urgency */
     std::deque<Response> responses_; /* of the latest window, oldest first */
     core::MonotonicTime::duration totalWait_{}; /* of responses_ */
--- a/test/gateway/servicebacklog.cpp
+++ b/test/gateway/servicebacklog.cpp
@@ -2,7 +2,11 @@
 
 #include <cyclamenspool/gateway/servicebacklog.h>
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <deque>
+#include <string>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
@@ -145,3 +149,84 @@
     CHECK_FALSE(backlog.isAdmitted({9000ms, 300ms, 7}, now)); /* a longer wait does not take precedence over urgency */
     CHECK_FALSE(backlog.isAdmitted({1000ms, 300ms, 2}, now));
 }
+
+namespace {
+
+/** @brief Shares of the requests that are served in time, when one of six workspaces sends many times as much as the others. */
+struct Shares {
+    double hot = 0;
+    double others = 0;
+};
+
+Shares playHotWorkspace(int hotPerSecond, int otherPerSecond, int servedPerSecond, bool areWorkspacesKnown)
+{
+    struct Waiting {
+        core::MonotonicTime sentAt;
+        bool isHot;
+        std::string workspace;
+    };
+    ServiceBacklog backlog;
+    std::deque<Waiting> queue;
+    const auto start = core::MonotonicTime() + 1h;
+    std::array<double, 6> due{};
+    double capacity = 0;
+    double sentHot = 0;
+    double sentOthers = 0;
+    Shares served;
+    for (Milliseconds time{0}; time < 11s; time += 1ms) {
+        const auto now = start + time;
+        const bool isArriving = time < 8s; /* the rest is served afterwards */
+        for (std::size_t i = 0; isArriving && i < due.size(); ++i) {
+            const bool isHot = i == 0;
+            for (due[i] += (isHot ? hotPerSecond : otherPerSecond) / 1000.0; due[i] >= 1; due[i] -= 1) {
+                const std::string workspace = areWorkspacesKnown ? "workspace-" + std::to_string(i) : "";
+                (isHot ? sentHot : sentOthers) += 1;
+                if (backlog.isAdmitted({callerWait, 300ms, 0, workspace}, now)) {
+                    backlog.onSent(workspace);
+                    queue.push_back({now, isHot, workspace});
+                }
+            }
+        }
+        capacity = std::min(capacity + servedPerSecond / 1000.0, 4.0);
+        for (; capacity >= 1 && !queue.empty() && now - queue.front().sentAt >= 50ms; capacity -= 1) {
+            const auto &first = queue.front();
+            const auto wait = now - first.sentAt;
+            backlog.onHeaders(now, wait, first.workspace);
+            (first.isHot ? served.hot : served.others) += wait <= callerWait ? 1 : 0;
+            queue.pop_front();
+        }
+    }
+    return {served.hot / sentHot, served.others / sentOthers};
+}
+
+} // namespace
+
+TEST_CASE("hot workspace in an overload: its requests are refused before those of the others", "[gateway][admission]")
+{
+    const auto without = playHotWorkspace(800, 15, 200, false);
+    const auto with = playHotWorkspace(800, 15, 200, true);
+    CAPTURE(without.hot, without.others, with.hot, with.others);
+    CHECK(without.others < 0.7);
+    CHECK(with.others > 0.9);
+    CHECK(with.hot * 800 + with.others * 75 > 0.9 * 200); /* no capacity stays unused */
+}
+
+TEST_CASE("hot workspace within the capacity: nothing of it is refused", "[gateway][admission]")
+{
+    const auto shares = playHotWorkspace(300, 15, 450, true);
+    CHECK(shares.hot == 1.0);
+    CHECK(shares.others == 1.0);
+}
+
+TEST_CASE("overload by the only workspace: it gets the whole time that callers wait", "[gateway][admission]")
+{
+    ServiceBacklog backlog;
+    const auto now = core::MonotonicTime() + 1h;
+    for (int i = 0; i < 100; ++i) {
+        backlog.onSent("desk");
+    }
+    for (int i = 0; i < 40; ++i) {
+        backlog.onHeaders(now, 700ms, "desk");
+    }
+    CHECK(backlog.isAdmitted({2000ms, 300ms, 0, "desk"}, now));
+}
--- a/test/process/failure.cpp
+++ b/test/process/failure.cpp
@@ -152,12 +152,11 @@
     service.agentProcess.signal(SIGCONT);
     std::this_thread::sleep_for(seconds(1));
     CHECK(runsOf(fleet, key) == 0);
-    const auto unusedKey = freshKey();
     CHECK(LocalFleet::waitUntil([&] {
         const auto currentKey = freshKey();
         return sendRequest(fleet.makeBookingRequest(0, currentKey, "{}")).status == 200 && runsOf(fleet, currentKey) == 1;
     }));
-    CHECK(runsOf(fleet, unusedKey) == 0);
+    CHECK(runsOf(fleet, key) == 0); /* nor once the agent serves again */
 }
 
 TEST_CASE("no request is cut by the graceful shutdown of an agent or a router", "[process]")
