A call to the store is replaced only while it waits for its response headers

A gateway on 0.09 of a core needs over a second to read the reports of 3,000 servers; its copy is older than 0.55 of the bound by then, and its call, over a second old, was given up while it was being read. Change: a call counts as unanswered only without response headers for an eighth of the bound; the peers' copies are taken only then as well.

--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -28,7 +28,6 @@
 constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
 constexpr std::chrono::milliseconds settingsPollPeriod{5000}; /* the settings file may change without a SIGHUP */
 constexpr std::chrono::milliseconds drainCheckPeriod{100};
-constexpr std::chrono::milliseconds unansweredCallAge{1000}; /* of a store call that is replaced once a peer has a later copy */
 constexpr std::string_view statusPath = "/status"; /* every other path of the metrics address returns the metrics */
 
 std::vector<std::unique_ptr<Worker>> makeWorkers(Dispatcher &dispatcher, int count)
@@ -68,12 +67,10 @@
     telemetry::logRateLimited("started", {{"zone", settings_.zone}, {"caller_address", settings_.callerAddress}});
     waitForSignal();
     watchSettings();
-    gossip_.setUnansweredHandler([this](Catalog::Section section) {
-        onStoreUnanswered(section);
-    });
-    gossip_.start();
     watchSection(Catalog::Section::OperatorConfig);
     watchSection(Catalog::Section::Servers);
+    gossip_.setStoreCalls(storeCalls());
+    gossip_.start();
     listen();
     std::vector<std::thread> threads;
     for (std::size_t i = 1; i < workers_.size(); ++i) {
@@ -205,12 +202,23 @@
     storeClients_.back()->start();
 }
 
-void GatewayNode::onStoreUnanswered(Catalog::Section section)
+StoreCalls GatewayNode::storeCalls()
 {
-    const auto index = static_cast<std::size_t>(section);
-    if (index < storeClients_.size() && storeClients_[index]->replaceCall(internal::unansweredCallAge)) {
-        telemetry::logRateLimited("store_call_replaced", {{"section", std::string(Catalog::prefixOf(section))}, {"revision", catalog_.revision(section)}});
-    }
+    const auto clientOf = [this](Catalog::Section section) -> platform::StoreClient & {
+        return *storeClients_.at(static_cast<std::size_t>(section));
+    };
+    StoreCalls calls;
+    calls.waitingTime = [clientOf](Catalog::Section section) {
+        return clientOf(section).waitingTime();
+    };
+    calls.replace = [this, clientOf](Catalog::Section section) {
+        auto &client = clientOf(section);
+        telemetry::logRateLimited(
+            "store_call_replaced",
+            {{"section", std::string(Catalog::prefixOf(section))}, {"revision", catalog_.revision(section)}, {"waited_ms", client.waitingTime().count()}});
+        client.replaceCall();
+    };
+    return calls;
 }
 
 void GatewayNode::onStoreChanges(Catalog::Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision)
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -41,7 +41,7 @@
     static void startSession(Worker &worker, boost::asio::ip::tcp::socket socket);
     void closeAcceptor();
     void watchSection(Catalog::Section section);
-    void onStoreUnanswered(Catalog::Section section);
+    [[nodiscard]] StoreCalls storeCalls();
     void onStoreChanges(Catalog::Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision);
     [[nodiscard]] core::Milliseconds watchPause(Catalog::Section section) const;
     void waitForSignal();
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -366,10 +366,11 @@
 {
     const WatchBounds bounds{settings_.maxLeaveDelay, settings_.maxConfigurationDelay};
     const auto ownRevision = catalog_.revision(section);
-    if (section == Catalog::Section::OperatorConfig) {
-        return missedConfiguration_.onPeerRevision(revision, ownRevision, configurationOverdueTime(bounds), now);
-    }
-    return revision > ownRevision && catalog_.age(section) >= listOverdueAge(bounds);
+    const bool isConfiguration = section == Catalog::Section::OperatorConfig;
+    const bool isLate = isConfiguration ? missedConfiguration_.onPeerRevision(revision, ownRevision, configurationOverdueTime(bounds), now)
+                                        : revision > ownRevision && catalog_.age(section) >= listOverdueAge(bounds);
+    // A copy can also be late because this process is: a response that is being read must not be given up.
+    return isLate && storeCalls_.waitingTime && storeCalls_.waitingTime(section) >= unansweredTime(bounds);
 }
 
 void PeerGossip::pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision)
@@ -382,8 +383,8 @@
         return;
     }
     lastPulls_[section] = now;
-    if (!isUnavailable && onUnanswered_) {
-        onUnanswered_(section);
+    if (!isUnavailable) {
+        storeCalls_.replace(section);
     }
     wire::ItemPull pull;
     pull.set_prefix(std::string(Catalog::prefixOf(section)));
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -36,6 +36,12 @@
     core::Milliseconds age{0}; /**< Time since its last message. */
 };
 
+/** @brief Access to a gateway's own calls to the store. */
+struct StoreCalls {
+    std::function<core::Milliseconds(Catalog::Section)> waitingTime; /**< Returns how long a section's call has waited for its response headers. */
+    std::function<void(Catalog::Section)> replace; /**< Replaces a section's call by a new one. */
+};
+
 /**
  * @brief Gossips with the other gateways: sends and receives updates with loads, suspicions, history placements and store revisions, and discovers peers from
  * seed addresses.
@@ -57,10 +63,10 @@
      */
     PeerGossip(boost::asio::io_context &context, const config::GatewaySettings &settings, Dispatcher &dispatcher, Catalog &catalog);
 
-    /** @brief Sets the function to call when a section's copy was taken from a peer because the store has not answered this gateway's call. */
-    void setUnansweredHandler(std::function<void(Catalog::Section)> handler)
+    /** @brief Sets the access to this gateway's own calls to the store; without it, none counts as unanswered. */
+    void setStoreCalls(StoreCalls calls)
     {
-        onUnanswered_ = std::move(handler);
+        storeCalls_ = std::move(calls);
     }
 
     /** @brief Listens for peers and starts sending updates to the seeds. @throws boost::system::system_error If the address cannot be bound. */
@@ -159,7 +165,7 @@
     std::uint64_t lastListRevision_ = 0; /* of the latest changes of the list that were passed on */
     std::map<Catalog::Section, core::MonotonicTime> lastPulls_;
     MissedChange missedConfiguration_;
-    std::function<void(Catalog::Section)> onUnanswered_; /* may be empty */
+    StoreCalls storeCalls_;
     std::uint64_t lastUpdateId_ = 0;
     std::string sharedUpdate_; /* serialized part of the update that is equal for all peers */
     core::MonotonicTime sharedUpdateTime_{};
--- a/src/cyclamenspool/gateway/watchpolicy.cpp
+++ b/src/cyclamenspool/gateway/watchpolicy.cpp
@@ -1,5 +1,7 @@
 #include <cyclamenspool/gateway/watchpolicy.h>
 
+#include <algorithm>
+
 namespace cyclamenspool::gateway {
 
 namespace internal {
@@ -12,6 +14,8 @@
 constexpr double listOverdueShare = 0.55; /* of the bound for leaving servers; longer than the pause of a gateway that does not watch the list */
 constexpr double configurationOverdueShare = 0.375; /* of the bound for the configuration; longer than the pause after a change */
 
+constexpr int unansweredDivisor = 8; /* of the smaller bound */
+
 core::Milliseconds scale(core::Milliseconds time, double factor) noexcept
 {
     return std::chrono::duration_cast<core::Milliseconds>(time * factor);
@@ -45,6 +49,11 @@
     return internal::scale(bounds.configuration, internal::configurationOverdueShare);
 }
 
+core::Milliseconds unansweredTime(const WatchBounds &bounds) noexcept
+{
+    return std::min(bounds.leaving, bounds.configuration) / internal::unansweredDivisor;
+}
+
 core::Milliseconds configurationWatchTime() noexcept
 {
     return internal::longWatchTime;
--- a/src/cyclamenspool/gateway/watchpolicy.h
+++ b/src/cyclamenspool/gateway/watchpolicy.h
@@ -53,6 +53,12 @@
  */
 [[nodiscard]] core::Milliseconds configurationOverdueTime(const WatchBounds &bounds) noexcept;
 
+/**
+ * @brief Returns the time without response headers after which a call to the store counts as unanswered while a peer has a later copy.
+ * @param bounds Bounds.
+ */
+[[nodiscard]] core::Milliseconds unansweredTime(const WatchBounds &bounds) noexcept;
+
 /** @brief Returns how long the store may hold a watch of the routing configuration without a change. */
 [[nodiscard]] core::Milliseconds configurationWatchTime() noexcept;
 
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -70,15 +70,18 @@
     }
 }
 
-bool StoreClient::replaceCall(std::chrono::milliseconds minAge)
+std::chrono::milliseconds StoreClient::waitingTime() const
 {
-    const bool isOld = callStart_ && std::chrono::steady_clock::now() - *callStart_ >= minAge;
-    if (!isOld || stream_ == nullptr) {
-        return false;
+    const auto now = std::chrono::steady_clock::now();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - waitingSince_.value_or(now));
+}
+
+void StoreClient::replaceCall()
+{
+    if (stream_ != nullptr) {
+        isCallReplaced_ = true;
+        stream_->cancel();
     }
-    isCallReplaced_ = true;
-    stream_->cancel();
-    return true;
 }
 
 asio::awaitable<void> StoreClient::run()
@@ -96,7 +99,7 @@
         } catch (const std::exception &error) {
             failure = error.what();
         }
-        callStart_.reset();
+        waitingSince_.reset();
         if (std::exchange(isCallReplaced_, false) && !failure.empty()) {
             stream_.reset();
             continue;
@@ -188,7 +191,7 @@
 
 asio::awaitable<std::string> StoreClient::call(std::string target, std::chrono::milliseconds timeout)
 {
-    callStart_ = std::chrono::steady_clock::now();
+    waitingSince_ = std::chrono::steady_clock::now();
     if (stream_ == nullptr) {
         co_await connect();
     }
@@ -198,6 +201,8 @@
     co_await bhttp::async_write(*stream_, request, asio::use_awaitable);
     bhttp::response_parser<bhttp::string_body> parser;
     parser.body_limit(internal::maxResponseBytes);
+    co_await bhttp::async_read_header(*stream_, buffer_, parser, asio::use_awaitable);
+    waitingSince_.reset();
     co_await bhttp::async_read(*stream_, buffer_, parser, asio::use_awaitable);
     auto response = parser.release();
     if (!response.keep_alive()) {
--- a/src/cyclamenspool/platform/storeclient.h
+++ b/src/cyclamenspool/platform/storeclient.h
@@ -45,12 +45,11 @@
     /** @brief Starts listing and watching. */
     void start();
 
-    /**
-     * @brief Replaces the call in progress by a new one on a new connection; does not count as a failure.
-     * @param minAge Age from which a call is replaced.
-     * @return True if a call was replaced.
-     */
-    bool replaceCall(std::chrono::milliseconds minAge);
+    /** @brief Returns the time for which the call in progress has waited for its response headers; zero if none waits. */
+    [[nodiscard]] std::chrono::milliseconds waitingTime() const;
+
+    /** @brief Replaces the call in progress by a new one on a new connection; does not count as a failure. */
+    void replaceCall();
 
     /** @brief Cancels the call in progress and ends the watch for good. Call on the context's thread. */
     void stop();
@@ -73,7 +72,7 @@
     boost::asio::steady_timer timer_;
     std::unique_ptr<boost::beast::tcp_stream> stream_;
     boost::beast::flat_buffer buffer_;
-    std::optional<std::chrono::steady_clock::time_point> callStart_; /* of the call in progress */
+    std::optional<std::chrono::steady_clock::time_point> waitingSince_; /* empty: no call waits for its response headers */
     bool isCallReplaced_ = false;
     bool needsList_ = false; /* the store has compacted the changes after the revision */
     int failuresInRow_ = 0; /* failed calls, and lists after a compaction, since the last successful watch */
--- a/test/gateway/missedchange.cpp
+++ b/test/gateway/missedchange.cpp
@@ -50,5 +50,7 @@
         CHECK(gateway::configurationOverdueTime(bounds) > gateway::configurationPause(bounds, 0ms));
         CHECK(gateway::listOverdueAge(bounds) < bound * 2 / 3); /* the rest is for the peer's report and its copy */
         CHECK(gateway::configurationOverdueTime(bounds) < bound / 2);
+        // A call for the list begins after the pause, so that it counts as unanswered before the copy is overdue for long.
+        CHECK(gateway::listPause(bounds, false, 0ms) + gateway::unansweredTime(bounds) < bound * 2 / 3);
     }
 }
