--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -32,6 +32,18 @@
 namespace {
 
 /** @brief Restarts one gateway with the store's second address and makes the store answer 503 there; the other gateways keep the first address. */
+/** @brief Waits until a gateway accepts requests with an API key. @param gateway Index of the gateway. @return False if it does not within the time limit. */
+bool waitUntilKeyAccepted(const GatewayFleet &fleet, const std::string &key, std::chrono::milliseconds limit, std::size_t gateway = 0)
+{
+    auto call = fleet.makeRequest("probe", "/once/x", gateway);
+    call.headers[3].second = "Bearer " + key;
+    return LocalFleet::waitUntil(
+        [&call] {
+            return sendRequest(call).status == 200;
+        },
+        limit);
+}
+
 void useSecondStoreAddress(GatewayFleet &fleet, std::size_t index)
 {
     auto &gateway = fleet.gateways[index];
@@ -268,13 +280,7 @@
     GatewayFleet fleet(2, 1);
     makeStoreUnavailable(fleet, 1);
     fleet.publishRouting(2, "pool", {"key-1", "key-2"});
-    auto call = fleet.makeRequest("probe", "/once/x", 1);
-    call.headers[3].second = "Bearer key-2";
-    CHECK(LocalFleet::waitUntil(
-        [&call] {
-            return sendRequest(call).status == 200;
-        },
-        2000ms));
+    CHECK(waitUntilKeyAccepted(fleet, "key-2", 2000ms, 1));
     CHECK(GatewayFleet::readLog(fleet.gateways[1]).find("\"source\":\"peer\"") != std::string::npos);
     fleet.publishRouting(3, "pool", {"key-1"});
     CHECK(LocalFleet::waitUntil(
@@ -328,13 +334,7 @@
     makeStoreUnavailable(fleet, 1);
     fleet.gateways[3].process.kill(); /* the only peer in the zone of the gateway */
     fleet.publishRouting(2, "pool", {"key-1", "key-2"});
-    auto call = fleet.makeRequest("probe", "/once/x", 1);
-    call.headers[3].second = "Bearer key-2";
-    CHECK(LocalFleet::waitUntil(
-        [&call] {
-            return sendRequest(call).status == 200;
-        },
-        2000ms));
+    CHECK(waitUntilKeyAccepted(fleet, "key-2", 2000ms, 1));
 }
 
 TEST_CASE("lost answers of the store: a change of the configuration is in force within two seconds of the recovery", "[process][gateway]")
@@ -346,22 +346,11 @@
     fleet.publishRouting(2, "pool", {"key-1", "key-2"});
     std::this_thread::sleep_for(200ms);
     fleet.store.setLosingSecondResponses(false);
-    auto call = fleet.makeRequest("probe", "/once/x", 1);
-    call.headers[3].second = "Bearer key-2";
-    CHECK(LocalFleet::waitUntil(
-        [&call] {
-            return sendRequest(call).status == 200;
-        },
-        2000ms));
+    CHECK(waitUntilKeyAccepted(fleet, "key-2", 2000ms, 1));
     // The call that was not answered has been replaced: the next change needs no peer.
     fleet.gateways[0].process.kill();
     fleet.publishRouting(3, "pool", {"key-1", "key-3"});
-    call.headers[3].second = "Bearer key-3";
-    CHECK(LocalFleet::waitUntil(
-        [&call] {
-            return sendRequest(call).status == 200;
-        },
-        2000ms));
+    CHECK(waitUntilKeyAccepted(fleet, "key-3", 2000ms, 1));
 }
 
 TEST_CASE("lost answers of the store: a leaving server gets nothing two seconds after the recovery, whichever gateway watches the list", "[process][gateway]")
@@ -438,13 +427,7 @@
     // Pairs of a watch and a list, with pauses of at least 0.2 s in between.
     CHECK(fleet.store.callCount("op/") - before <= 22);
     fleet.publishRouting(2, "pool", {"key-1", "key-2"});
-    auto call = fleet.makeRequest("probe");
-    call.headers[3].second = "Bearer key-2";
-    CHECK(LocalFleet::waitUntil(
-        [&call] {
-            return sendRequest(call).status == 200;
-        },
-        2000ms));
+    CHECK(waitUntilKeyAccepted(fleet, "key-2", 2000ms));
     isStopped = true;
     compactions.get();
 }
