Messages for a whole zone: the source alone divides it into groups, each behind a relay

Cause: in the tree by a shared order, one member that two gateways disagree about moved all later positions: in its test with a different member missing at each of 30 gateways only half of them were sure to be reached. While machines restart, that is the usual state, and each one that is left out calls the store for the whole list. Change: about sqrt(n) groups, other ones for each message; the relay gets the addresses of its group with the message. No sequence or boot number is needed.

--- a/src/cyclamenspool/gateway/fanout.cpp
+++ b/src/cyclamenspool/gateway/fanout.cpp
@@ -3,33 +3,31 @@
 #include <cyclamenspool/core/hash.h>
 
 #include <algorithm>
-#include <cstdint>
+#include <cmath>
+#include <cstddef>
 #include <utility>
 
 namespace cyclamenspool::gateway {
 
-std::vector<std::string> fanOutTargets(const std::string &source, const std::string &self, const std::vector<std::string> &members)
+std::vector<FanOutGroup> fanOutGroups(const std::vector<std::string> &members, std::uint64_t seed)
 {
-    std::vector<std::pair<std::uint64_t, std::string>> others;
-    others.reserve(members.size() + 1);
-    const auto add = [&others, seed = core::hash64(source), &source](const std::string &address) {
-        if (address != source) {
-            others.emplace_back(core::hash64(address, seed), address);
-        }
-    };
-    std::for_each(members.begin(), members.end(), add);
-    add(self);
-    std::sort(others.begin(), others.end());
-    std::size_t position = 0; /* in the tree, the source is at 0 */
-    while (self != source && others[position].second != self) {
-        ++position;
+    std::vector<std::pair<std::uint64_t, std::string>> order;
+    order.reserve(members.size());
+    for (const auto &address : members) {
+        order.emplace_back(core::hash64(address, seed), address);
     }
-    position += self == source ? 0 : 1;
-    std::vector<std::string> targets;
-    for (std::size_t child = position * fanOutDegree; child < others.size() && targets.size() < fanOutDegree; ++child) {
-        targets.push_back(others[child].second);
+    std::sort(order.begin(), order.end());
+    const auto count = static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(members.size()))));
+    std::vector<FanOutGroup> groups(count);
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        auto &group = groups[i % count];
+        if (group.relay.empty()) {
+            group.relay = std::move(order[i].second);
+        } else {
+            group.others.push_back(std::move(order[i].second));
+        }
     }
-    return targets;
+    return groups;
 }
 
 bool isOnDuty(const std::string &duty, const std::string &self, const std::vector<std::string> &members)
--- a/src/cyclamenspool/gateway/fanout.h
+++ b/src/cyclamenspool/gateway/fanout.h
@@ -1,27 +1,29 @@
 #pragma once
 
-#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace cyclamenspool::gateway {
 
-/** @brief Most gateways to which one gateway passes on a message. */
-inline constexpr std::size_t fanOutDegree = 4;
+/** @brief Gateways that get a message through one of them. */
+struct FanOutGroup {
+    std::string relay; /**< Peer address of the gateway that gets the message from its source. */
+    std::vector<std::string> others; /**< Peer addresses of those to which the relay passes it on. */
+};
 
 /**
- * @brief Returns the gateways to which a gateway sends a message that every gateway of its zone gets once.
+ * @brief Divides the gateways of a zone into groups for a message that each of them gets once.
  *
- * The gateways form a tree below the source, ordered by a hash, so that no gateway sends more than a few copies. Gateways with different lists of members may
- * leave one out or reach it twice: receivers ignore copies, and fetch for themselves what does not arrive.
- * @param source Peer address of the gateway with the message.
- * @param self Own peer address.
- * @param members Peer addresses of the other live gateways of the zone, in any order.
+ * With n gateways there are about sqrt(n) groups of about sqrt(n) gateways, so that neither the source nor a relay sends many copies. The source's list of
+ * members alone decides. A lost relay costs its group one message: other seeds give other groups, and receivers fetch for themselves what does not arrive.
+ * @param members Peer addresses, in any order.
+ * @param seed Number of the message.
  */
-[[nodiscard]] std::vector<std::string> fanOutTargets(const std::string &source, const std::string &self, const std::vector<std::string> &members);
+[[nodiscard]] std::vector<FanOutGroup> fanOutGroups(const std::vector<std::string> &members, std::uint64_t seed);
 
-/** @brief Returns whether a gateway is the one of its zone that does a duty. @param duty Name of the duty. @param self Own peer address. @param members As in
- * fanOutTargets(). */
+/** @brief Returns whether a gateway is the one of its zone that does a duty. @param duty Name of the duty. @param self Own peer address. @param members Peer
+ * addresses of the other live gateways of the zone. */
 [[nodiscard]] bool isOnDuty(const std::string &duty, const std::string &self, const std::vector<std::string> &members);
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/listdelta.h
+++ b/src/cyclamenspool/gateway/listdelta.h
@@ -17,7 +17,7 @@
     std::vector<member::StoreItem> items; /**< Changed by more than a further report, removed, or not readable. */
     std::vector<std::uint32_t> reported; /**< Servers with a further report only, by serverHash(). */
     bool isReportedAllBut = false; /**< The servers in reported are those without a further report only; all other listed ones have one. */
-    std::string source; /**< Peer address of the gateway that watches the list. */
+    std::vector<std::string> passTo; /**< Peer addresses of the gateways to which the receiver passes the changes on. */
     std::optional<core::Milliseconds> storeAvailableTime; /**< Time since the end of the store's latest outage; empty if there was none. */
 };
 
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <random>
 
 namespace cyclamenspool::gateway {
 
@@ -61,7 +60,6 @@
     , timer_(context)
     , zonePulls_(settings.peerAddress)
     , startTime_(std::chrono::steady_clock::now())
-    , boot_(std::random_device{}() + (static_cast<std::uint64_t>(std::random_device{}()) << 32U))
 {
     addSeeds(settings_.seedPeers);
 }
@@ -415,12 +413,12 @@
     } else if (path == internal::listPath) {
         const auto delta = internal::logIfUnreadable(decodeListDelta(message), internal::listPath, message.size());
         if (delta) {
-            onListDelta(*delta, message);
+            onListDelta(*delta);
         }
     } else if (path == internal::sharePath) {
         const auto share = internal::logIfUnreadable(decodeZoneShare(message), internal::sharePath, message.size());
         if (share) {
-            onZoneShare(*share, message);
+            onZoneShare(*share);
         }
     }
     stream->send(reply, true);
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -110,12 +110,6 @@
         std::uint64_t placementsPosition = 0; /* for Dispatcher::historyPlacementsSince() */
     };
 
-    /** @brief Names the latest share of a gateway that was received; earlier ones and copies are ignored. */
-    struct ShareMark {
-        std::uint64_t boot = 0;
-        std::uint64_t sequence = 0;
-    };
-
     void tick();
     void sendUpdate(const std::string &address, Peer &peer, core::MonotonicTime now);
     bool onUpdate(const wire::GatewayNews &update);
@@ -125,9 +119,10 @@
     void onZoneTotals(const wire::ZoneTotals &totals, std::size_t bytes);
     [[nodiscard]] bool applyZoneTotals(const wire::ZoneTotals &totals, std::size_t bytes);
     void shareZoneTotals(const wire::ZoneTotals &totals);
-    void onZoneShare(const wire::ZoneShare &share, const std::string &message);
-    void onListDelta(const ListDelta &delta, const std::string &message);
-    void passOn(const std::string &source, const char *path, const std::string &message);
+    void onZoneShare(wire::ZoneShare share);
+    void onListDelta(ListDelta delta);
+    void sendOneWay(const std::string &address, const char *path, const std::string &message);
+    void passOn(const std::vector<std::string> &addresses, const char *path, const std::string &message);
     [[nodiscard]] std::vector<std::string> liveMembers() const;
     void applyLoads(const wire::GatewayNews &update);
     [[nodiscard]] std::string buildZoneTotals(core::Milliseconds placementAge);
@@ -159,10 +154,7 @@
     ZonePulls zonePulls_;
     core::MonotonicTime startTime_;
     std::string lastAdvertisedToZones_; /* address of the peer of the own zone advertised last; the rotation continues after it */
-    const std::uint64_t boot_; /* random; names this process in shares */
-    std::uint64_t lastShareSequence_ = 0; /* of this process */
-    std::map<std::string, ShareMark> lastShares_; /* passed on, by source */
-    std::uint64_t lastListRevision_ = 0; /* of the latest changes of the list that were passed on */
+    std::uint64_t fanOutSeed_ = 0; /* of the latest message for the whole zone */
     std::map<Catalog::Section, core::MonotonicTime> lastPulls_;
     MissedChange missedConfiguration_;
     StoreCalls storeCalls_;
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -6,6 +6,7 @@
 #include <cyclamenspool/gateway/peermessages.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenspool::gateway {
 
@@ -45,29 +46,37 @@
     return members;
 }
 
-void PeerGossip::passOn(const std::string &source, const char *path, const std::string &message)
+void PeerGossip::sendOneWay(const std::string &address, const char *path, const std::string &message)
 {
-    for (const auto &address : fanOutTargets(source, settings_.peerAddress, liveMembers())) {
-        wire::StreamCallbacks callbacks;
-        callbacks.onEnd = [](const wire::StreamEnd &) {};
-        connectionPool_.submit(address, path, message, std::move(callbacks));
+    wire::StreamCallbacks callbacks;
+    callbacks.onEnd = [](const wire::StreamEnd &) {};
+    connectionPool_.submit(address, path, message, std::move(callbacks));
+}
+
+void PeerGossip::passOn(const std::vector<std::string> &addresses, const char *path, const std::string &message)
+{
+    for (const auto &address : addresses) {
+        if (address != settings_.peerAddress && internal::isValidAddress(address)) {
+            sendOneWay(address, path, message);
+        }
     }
 }
 
 void PeerGossip::publishListDelta(ListDelta delta)
 {
-    delta.source = settings_.peerAddress;
-    passOn(delta.source, internal::listPath, encodeListDelta(delta));
+    for (auto &group : fanOutGroups(liveMembers(), ++fanOutSeed_)) {
+        delta.passTo = std::move(group.others);
+        sendOneWay(group.relay, internal::listPath, encodeListDelta(delta));
+    }
 }
 
-void PeerGossip::onListDelta(const ListDelta &delta, const std::string &message)
+void PeerGossip::onListDelta(ListDelta delta)
 {
-    const bool isNew = delta.revision > lastListRevision_;
-    lastListRevision_ = std::max(lastListRevision_, delta.revision);
     catalog_.onPeerListDelta(delta);
     // A gateway that lacks earlier changes passes these on as well: the next ones may be able to use them.
-    if (isNew && internal::isValidAddress(delta.source) && delta.source != settings_.peerAddress) {
-        passOn(delta.source, internal::listPath, message);
+    const auto addresses = std::exchange(delta.passTo, {});
+    if (!addresses.empty()) {
+        passOn(addresses, internal::listPath, encodeListDelta(delta));
     }
 }
 
@@ -131,27 +140,23 @@
 void PeerGossip::shareZoneTotals(const wire::ZoneTotals &totals)
 {
     wire::ZoneShare share;
-    share.set_source(settings_.peerAddress);
-    share.set_boot(boot_);
-    share.set_sequence(++lastShareSequence_);
     *share.mutable_totals() = totals;
-    passOn(settings_.peerAddress, internal::sharePath, share.SerializeAsString());
+    for (const auto &group : fanOutGroups(liveMembers(), ++fanOutSeed_)) {
+        share.clear_pass_to();
+        share.mutable_pass_to()->Add(group.others.begin(), group.others.end());
+        sendOneWay(group.relay, internal::sharePath, share.SerializeAsString());
+    }
 }
 
-void PeerGossip::onZoneShare(const wire::ZoneShare &share, const std::string &message)
+void PeerGossip::onZoneShare(wire::ZoneShare share)
 {
-    const bool isOwn = share.source() == settings_.peerAddress || share.totals().zone() == settings_.zone;
-    if (isOwn || !internal::isValidAddress(share.source())) {
-        return;
-    }
-    auto &latest = lastShares_[share.source()];
-    const bool isCopy = share.boot() == latest.boot && share.sequence() <= latest.sequence;
-    if (isCopy) {
+    if (share.totals().zone() == settings_.zone || !applyZoneTotals(share.totals(), share.totals().ByteSizeLong())) {
         return;
     }
-    latest = {share.boot(), share.sequence()};
-    if (applyZoneTotals(share.totals(), share.totals().ByteSizeLong())) {
-        passOn(share.source(), internal::sharePath, message);
+    const std::vector<std::string> addresses(share.pass_to().begin(), share.pass_to().end());
+    share.clear_pass_to();
+    if (!addresses.empty()) {
+        passOn(addresses, internal::sharePath, share.SerializeAsString());
     }
 }
 
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -93,7 +93,7 @@
 std::optional<wire::ZoneShare> decodeZoneShare(const std::string &bytes)
 {
     wire::ZoneShare share;
-    const bool isValid = !bytes.empty() && share.ParseFromString(bytes) && !share.source().empty() && internal::areTotalsValid(share.totals());
+    const bool isValid = !bytes.empty() && share.ParseFromString(bytes) && internal::areTotalsValid(share.totals());
     return isValid ? std::optional(std::move(share)) : std::nullopt;
 }
 
@@ -155,7 +155,7 @@
     }
     delta.reported.assign(message.reported().begin(), message.reported().end());
     delta.isReportedAllBut = message.reported_all_but();
-    delta.source = message.source();
+    delta.passTo.assign(message.pass_to().begin(), message.pass_to().end());
     if (message.has_available_ms()) {
         const auto time = std::clamp<std::int64_t>(message.available_ms(), 0, internal::maxAvailableTime);
         delta.storeAvailableTime = core::Milliseconds(time);
@@ -175,7 +175,7 @@
         message.add_reported(hash);
     }
     message.set_reported_all_but(delta.isReportedAllBut);
-    message.set_source(delta.source);
+    message.mutable_pass_to()->Add(delta.passTo.begin(), delta.passTo.end());
     if (delta.storeAvailableTime) {
         message.set_available_ms(delta.storeAvailableTime->count());
     }
--- a/src/cyclamenspool/gateway/peermessages.h
+++ b/src/cyclamenspool/gateway/peermessages.h
@@ -31,8 +31,8 @@
  * a number is out of range. */
 [[nodiscard]] std::optional<wire::ZoneTotals> decodeZoneTotals(const std::string &bytes);
 
-/** @brief Decodes the totals of another zone that a gateway of the own zone shares. @param bytes Serialized message. @return Share; empty if its source is
- * missing or the totals are malformed as for decodeZoneTotals(). */
+/** @brief Decodes the totals of another zone that a gateway of the own zone shares. @param bytes Serialized message. @return Share; empty if malformed as for
+ * decodeZoneTotals(). */
 [[nodiscard]] std::optional<wire::ZoneShare> decodeZoneShare(const std::string &bytes);
 
 /** @brief Decodes a request for a zone's totals. @param bytes Serialized message. @return Age of the oldest history placement that is asked for; empty if
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -283,6 +283,8 @@
     CHECK(waitUntilKeyAccepted(fleet, "key-2", 2000ms, 1));
     CHECK(GatewayFleet::readLog(fleet.gateways[1]).find("\"source\":\"peer\"") != std::string::npos);
     fleet.publishRouting(3, "pool", {"key-1"});
+    auto call = fleet.makeRequest("probe", "/once/x", 1);
+    call.headers[3].second = "Bearer key-2";
     CHECK(LocalFleet::waitUntil(
         [&call] {
             return sendRequest(call).status == 401;
