--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -268,9 +268,9 @@
         entry->set_history(placement.historyKey);
         entry->set_backend_server(placement.server);
     }
-    // The copy's revision also rises when a watch ends without a change, so peers could not tell from it that they lack one.
+    // The copies' revisions also rise without a change in their section, so peers could not tell from them that they lack one.
     update.set_operator_revision(catalog_.changeRevision(Catalog::Section::OperatorConfig));
-    update.set_server_revision(catalog_.revision(Catalog::Section::Servers));
+    update.set_server_revision(catalog_.changeRevision(Catalog::Section::Servers));
     update.set_store_unavailable(catalog_.isStoreUnavailable(Catalog::Section::Servers));
     // Concatenated protobuf messages parse as one merged message.
     return sharedUpdate_ + update.SerializeAsString();
@@ -365,8 +365,9 @@
     const WatchBounds bounds{settings_.maxLeaveDelay, settings_.maxConfigurationDelay};
     const auto ownRevision = catalog_.revision(section);
     const bool isConfiguration = section == Catalog::Section::OperatorConfig;
-    const bool isLate = isConfiguration ? missedConfiguration_.onPeerRevision(revision, ownRevision, configurationOverdueTime(bounds), now)
-                                        : revision > ownRevision && catalog_.age(section) >= listOverdueAge(bounds);
+    const auto overdueTime = isConfiguration ? configurationOverdueTime(bounds) : unansweredTime(bounds);
+    const bool isMissed = missedChanges_[section].onPeerRevision(revision, ownRevision, overdueTime, now);
+    const bool isLate = isMissed && (isConfiguration || catalog_.age(section) >= listOverdueAge(bounds));
     // A copy can also be late because this process is: a response that is being read must not be given up.
     return isLate && storeCalls_.waitingTime && storeCalls_.waitingTime(section) >= unansweredTime(bounds);
 }
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -156,7 +156,7 @@
     std::string lastAdvertisedToZones_; /* address of the peer of the own zone advertised last; the rotation continues after it */
     std::uint64_t fanOutSeed_ = 0; /* of the latest message for the whole zone */
     std::map<Catalog::Section, core::MonotonicTime> lastPulls_;
-    MissedChange missedConfiguration_;
+    std::map<Catalog::Section, MissedChange> missedChanges_;
     StoreCalls storeCalls_;
     std::uint64_t lastUpdateId_ = 0;
     std::string sharedUpdate_; /* serialized part of the update that is equal for all peers */
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -209,7 +209,7 @@
     }
     advertiseZonePeers(totals, now);
     totals.set_operator_revision(catalog_.changeRevision(Catalog::Section::OperatorConfig));
-    totals.set_server_revision(catalog_.revision(Catalog::Section::Servers));
+    totals.set_server_revision(catalog_.changeRevision(Catalog::Section::Servers));
     return totals.SerializeAsString();
 }
 
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint32_t maxOutstanding = 1000000; /* highest number of descriptors that the settings allow a process */
 constexpr std::uint32_t maxGateways = 100000; /* in one zone */
+constexpr int maxPassTo = 1000; /* gateways in one group of a zone */
 constexpr std::int64_t maxLoadAge = 3600000; /* milliseconds, summed over the gateways of a zone */
 
 constexpr std::int64_t maxAvailableTime = 3600000; /* milliseconds; an outage that ended earlier has no effect any more */
@@ -93,7 +94,8 @@
 std::optional<wire::ZoneShare> decodeZoneShare(const std::string &bytes)
 {
     wire::ZoneShare share;
-    const bool isValid = !bytes.empty() && share.ParseFromString(bytes) && internal::areTotalsValid(share.totals());
+    const bool isParsed = !bytes.empty() && share.ParseFromString(bytes);
+    const bool isValid = isParsed && share.pass_to_size() <= internal::maxPassTo && internal::areTotalsValid(share.totals());
     return isValid ? std::optional(std::move(share)) : std::nullopt;
 }
 
@@ -144,7 +146,8 @@
 std::optional<ListDelta> decodeListDelta(const std::string &bytes)
 {
     wire::ListUpdate message;
-    if (bytes.empty() || !message.ParseFromString(bytes) || message.revision() < message.base_revision()) {
+    const bool isParsed = !bytes.empty() && message.ParseFromString(bytes);
+    if (!isParsed || message.revision() < message.base_revision() || message.pass_to_size() > internal::maxPassTo) {
         return std::nullopt;
     }
     ListDelta delta;
--- a/test/gateway/listdelta.cpp
+++ b/test/gateway/listdelta.cpp
@@ -212,4 +212,10 @@
     message.set_base_revision(5);
     message.set_revision(4);
     CHECK_FALSE(gateway::decodeListDelta(message.SerializeAsString()));
+    message.set_revision(5);
+    CHECK(gateway::decodeListDelta(message.SerializeAsString()));
+    for (int i = 0; i < 2000; ++i) {
+        message.add_pass_to("10.0.0.1:1");
+    }
+    CHECK_FALSE(gateway::decodeListDelta(message.SerializeAsString()));
 }
--- a/test/gateway/zonepulls.cpp
+++ b/test/gateway/zonepulls.cpp
@@ -179,6 +179,14 @@
     CHECK_FALSE(gateway::decodeZoneTotals(totals.SerializeAsString()));
     CHECK_FALSE(gateway::decodeZoneTotals(""));
     CHECK_FALSE(gateway::decodeZonePull("\xff\xff"));
+    wire::ZoneShare share;
+    CHECK_FALSE(gateway::decodeZoneShare(share.SerializeAsString()));
+    share.mutable_totals()->set_zone("az-0");
+    CHECK(gateway::decodeZoneShare(share.SerializeAsString()));
+    for (int i = 0; i < 2000; ++i) {
+        share.add_pass_to("10.0.0.1:1");
+    }
+    CHECK_FALSE(gateway::decodeZoneShare(share.SerializeAsString()));
 }
 
 TEST_CASE("103 gateways in 6 zones: one gateway of a zone asks each other zone, whatever the number of gateways", "[gateway][zonepulls]")
--- a/test/harness/platformfakes.cpp
+++ b/test/harness/platformfakes.cpp
@@ -198,6 +198,11 @@
     isLosingSecondResponses_ = isLosing;
 }
 
+void FakeStore::setMaxWatchTime(std::chrono::milliseconds time)
+{
+    maxWatchTime_ = time;
+}
+
 int FakeStore::callCount(const std::string &prefix)
 {
     const std::lock_guard lock(mutex_);
@@ -248,7 +253,7 @@
         }
         return !events.empty() || forcedStatus != 200 || isCompacted();
     };
-    itemsChanged_.wait_for(lock, std::min(timeout, std::chrono::milliseconds(1000)), collect);
+    itemsChanged_.wait_for(lock, std::min(timeout, maxWatchTime_.load()), collect);
     if (events.empty() && isCompacted()) {
         return "";
     }
--- a/test/harness/platformfakes.h
+++ b/test/harness/platformfakes.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -87,6 +88,9 @@
     /** @brief Sets whether responses at the second address are lost; a connection on which one was lost stays open and returns nothing further. */
     void setLosingSecondResponses(bool isLosing);
 
+    /** @brief Sets the longest time for which a watch without a change is held; 1 s by default. */
+    void setMaxWatchTime(std::chrono::milliseconds time);
+
     /** @brief Returns the number of calls so far, at both addresses. @param prefix Prefix of the keys that were asked for. */
     [[nodiscard]] int callCount(const std::string &prefix);
 
@@ -129,6 +133,7 @@
     std::atomic<int> status_{200};
     std::atomic<int> secondStatus_{200};
     std::atomic<bool> isLosingSecondResponses_{false};
+    std::atomic<std::chrono::milliseconds> maxWatchTime_{std::chrono::milliseconds(1000)};
     std::set<const PlainSocket *> silentConnections_; /* on which a response was lost */
     ThreadedServer server_;
     ThreadedServer secondServer_;
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -355,6 +355,21 @@
     CHECK(waitUntilKeyAccepted(fleet, "key-3", 2000ms, 1));
 }
 
+TEST_CASE("a store without changes of the list: a gateway that starts after another change makes the others replace no call", "[process][gateway]")
+{
+    GatewayFleet fleet(3, 1);
+    fleet.store.setMaxWatchTime(8000ms);
+    std::this_thread::sleep_for(2500ms);
+    fleet.publishRouting(2);
+    std::this_thread::sleep_for(300ms);
+    fleet.gateways[2].process.kill();
+    fleet.start(fleet.gateways[2]);
+    std::this_thread::sleep_for(2500ms);
+    for (const auto &gateway : fleet.gateways) {
+        CHECK(GatewayFleet::readLog(gateway).find("store_call_replaced") == std::string::npos);
+    }
+}
+
 TEST_CASE("lost answers of the store: a leaving server gets nothing two seconds after the recovery, whichever gateway watches the list", "[process][gateway]")
 {
     GatewayFleet fleet(2, 2);
