Log what ends a response's body and whether a stream ended inside an event

Change: request lines carry body_end and inside_event; EventBoundary tracks event ends for streams that are not held back, and EventScanner uses it too. No decision depends on the new values.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -21,8 +21,31 @@
 constexpr std::size_t maxUnparsedBytes = 64UL * 1024; /* of one header or chunk header */
 constexpr unsigned minFinalStatus = 200; /* lower codes are interim responses */
 
+BodyEnd bodyEndOf(const bhttp::response_parser<bhttp::string_body> &parser)
+{
+    if (parser.chunked()) {
+        return BodyEnd::LastChunk;
+    }
+    return parser.need_eof() ? BodyEnd::ConnectionClose : BodyEnd::Length;
+}
+
 } // namespace internal
 
+const char *nameOf(BodyEnd end) noexcept
+{
+    switch (end) {
+    case BodyEnd::Length:
+        return "length";
+    case BodyEnd::LastChunk:
+        return "chunked";
+    case BodyEnd::ConnectionClose:
+        return "connection_close";
+    case BodyEnd::None:
+        break;
+    }
+    return "none";
+}
+
 BackendCall::BackendCall(BackendConnectionPool &connectionPool, BackendRequest request, BackendCallHandler &handler)
     : connectionPool_(connectionPool)
     , request_(std::move(request))
@@ -181,6 +204,7 @@
     isDiscarding_ = isInterim || (!head.requestId.empty() && head.requestId != request_.requestId);
     mustClose_ = mustClose_ || (isDiscarding_ && !isInterim);
     if (!isDiscarding_) {
+        bodyEnd_ = internal::bodyEndOf(*parser_);
         handler_->onResponseHeaders(response.result_int(), response.base(), head);
     }
     return handler_ != nullptr;
--- a/src/cyclamenspool/gateway/backendcall.h
+++ b/src/cyclamenspool/gateway/backendcall.h
@@ -26,6 +26,17 @@
     std::chrono::milliseconds maxIdleTime{0}; /**< Longest idle time of a connection that may be reused; 0: always connect anew. */
 };
 
+/** @brief What ends the body of a response. */
+enum class BodyEnd : int {
+    None, /**< No response yet. */
+    Length, /**< Content-Length, or a response that has no body. */
+    LastChunk,
+    ConnectionClose,
+};
+
+/** @brief Returns the text of a body end for logs. */
+[[nodiscard]] const char *nameOf(BodyEnd end) noexcept;
+
 /** @brief Callbacks of a backend call. After onConnectFailed(), onResponseComplete() or onResponseError() no other follows. */
 class BackendCallHandler
 {
@@ -77,6 +88,12 @@
     /** @brief Closes the connection; no callback follows. */
     void cancel();
 
+    /** @brief Returns what ends the body of the response whose headers were handled last. */
+    [[nodiscard]] BodyEnd bodyEnd() const noexcept
+    {
+        return bodyEnd_;
+    }
+
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
@@ -102,6 +119,7 @@
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::optional<std::chrono::seconds> idleTimeout_;
+    BodyEnd bodyEnd_ = BodyEnd::None;
     bool areHeadersParsed_ = false;
     bool isDiscarding_ = false; /* the current response is interim or belongs to another request */
     bool mustClose_ = false; /* the connection is not reused: it carried another request's response, or the server closed it */
--- a/src/cyclamenspool/gateway/eventscanner.cpp
+++ b/src/cyclamenspool/gateway/eventscanner.cpp
@@ -16,15 +16,20 @@
     partialEvent_.append(bytes);
     std::size_t completeBytes = 0;
     while (scanned_ < partialEvent_.size()) {
-        const char byte = partialEvent_[scanned_];
-        // The LF of a CRLF that ended the event before belongs to that event, also if it arrives later.
-        const bool isRestOfEventEnd = byte == '\n' && isAfterCarriageReturn_ && scanned_ == completeBytes;
-        const bool isEventEnd = scanByte(byte) || isRestOfEventEnd;
+        const auto mark = boundary_.advance(partialEvent_[scanned_]);
         ++scanned_;
-        if (isEventEnd) {
-            completeBytes = scanned_;
-            lineStart_ = scanned_;
+        if (mark == EventBoundary::Mark::Text) {
+            continue;
         }
+        if (mark == EventBoundary::Mark::LineEnd) {
+            parseLine(std::string_view(partialEvent_).substr(lineStart_, scanned_ - 1 - lineStart_));
+        }
+        if (mark == EventBoundary::Mark::EventEnd && std::exchange(hasId_, false)) {
+            lastEventId_ = std::move(id_);
+        }
+        // The LF of a CRLF that ended an event belongs to that event, also if it arrives later.
+        completeBytes = boundary_.isInsideEvent() ? completeBytes : scanned_;
+        lineStart_ = scanned_;
     }
     std::string events = partialEvent_.substr(0, completeBytes);
     partialEvent_.erase(0, completeBytes);
@@ -33,29 +38,6 @@
     return events;
 }
 
-bool EventScanner::scanByte(char byte)
-{
-    const bool isSecondOfPair = byte == '\n' && isAfterCarriageReturn_;
-    isAfterCarriageReturn_ = byte == '\r';
-    if (isSecondOfPair) {
-        lineStart_ = scanned_ + 1;
-        return false;
-    }
-    if (byte != '\n' && byte != '\r') {
-        return false;
-    }
-    const auto line = std::string_view(partialEvent_).substr(lineStart_, scanned_ - lineStart_);
-    lineStart_ = scanned_ + 1;
-    if (!line.empty()) {
-        parseLine(line);
-        return false;
-    }
-    if (std::exchange(hasId_, false)) {
-        lastEventId_ = std::move(id_);
-    }
-    return true;
-}
-
 void EventScanner::parseLine(std::string_view line)
 {
     if (line.substr(0, internal::idField.size()) != internal::idField) {
@@ -73,7 +55,7 @@
     partialEvent_.clear();
     scanned_ = 0;
     lineStart_ = 0;
-    isAfterCarriageReturn_ = false;
+    boundary_ = {};
     hasId_ = false;
 }
 
--- a/src/cyclamenspool/gateway/eventscanner.h
+++ b/src/cyclamenspool/gateway/eventscanner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cyclamenspool/gateway/eventboundary.h>
+
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -42,13 +44,12 @@
     }
 
 private:
-    [[nodiscard]] bool scanByte(char byte);
     void parseLine(std::string_view line);
 
     std::string partialEvent_;
     std::size_t scanned_ = 0; /* bytes of the incomplete event that were examined */
     std::size_t lineStart_ = 0; /* of the incomplete line */
-    bool isAfterCarriageReturn_ = false; /* a following LF belongs to the same line end */
+    EventBoundary boundary_;
     bool hasId_ = false; /* of the incomplete event */
     std::string id_; /* of the incomplete event */
     std::string lastEventId_;
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -389,6 +389,10 @@
     if (headersReceivedAt_ > arrivedAt_) {
         line["pause_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(maxBodyGap_).count();
         line["history"] = admission_->historyKey();
+        line["body_end"] = nameOf(bodyEnd_);
+        if (admission_->route->kind == world::RouteKind::Streaming) {
+            line["inside_event"] = isInsideEvent();
+        }
     }
     if (!historySource_.empty()) {
         line["history_source"] = historySource_;
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -86,6 +86,7 @@
     void log(std::string_view requestOutcome, const std::string &detail) const;
     static constexpr std::string_view answeredOutcome = "answered"; /* logged for a complete response; unlike Outcome::Answered, whatever its status */
 
+    [[nodiscard]] bool isInsideEvent() const noexcept; /* the bytes received so far end with an incomplete event */
     [[nodiscard]] bool isStalled() const;
     [[nodiscard]] bool isWithoutProgress() const;
     [[nodiscard]] std::chrono::milliseconds remainingTime() const;
@@ -118,6 +119,8 @@
     std::string responseBody_;
     RelayMode relayMode_ = RelayMode::Buffered;
     EventScanner eventScanner_{std::string()};
+    EventBoundary relayedBoundary_; /* of the bytes that were relayed; only if RelayMode::Streamed */
+    BodyEnd bodyEnd_ = BodyEnd::None; /* of the last response */
     bool isHeadWritten_ = false; /* to the caller */
     bool isReadingPaused_ = false;
     core::MonotonicTime headersReceivedAt_{};
--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -54,6 +54,7 @@
 void Exchange::onResponseHeaders(unsigned status, const platform::Fields &fields, const platform::ResponseHead &head)
 {
     inFlight_->onHeadersReceived();
+    bodyEnd_ = call_->bodyEnd();
     const auto &route = *admission_->route;
     if (head.isNotExecuted) {
         constexpr unsigned misdirectedRequest = 421;
@@ -112,6 +113,7 @@
         lastEventAt_ = events.empty() ? lastEventAt_ : now;
         relay(events);
     } else {
+        relayedBoundary_.advance(bytes);
         relay(bytes);
     }
     isReadingPaused_ = session_ != nullptr && session_->pendingBytes() > internal::maxPendingBytes;
@@ -141,6 +143,11 @@
     session_->write(std::move(out));
 }
 
+bool Exchange::isInsideEvent() const noexcept
+{
+    return relayMode_ == RelayMode::EventStream ? !eventScanner_.partialEvent().empty() : relayedBoundary_.isInsideEvent();
+}
+
 void Exchange::onResponseComplete()
 {
     finishAttempt(internal::isServerFailure(responseStatus_) ? Outcome::Failed : Outcome::Answered);
