--- /dev/null
+++ b/test/process/unframed.cpp
@@ -0,0 +1,201 @@
+#include <catch2/catch.hpp>
+
+#include <harness/eventstream.h>
+#include <harness/gatewayfleet.h>
+#include <harness/unframed.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using harness::callWithVersion;
+using harness::ConnectionEnd;
+using harness::GatewayFleet;
+using harness::PlainRequest;
+using harness::PlainSocket;
+using harness::sendUnframed;
+using harness::serverSentEvent;
+
+namespace {
+
+constexpr int eventCount = 3;
+constexpr unsigned oldVersion = 10; /* HTTP/1.0 */
+constexpr unsigned currentVersion = 11; /* HTTP/1.1 */
+
+std::string eventsFrom(int first)
+{
+    std::string events;
+    for (int id = first; id <= eventCount; ++id) {
+        events += serverSentEvent(id);
+    }
+    return events;
+}
+
+/** @brief Returns whether the first bytes of a stream end with a complete event. */
+bool endsWithEvent(std::size_t bytes)
+{
+    std::size_t end = 0;
+    for (int id = 1; id <= eventCount && end < bytes; ++id) {
+        end += serverSentEvent(id).size();
+    }
+    return bytes > 0 && end == bytes;
+}
+
+/** @brief Gateway in front of servers whose next response is broken off; later ones are complete. */
+class BrokenOffFleet
+{
+public:
+    explicit BrokenOffFleet(const std::string &body)
+        : fleet(1, 2)
+    {
+        for (auto &server : fleet.backendServers) {
+            server->setHandler([this, body](const PlainRequest &request, PlainSocket &socket) {
+                if (isNextBrokenOff.exchange(false)) {
+                    return sendUnframed(request, socket, body, bytes, end);
+                }
+                const std::string last(request["Last-Event-Id"]);
+                const auto rest = last.empty() ? body : eventsFrom(std::stoi(last) + 1);
+                return sendUnframed(request, socket, rest, rest.size(), ConnectionEnd::Fin);
+            });
+        }
+    }
+
+    /** @brief Sends a request whose response is broken off after some bytes of its body. */
+    harness::SeenResponse call(const std::string &path, std::size_t sentBytes, ConnectionEnd connectionEnd, unsigned version = currentVersion)
+    {
+        bytes = sentBytes;
+        end = connectionEnd;
+        isNextBrokenOff = true;
+        return callWithVersion(fleet.gateways[0].callerAddress, path, "r" + std::to_string(++number), version);
+    }
+
+    /** @brief Sends as many requests without a fault as allow one retry. */
+    void callSound()
+    {
+        constexpr int requestsForOneRetry = 5;
+        for (int i = 0; i < requestsForOneRetry; ++i) {
+            CHECK(callWithVersion(fleet.gateways[0].callerAddress, "/once/x", "s" + std::to_string(++number), currentVersion).status == 200);
+        }
+    }
+
+    GatewayFleet fleet;
+    std::atomic<bool> isNextBrokenOff{false};
+    std::atomic<std::size_t> bytes{0};
+    std::atomic<ConnectionEnd> end{ConnectionEnd::Fin};
+    int number = 0;
+};
+
+} // namespace
+
+// Guards against a truncated stream without a length that reaches its caller framed as complete.
+TEST_CASE("a stream without a length that ends inside an event never looks complete", "[process][gateway][unframed]")
+{
+    const auto body = eventsFrom(1);
+    BrokenOffFleet broken(body);
+    for (std::size_t bytes = 0; bytes <= body.size(); ++bytes) {
+        INFO("bytes " << bytes);
+        const auto ended = broken.call("/stream/x", bytes, ConnectionEnd::Fin);
+        CHECK((ended.status == 200 && ended.isComplete) == endsWithEvent(bytes));
+        CHECK((ended.status != 200 || body.compare(0, ended.body.size(), ended.body) == 0));
+        const auto reset = broken.call("/stream/x", bytes, ConnectionEnd::Reset);
+        CHECK_FALSE((reset.status == 200 && reset.isComplete));
+    }
+}
+
+// Guards against a resumable stream that is relayed as complete instead of being continued at another backend server.
+TEST_CASE("a resumable stream without a length that ends inside an event is continued", "[process][gateway][unframed]")
+{
+    const auto body = eventsFrom(1);
+    const auto end = GENERATE(ConnectionEnd::Fin, ConnectionEnd::Reset);
+    BrokenOffFleet broken(body);
+    for (std::size_t bytes = 0; bytes <= body.size(); ++bytes) {
+        INFO("bytes " << bytes << ", reset " << (end == ConnectionEnd::Reset));
+        broken.callSound();
+        const auto seen = broken.call("/resumed/x", bytes, end);
+        const bool isEnd = end == ConnectionEnd::Fin && endsWithEvent(bytes);
+        CHECK(seen.status == 200);
+        CHECK(seen.isComplete);
+        CHECK(seen.body == (isEnd ? body.substr(0, bytes) : body));
+    }
+}
+
+// Guards against a stream that is continued at another backend server and broken off there as well.
+TEST_CASE("a continued stream that ends inside an event again never looks complete", "[process][gateway][unframed]")
+{
+    GatewayFleet fleet(1, 2);
+    for (auto &server : fleet.backendServers) {
+        server->setHandler([](const PlainRequest &request, PlainSocket &socket) {
+            const std::string last(request["Last-Event-Id"]);
+            const auto rest = eventsFrom(last.empty() ? 1 : std::stoi(last) + 1);
+            return sendUnframed(request, socket, rest, serverSentEvent(1).size() + 3, ConnectionEnd::Fin);
+        });
+    }
+    const auto seen = callWithVersion(fleet.gateways[0].callerAddress, "/resumed/x", "r1", currentVersion);
+    CHECK_FALSE((seen.status == 200 && seen.isComplete));
+    CHECK(seen.body == serverSentEvent(1) + serverSentEvent(2));
+}
+
+// Guards against a broken-off response whose caller takes the end of its own connection for the end of the response.
+TEST_CASE("a broken-off response never looks complete to an HTTP/1.0 caller", "[process][gateway][unframed]")
+{
+    const auto body = eventsFrom(1);
+    BrokenOffFleet broken(body);
+    for (std::size_t bytes = 0; bytes <= body.size(); ++bytes) {
+        INFO("bytes " << bytes);
+        const auto ended = broken.call("/stream/x", bytes, ConnectionEnd::Fin, oldVersion);
+        CHECK((ended.status == 200 && ended.isComplete) == endsWithEvent(bytes));
+        const auto reset = broken.call("/stream/x", bytes, ConnectionEnd::Reset, oldVersion);
+        CHECK_FALSE((reset.status == 200 && reset.isComplete));
+        broken.callSound();
+        const auto resumed = broken.call("/resumed/x", bytes, ConnectionEnd::Reset, oldVersion);
+        CHECK(resumed.status == 200);
+        CHECK(resumed.isComplete);
+        CHECK(resumed.body == body);
+    }
+}
+
+// Guards against a response whose HTTP/1.0 caller takes the end of a killed gateway for the end of the response.
+TEST_CASE("a response that a killed gateway breaks off does not look complete to an HTTP/1.0 caller", "[process][gateway][unframed]")
+{
+    GatewayFleet fleet(1, 1);
+    fleet.backendServers[0]->setHandler([&fleet](const PlainRequest &request, PlainSocket &socket) {
+        harness::writeAll(socket, harness::responseHeadFor(request) + harness::chunk(serverSentEvent(1)));
+        std::this_thread::sleep_for(100ms);
+        fleet.gateways[0].process.kill();
+        return false;
+    });
+    const auto seen = callWithVersion(fleet.gateways[0].callerAddress, "/stream/x", "r1", oldVersion);
+    CHECK(seen.status == 200);
+    CHECK_FALSE(seen.isComplete);
+}
+
+TEST_CASE("a buffered response without a length is complete when its connection ends, and fails when it is reset", "[process][gateway][unframed]")
+{
+    const std::string body = "unframed body";
+    const unsigned version = GENERATE(oldVersion, currentVersion);
+    BrokenOffFleet broken(body);
+    for (std::size_t bytes = 0; bytes <= body.size(); ++bytes) {
+        INFO("bytes " << bytes << ", HTTP version " << version);
+        broken.callSound();
+        const auto ended = broken.call("/once/x", bytes, ConnectionEnd::Fin, version);
+        CHECK(ended.status == 200);
+        CHECK(ended.isComplete);
+        CHECK(ended.body == body.substr(0, bytes));
+        CHECK(broken.call("/once/x", bytes, ConnectionEnd::Reset, version).status == 502);
+        const auto repeated = broken.call("/again/x", bytes, ConnectionEnd::Reset, version);
+        CHECK(repeated.status == 200);
+        CHECK(repeated.body == body);
+    }
+}
+
+TEST_CASE("a response that is too long to be buffered is complete when its connection ends, and never when it is reset", "[process][gateway][unframed]")
+{
+    const std::string body(400000, 'x');
+    BrokenOffFleet broken(body);
+    const auto reset = broken.call("/once/x", body.size() - 1, ConnectionEnd::Reset);
+    CHECK_FALSE((reset.status == 200 && reset.isComplete));
+    const auto ended = broken.call("/once/x", body.size(), ConnectionEnd::Fin);
+    CHECK(ended.isComplete);
+    CHECK(ended.body == body);
+}
