--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -390,7 +390,7 @@
         line["pause_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(maxBodyGap_).count();
         line["history"] = admission_->historyKey();
         line["body_end"] = nameOf(bodyEnd_);
-        if (admission_->route->kind == world::RouteKind::Streaming) {
+        if (isEventStream_) {
             line["inside_event"] = isInsideEvent();
         }
     }
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -87,6 +87,7 @@
     static constexpr std::string_view answeredOutcome = "answered"; /* logged for a complete response; unlike Outcome::Answered, whatever its status */
 
     [[nodiscard]] bool isInsideEvent() const noexcept; /* the bytes received so far end with an incomplete event */
+    [[nodiscard]] const char *streamIncompleteReason() const noexcept; /* of a stream whose body has ended; null if it is complete */
     [[nodiscard]] bool isStalled() const;
     [[nodiscard]] bool isWithoutProgress() const;
     [[nodiscard]] std::chrono::milliseconds remainingTime() const;
@@ -118,6 +119,7 @@
     std::string responseHead_; /* status line and headers for the caller, without framing */
     std::string responseBody_;
     RelayMode relayMode_ = RelayMode::Buffered;
+    bool isEventStream_ = false; /* the response is a stream of server-sent events */
     EventScanner eventScanner_{std::string()};
     EventBoundary relayedBoundary_; /* of the bytes that were relayed; only if RelayMode::Streamed */
     BodyEnd bodyEnd_ = BodyEnd::None; /* of the last response */
--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -1,5 +1,7 @@
 #include <cyclamenspool/gateway/exchange.h>
 
+#include <cyclamenspool/gateway/streamend.h>
+
 #include <boost/beast/http/status.hpp>
 
 #include <algorithm>
@@ -87,7 +89,9 @@
     }
     responseBody_.clear();
     const bool isStream = route.kind == world::RouteKind::Streaming && internal::isSuccess(status);
-    relayMode_ = !isStream ? RelayMode::Buffered : (route.resumable ? RelayMode::EventStream : RelayMode::Streamed);
+    const bool hasBody = request_.method() != bhttp::verb::head && !internal::hasNoBody(status);
+    isEventStream_ = isStream && hasBody && head.isEventStream;
+    relayMode_ = !isStream ? RelayMode::Buffered : (route.resumable && isEventStream_ ? RelayMode::EventStream : RelayMode::Streamed);
 }
 
 bool Exchange::onResponseBody(std::string bytes)
@@ -148,8 +152,20 @@
     return relayMode_ == RelayMode::EventStream ? !eventScanner_.partialEvent().empty() : relayedBoundary_.isInsideEvent();
 }
 
+const char *Exchange::streamIncompleteReason() const noexcept
+{
+    if (!isEventStream_) {
+        return nullptr;
+    }
+    return incompleteReason({bodyEnd_, isInsideEvent(), isRelayStarted(), !requestHead_.lastEventId.empty()});
+}
+
 void Exchange::onResponseComplete()
 {
+    if (const char *reason = streamIncompleteReason()) {
+        onResponseError(reason);
+        return;
+    }
     finishAttempt(internal::isServerFailure(responseStatus_) ? Outcome::Failed : Outcome::Answered);
     if (relayMode_ == RelayMode::Buffered) {
         sendBuffered();
@@ -175,7 +191,6 @@
 
 void Exchange::finishStream()
 {
-    relay(eventScanner_.partialEvent());
     if (!isHeadWritten_) {
         relayMode_ = RelayMode::Buffered;
         sendBuffered();
--- a/src/cyclamenspool/platform/headers.cpp
+++ b/src/cyclamenspool/platform/headers.cpp
@@ -15,6 +15,7 @@
 
 namespace internal {
 
+constexpr std::string_view eventStreamType = "text/event-stream";
 constexpr std::string_view requestIdHeader = "Cyclamenspool-Request-Id";
 constexpr std::string_view modelHeader = "Cyclamenspool-Model";
 constexpr std::string_view tokensHeader = "Cyclamenspool-Token-Usage"; /* two numbers: prompt tokens, upper limit of response tokens */
@@ -223,6 +224,8 @@
     head.requestId = internal::valueOf(fields, internal::requestIdHeader);
     head.hasDigest = !internal::valueOf(fields, internal::digestHeader).empty();
     head.isNotExecuted = !internal::valueOf(fields, internal::notExecutedHeader).empty() || status == internal::misdirectedRequest;
+    const auto type = internal::valueOf(fields, "Content-Type");
+    head.isEventStream = type.empty() || boost::istarts_with(type, internal::eventStreamType);
     head.isEncoded = !internal::valueOf(fields, "Content-Encoding").empty();
     head.load = internal::loadOf(internal::valueOf(fields, internal::loadHeader));
     head.idleTimeout = internal::idleTimeoutOf(internal::valueOf(fields, "Keep-Alive"));
--- a/src/cyclamenspool/platform/headers.h
+++ b/src/cyclamenspool/platform/headers.h
@@ -56,6 +56,7 @@
     std::string requestId;
     bool hasDigest = false; /**< The response has the digest header, which a backend server adds to its own responses; its value is not checked here. */
     bool isNotExecuted = false; /**< The backend server reports that it did not run the request. */
+    bool isEventStream = false; /**< The body is a stream of server-sent events, or its type is not given. */
     bool isEncoded = false; /**< The body has a content encoding, so it is not the bytes that the backend server wrote. */
     std::optional<ReportedLoad> load; /**< Empty: absent or malformed. */
     std::optional<std::chrono::seconds> idleTimeout; /**< Time after which the backend server closes an idle connection; empty: not given. */
--- a/test/platform/headers.cpp
+++ b/test/platform/headers.cpp
@@ -77,6 +77,16 @@
     CHECK(platform::readResponseHead(421, platform::Fields()).isNotExecuted);
 }
 
+TEST_CASE("a response is an event stream by its content type, or if it has none", "[platform]")
+{
+    platform::Fields fields;
+    CHECK(platform::readResponseHead(200, fields).isEventStream);
+    fields.set("Content-Type", "Text/Event-Stream; charset=utf-8");
+    CHECK(platform::readResponseHead(200, fields).isEventStream);
+    fields.set("Content-Type", "application/json");
+    CHECK_FALSE(platform::readResponseHead(200, fields).isEventStream);
+}
+
 TEST_CASE("a refusal has a Retry-After header in seconds with three decimals", "[platform]")
 {
     std::string out;
