HTTP/1.0 callers get a reset when their response is broken off

Callers of HTTP/1.0 took a broken-off stream for complete: without chunks the end of their connection ends the response, and the gateway closed it with a FIN.

Change: from the first byte of a response without framing until its last byte is written, the socket lingers zero seconds, so that each other end is a reset, also by the kernel after a kill.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -295,10 +295,24 @@
     }
 }
 
+void CallerSession::beginUnframedResponse()
+{
+    keepAlive_ = false;
+    setResetOnClose(true);
+}
+
+void CallerSession::setResetOnClose(bool isReset)
+{
+    // The kernel keeps the option if the process is killed.
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(isReset, 0), ignored);
+}
+
 void CallerSession::linger()
 {
     // Closing a socket with unread bytes sends a reset, and the caller could lose the response.
     isLingering_ = true;
+    setResetOnClose(false);
     boost::system::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     readBuffer_.clear();
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -55,11 +55,8 @@
     /** @brief Returns whether the connection stays open after the current response. */
     [[nodiscard]] bool isKeepAlive() const noexcept;
 
-    /** @brief Makes the connection close after the current response. */
-    void closeAfterResponse() noexcept
-    {
-        keepAlive_ = false;
-    }
+    /** @brief Marks the current response as one that the end of the connection completes: until its last byte is written, any other end is a reset. */
+    void beginUnframedResponse();
 
     /** @brief Returns whether the caller has closed the connection, also if the event loop is too late to have noticed. */
     [[nodiscard]] bool hasCallerLeft();
@@ -84,6 +81,7 @@
     void writeSome();
     void onWritten(const boost::system::error_code &error, std::size_t count);
     void expectProgress();
+    void setResetOnClose(bool isReset);
     void linger();
     void onDisconnected();
     void close();
--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -136,10 +136,8 @@
         out = responseHead_;
         if (isChunked) {
             out += "Transfer-Encoding: chunked\r\n";
-        }
-        if (!isChunked) {
-            // Without a length, only the end of the connection ends the response.
-            session_->closeAfterResponse();
+        } else {
+            session_->beginUnframedResponse();
         }
         out += session_->isKeepAlive() ? "\r\n" : "Connection: close\r\n\r\n";
     }
