HTTP server: an unfinished response to an HTTP/1.0 caller ends with a reset

The new test was red (1 of 4 cases: HTTP/1.0, failing handler) and is green. The client of routers and agents rejects responses without a length or chunks, the store client's JSON ends by itself, and messages between our processes carry their end, so no other place takes an end of input for the end of a message.

--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -79,6 +79,8 @@
     response.keep_alive(keepAlive_);
     response.chunked(isChunked_);
     bhttp::response_serializer<bhttp::empty_body> serializer(response);
+    isUnfinished_ = true;
+    setResetOnClose(!isChunked_);
     stream_.expires_after(timeout_);
     co_await bhttp::async_write_header(stream_, serializer, asio::use_awaitable);
 }
@@ -102,6 +104,14 @@
         stream_.expires_after(timeout_);
         co_await asio::async_write(stream_, bhttp::make_chunk_last(), asio::use_awaitable);
     }
+    isUnfinished_ = false;
+    setResetOnClose(false);
+}
+
+void Responder::setResetOnClose(bool isReset)
+{
+    boost::system::error_code ignored;
+    stream_.socket().set_option(asio::socket_base::linger(isReset, 0), ignored);
 }
 
 Server::Server(asio::io_context &context, const std::string &address, const ServerLimits &limits, RequestHandler handler, RefusalHandler refuse)
@@ -135,18 +145,23 @@
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
+    bool isResponseUnfinished = false;
     try {
-        while (co_await serveRequest(stream, buffer)) { }
+        while (co_await serveRequest(stream, buffer, isResponseUnfinished)) { }
     } catch (const boost::system::system_error &) {
         // The caller has disconnected.
     } catch (const std::exception &error) {
         telemetry::logRateLimited("http_handler_failed", {{"reason", error.what()}});
     }
     boost::system::error_code ignored;
-    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    if (isResponseUnfinished) {
+        stream.socket().close(ignored); // A shutdown would send a FIN before the reset.
+    } else {
+        stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
 }
 
-asio::awaitable<bool> Server::serveRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+asio::awaitable<bool> Server::serveRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, bool &isResponseUnfinished)
 {
     bhttp::request_parser<bhttp::string_body> parser;
     parser.header_limit(limits_.maxHeaderBytes);
@@ -197,7 +212,16 @@
         responder.closeAfterResponse();
     }
     stream.expires_never();
-    co_await handler_(request, responder);
+    std::exception_ptr failure;
+    try {
+        co_await handler_(request, responder);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    isResponseUnfinished = responder.isUnfinished();
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
     co_return responder.isKeepAlive() && !isClosing_;
 }
 
--- a/src/cyclamenspool/http/server.h
+++ b/src/cyclamenspool/http/server.h
@@ -68,7 +68,14 @@
         return keepAlive_;
     }
 
+    /** @brief Returns whether a started response has not ended, so that the connection's end must not look like the response's. */
+    [[nodiscard]] bool isUnfinished() const noexcept
+    {
+        return isUnfinished_;
+    }
+
 private:
+    void setResetOnClose(bool isReset);
     static void setHeaders(boost::beast::http::fields &fields, const Headers &headers);
 
     boost::beast::tcp_stream &stream_;
@@ -76,6 +83,7 @@
     bool keepAlive_;
     bool isHeadRequest_;
     bool isChunked_;
+    bool isUnfinished_ = false; /* a response was begun and not ended */
 };
 
 /** @brief Handles a request and writes its response. */
@@ -106,7 +114,7 @@
 private:
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serveConnection(boost::asio::ip::tcp::socket socket);
-    boost::asio::awaitable<bool> serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer);
+    boost::asio::awaitable<bool> serveRequest(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, bool &isResponseUnfinished);
 
     boost::asio::io_context &context_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/test/process/unframed.cpp
+++ b/test/process/unframed.cpp
@@ -4,7 +4,14 @@
 #include <harness/gatewayfleet.h>
 #include <harness/unframed.h>
 
+#include <harness/ports.h>
+
+#include <cyclamenspool/http/server.h>
+
+#include <boost/asio/io_context.hpp>
+
 #include <atomic>
+#include <stdexcept>
 #include <thread>
 
 using namespace cyclamenspool;
@@ -199,3 +206,29 @@
     CHECK(ended.isComplete);
     CHECK(ended.body == body);
 }
+
+// Guards against a failed handler whose HTTP/1.0 caller takes the end of its connection for the end of the response.
+TEST_CASE("a response that a failed handler leaves unfinished never looks complete", "[process][unframed]")
+{
+    const unsigned version = GENERATE(oldVersion, currentVersion);
+    const bool isFailing = GENERATE(false, true);
+    boost::asio::io_context context(1);
+    const auto address = harness::findFreeAddress();
+    const auto respond = [isFailing](const http::Request &, http::Responder &responder) -> boost::asio::awaitable<void> {
+        co_await responder.beginChunked(200, {});
+        co_await responder.writeChunk("first");
+        if (isFailing) {
+            throw std::runtime_error("failed in mid-response");
+        }
+        co_await responder.endChunked();
+    };
+    http::Server server(context, address, http::ServerLimits(), respond, nullptr);
+    std::thread thread([&context] {
+        context.run_for(3s);
+    });
+    const auto seen = callWithVersion(address, "/", "r1", version);
+    context.stop();
+    thread.join();
+    CHECK(seen.status == 200);
+    CHECK(seen.isComplete == !isFailing);
+}
