--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -394,6 +394,13 @@
             line["inside_event"] = isInsideEvent();
         }
     }
+    if (!triedServers_.empty() && lastBodyAt_ == core::MonotonicTime{} && !requestHead_.parts.empty()) {
+        boost::json::array parts;
+        for (const auto &part : requestHead_.parts) {
+            parts.emplace_back(part.id);
+        }
+        line["prompt_parts"] = std::move(parts);
+    }
     if (!historySource_.empty()) {
         line["history_source"] = historySource_;
     }
