--- /dev/null
+++ b/test/process/quarantine.cpp
@@ -0,0 +1,109 @@
+#include <catch2/catch.hpp>
+
+#include <harness/eventstream.h>
+#include <harness/gatewayfleet.h>
+#include <harness/localfleet.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using harness::GatewayFleet;
+using harness::LocalFleet;
+using harness::PlainRequest;
+using harness::PlainSocket;
+
+namespace {
+
+const std::string poisonPart = "badc0de";
+const std::string sharedPart = "5a5a";
+
+/** @brief Gateways of three zones in front of servers that end their connections when they begin to answer a prompt with one part. */
+class PoisonedFleet
+{
+public:
+    explicit PoisonedFleet(int gateways)
+        : fleet(gateways, 8, 3)
+    {
+        for (auto &server : fleet.backendServers) {
+            server->setHandler([this](const PlainRequest &request, PlainSocket &socket) {
+                const std::string parts(request["Cyclamenspool-Prompt-Prefix"]);
+                if (parts.find(poisonPart) == std::string::npos) {
+                    return harness::writeAll(socket, harness::responseHeadFor(request) + harness::chunk(harness::serverSentEvent(1)) + "0\r\n\r\n");
+                }
+                ++crashes;
+                harness::writeAll(socket, harness::responseHeadFor(request));
+                return false;
+            });
+        }
+    }
+
+    harness::HttpResponse call(const std::string &parts, std::size_t gateway)
+    {
+        auto request = fleet.makeRequest("r" + std::to_string(++number), "/resumed/x", gateway);
+        request.headers.emplace_back("Cyclamenspool-Prompt-Prefix", parts + ",e" + std::to_string(number) + ":10");
+        return sendRequest(request);
+    }
+
+    harness::HttpResponse callPoison(std::size_t gateway)
+    {
+        return call(sharedPart + ":100," + poisonPart + ":50", gateway);
+    }
+
+    harness::HttpResponse callSound(std::size_t gateway)
+    {
+        return call(sharedPart + ":100,ab" + std::to_string(number % 5) + ":50", gateway);
+    }
+
+    GatewayFleet fleet;
+    std::atomic<int> crashes{0};
+    int number = 0;
+};
+
+constexpr int crashesUntilBound = 5; /* backend servers that one part may end before the bound on further requests counts */
+constexpr int maxLaterRequests = 3; /* with that part, over all gateways */
+constexpr auto agreementTime = 3000ms; /* after the fifth crash, for the gateways to agree */
+
+} // namespace
+
+// Guards against a prompt part that ends one backend server after the other, at all gateways.
+TEST_CASE("a prompt part under which five backend servers ended is sent to no more than three others", "[process][gateway][quarantine]")
+{
+    PoisonedFleet poisoned(6);
+    for (std::size_t i = 0; poisoned.crashes < crashesUntilBound && i < 20; ++i) {
+        static_cast<void>(poisoned.callSound(i % 6));
+        static_cast<void>(poisoned.callPoison(i % 6));
+    }
+    std::this_thread::sleep_for(agreementTime);
+    const int before = poisoned.crashes;
+    for (std::size_t i = 0; i < 30; ++i) {
+        const auto refused = poisoned.callPoison(i % 6);
+        CHECK(refused.status >= 500);
+        CHECK(poisoned.callSound(i % 6).status == 200);
+    }
+    CHECK(poisoned.crashes - before <= maxLaterRequests);
+}
+
+// Guards against a gateway that starts after the verdict, knows nothing of it and sends the part to further backend servers.
+TEST_CASE("a restarted gateway sends a part that ends backend servers to no more than three of them", "[process][gateway][quarantine]")
+{
+    PoisonedFleet poisoned(6);
+    for (std::size_t i = 0; poisoned.crashes < crashesUntilBound && i < 20; ++i) {
+        static_cast<void>(poisoned.callPoison(i % 6));
+    }
+    std::this_thread::sleep_for(agreementTime);
+    auto &gateway = poisoned.fleet.gateways[0];
+    gateway.process.kill();
+    poisoned.fleet.start(gateway);
+    REQUIRE(LocalFleet::waitUntil([&gateway] {
+        return GatewayFleet::isReady(gateway);
+    }));
+    const int before = poisoned.crashes;
+    for (std::size_t i = 0; i < 20; ++i) {
+        static_cast<void>(poisoned.callPoison(0));
+        std::this_thread::sleep_for(50ms);
+    }
+    CHECK(poisoned.crashes - before <= maxLaterRequests);
+}
