Numbers that are no error kind mean Internal again

Cause: ruleOf() returned the last rule for them, and the kind added with the quarantine stands behind Internal.

--- a/src/cyclamenspool/core/errorkind.cpp
+++ b/src/cyclamenspool/core/errorkind.cpp
@@ -67,8 +67,8 @@
 const ErrorRule &ruleOf(ErrorKind kind) noexcept
 {
     const auto index = static_cast<std::size_t>(kind);
-    const auto last = internal::kindCount - 1;
-    return internal::rules[index < internal::kindCount ? index : last];
+    const auto unknown = static_cast<std::size_t>(ErrorKind::Internal);
+    return internal::rules[index < internal::kindCount ? index : unknown];
 }
 
 } // namespace cyclamenspool::core
