--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -253,12 +253,14 @@
 
 void Exchange::recordServerLoss()
 {
-    const bool isLost = call_ != nullptr && call_->isClosedByServer() && firstBodyAt_ == core::MonotonicTime{};
-    if (isLost && !admission_->sharedParts.empty()) {
-        worker_.dispatcher().withQuarantine([this](PromptQuarantine &quarantine, core::MonotonicTime now) {
-            quarantine.onServerLost(internal::processOf(inFlight_->server()), {admission_->sharedParts, call_->bodyEnd() != BodyEnd::None}, now);
-        });
+    const bool isLost = call_ != nullptr && call_->isClosedByServer() && !isAnswerRecorded_;
+    if (!isLost || admission_->sharedParts.empty()) {
+        return;
     }
+    const bool isBegun = call_->bodyEnd() != BodyEnd::None && firstBodyAt_ == core::MonotonicTime{};
+    worker_.dispatcher().withQuarantine([this, isBegun](PromptQuarantine &quarantine, core::MonotonicTime now) {
+        quarantine.onServerLost(internal::processOf(inFlight_->server()), {admission_->sharedParts, isBegun}, now);
+    });
 }
 
 void Exchange::recordAnswer()
--- a/src/cyclamenspool/gateway/promptquarantine.cpp
+++ b/src/cyclamenspool/gateway/promptquarantine.cpp
@@ -10,8 +10,8 @@
 
 using core::Milliseconds;
 
-constexpr int begunWeight = 2; /* of a server that was lost after the response headers */
-constexpr int unbegunWeight = 1; /* of one that was lost before them, perhaps under another prompt */
+constexpr int begunWeight = 2; /* of a server that was lost as it began to answer */
+constexpr int otherWeight = 1; /* of one that was lost at another time, perhaps under another prompt */
 constexpr int suspectedWeight = 2 * begunWeight;
 constexpr int quarantineWeight = 3 * begunWeight;
 constexpr std::size_t maxServersKept = 8; /* of one suspect, for the log */
@@ -95,7 +95,7 @@
         }
         suspect.companions = internal::intersectionOf(suspect.companions, parts);
         suspect.lastLossAt = now;
-        addServer(suspect, server, prompt.isBegun ? internal::begunWeight : internal::unbegunWeight);
+        addServer(suspect, server, prompt.isBegun ? internal::begunWeight : internal::otherWeight);
     }
 }
 
--- a/src/cyclamenspool/gateway/promptquarantine.h
+++ b/src/cyclamenspool/gateway/promptquarantine.h
@@ -13,10 +13,10 @@
 /** @brief Ids of the parts of a prompt that other prompts may share. */
 using PromptParts = std::vector<std::uint64_t>;
 
-/** @brief Prompt whose backend server closed the connection before the first byte of the body. */
+/** @brief Prompt whose backend server closed the connection before or soon after it began to answer. */
 struct LostPrompt {
     PromptParts parts;
-    bool isBegun = false; /**< The response headers were received. */
+    bool isBegun = false; /**< The connection ended between the response headers and the first byte of the body. */
 
     [[nodiscard]] bool operator==(const LostPrompt &) const = default;
 };
@@ -51,9 +51,9 @@
 /**
  * @brief Finds prompt parts that crash each backend server that begins to answer them. Without I/O; not thread safe.
  *
- * A backend server that closes the connection of a request before the first byte of the answer makes each part of that prompt a suspect, unless an answer to a
- * prompt with the part was seen recently. An answer clears a part. A part under which three servers were lost after the response headers, or six before them,
- * without an answer for half a second, is quarantined: a server that crashes also loses prompts that it has not begun to answer.
+ * A backend server that closes the connection of a request before it has answered for a while makes each part of that prompt a suspect, unless an answer to a
+ * prompt with the part was seen recently. An answer clears a part. A part under which three servers were lost as they began to answer, or six at another time,
+ * without an answer for half a second, is quarantined: a server that crashes also loses other prompts.
  */
 class PromptQuarantine
 {
@@ -65,7 +65,7 @@
         Quarantined, /**< Must not be sent. */
     };
 
-    /** @brief Records an own request whose backend server closed the connection before the first byte of the answer. */
+    /** @brief Records an own request whose backend server closed the connection before it had answered for a while. */
     void onServerLost(const std::string &server, const LostPrompt &prompt, core::MonotonicTime now);
 
     /** @brief Records an own request that a backend server is answering or has answered. */
--- a/test/gateway/promptquarantine.cpp
+++ b/test/gateway/promptquarantine.cpp
@@ -290,7 +290,7 @@
     CHECK(quarantine.check({poison}, start + 12s) == Verdict::Quarantined);
 }
 
-TEST_CASE("losses before the response headers need twice as many backend servers", "[gateway][quarantine]")
+TEST_CASE("losses at another time than the start of the answer need twice as many backend servers", "[gateway][quarantine]")
 {
     PromptQuarantine quarantine;
     for (int i = 0; i < 5; ++i) {
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -23,6 +23,8 @@
 constexpr auto settleTime = 1500ms; /* between the end of the mixed faults and a check that needs calm */
 constexpr auto leaveBound = 2000ms; /* default of leave_ms: a leaving server gets no new work after it */
 constexpr auto configurationBound = 2000ms; /* a new version is in force everywhere within it */
+constexpr auto agreementBound = 3000ms; /* after five backend servers ended under a part, for the gateways to agree */
+constexpr int maxLaterPoison = 3; /* requests with that part after it, over all gateways */
 constexpr int callers = 6;
 
 /** @brief One seeded run: callers send requests while faults come and go, then calm checks follow. */
@@ -50,6 +52,7 @@
         checkRecovery();
         checkLeaving();
         checkConfiguration();
+        checkPoison();
         checkPlannedStop();
         isOver_ = true;
         for (auto &thread : threads) {
@@ -289,6 +292,31 @@
         expectKey("key-new", false, "a revoked key is refused, and no version returns");
     }
 
+    void callPoison(int number)
+    {
+        fleet_.callPoison(std::to_string(seed_) + "-poison-" + std::to_string(number), random_.index(fleet_.fleet.gateways.size()));
+    }
+
+    void checkPoison()
+    {
+        log("check: a prompt part ends backend servers", 0, agreementBound);
+        int number = 0;
+        for (; fleet_.poisonRunCount() < 5 && number < 40; ++number) {
+            callPoison(number);
+            std::this_thread::sleep_for(50ms);
+        }
+        std::this_thread::sleep_for(agreementBound);
+        const int before = fleet_.poisonRunCount();
+        for (const int end = number + 30; number < end; ++number) {
+            callPoison(number);
+        }
+        const int later = fleet_.poisonRunCount() - before;
+        if (later > maxLaterPoison) {
+            promises_.addViolation(
+                {"a part that ends backend servers is sent to no more", "", std::to_string(later) + " sent after " + std::to_string(before)});
+        }
+    }
+
     void expectKey(const std::string &key, bool isExpected, const std::string &promise)
     {
         for (std::size_t gateway = 0; gateway < fleet_.fleet.gateways.size(); ++gateway) {
--- a/test/soak/soakfleet.cpp
+++ b/test/soak/soakfleet.cpp
@@ -2,7 +2,9 @@
 
 #include <harness/eventstream.h>
 #include <harness/localfleet.h>
+#include <harness/unframed.h>
 
+#include <algorithm>
 #include <thread>
 
 namespace cyclamenspool::soak {
@@ -16,6 +18,7 @@
 namespace {
 
 constexpr int streamEvents = 4;
+const std::string poisonPart = "badc0de";
 
 std::string idOf(const PlainRequest &request)
 {
@@ -54,6 +57,20 @@
     return isOpen && writeAll(socket, "0\r\n\r\n");
 }
 
+/** @brief Answers without a length or chunks, whole or broken off: a stream by a FIN inside its second event, another answer by a reset. */
+bool respondUnframed(const PlainRequest &request, PlainSocket &socket, bool isBroken)
+{
+    const bool isStream = request.target().find("/resumed/") == 0;
+    const std::string last(request["Last-Event-Id"]);
+    std::string body = isStream ? "" : bodyOf(idOf(request), Kind::Once);
+    for (int number = last.empty() ? 1 : std::stoi(last) + 1; isStream && number <= streamEvents; ++number) {
+        body += eventOf(idOf(request), number);
+    }
+    const auto cut = isStream ? body.find("\n\n") + 7 : body.size() / 2;
+    const auto end = isStream || !isBroken ? harness::ConnectionEnd::Fin : harness::ConnectionEnd::Reset;
+    return harness::sendUnframed(request, socket, body, isBroken ? std::min(cut, body.size() - 1) : body.size(), end);
+}
+
 } // namespace
 
 SoakFleet::SoakFleet(const FleetSize &size)
@@ -62,10 +79,10 @@
     for (std::size_t i = 0; i < fleet.backendServers.size(); ++i) {
         auto &server = *fleet.backendServers[i];
         serverProxies.push_back(std::make_unique<harness::FaultProxy>(server.address()));
-        behaviours_.push_back(std::make_unique<std::atomic<Behaviour>>(Behaviour::Sound));
-        server.setHandler([this, behaviour = behaviours_.back().get()](const PlainRequest &request, PlainSocket &socket) {
+        servers_.push_back(std::make_unique<ServerState>());
+        server.setHandler([this, state = servers_.back().get()](const PlainRequest &request, PlainSocket &socket) {
             std::this_thread::sleep_for(10ms);
-            return respond(*behaviour, request, socket);
+            return respond(*state, request, socket);
         });
         listServer(i, "ready");
     }
@@ -83,9 +100,18 @@
     }
 }
 
-bool SoakFleet::respond(Behaviour behaviour, const PlainRequest &request, PlainSocket &socket) const
+bool SoakFleet::respond(ServerState &server, const PlainRequest &request, PlainSocket &socket)
 {
-    switch (behaviour) {
+    const auto now = std::chrono::steady_clock::now();
+    if (now < server.downUntil.load()) {
+        return false;
+    }
+    if (std::string(request["Cyclamenspool-Prompt-Prefix"]).find(poisonPart) != std::string::npos) {
+        ++poisonRuns_;
+        server.downUntil = now + 1s;
+        return harness::sendUnframed(request, socket, "", 0, harness::ConnectionEnd::Fin);
+    }
+    switch (server.behaviour) {
     case Behaviour::LosesAnswers:
         return harness::resetConnection(socket);
     case Behaviour::Silent:
@@ -102,6 +128,10 @@
         return writeAll(socket, "HTTP/1.1 200 OK\r\nCyclamenspool-Response-Seal: s\r\nContent-Length: 100\r\n\r\nhalf") && false;
     case Behaviour::WithoutEnd:
         return writeAll(socket, "HTTP/1.1 200 OK\r\nX-Filler: " + std::string(300000, 'x')) && false;
+    case Behaviour::Unframed:
+        return respondUnframed(request, socket, false);
+    case Behaviour::UnframedBroken:
+        return respondUnframed(request, socket, true);
     case Behaviour::Fails:
         return writeAll(socket, harness::formatResponseWithDigest(request, "failed", "500 Internal Server Error"));
     default:
@@ -126,6 +156,13 @@
     promises.record(std::move(seen));
 }
 
+void SoakFleet::callPoison(const std::string &id, std::size_t gateway) const
+{
+    auto request = fleet.makeRequest(id, "/resumed/x", gateway);
+    request.headers.emplace_back("Cyclamenspool-Prompt-Prefix", "5a5a:100," + poisonPart + ":50,1:10");
+    static_cast<void>(sendRequest(request));
+}
+
 std::map<std::string, int> SoakFleet::runs()
 {
     std::map<std::string, int> all;
@@ -175,7 +212,7 @@
     }
     for (std::size_t i = 0; i < serverProxies.size(); ++i) {
         serverProxies[i]->setMode(harness::ProxyMode::Pass);
-        *behaviours_[i] = Behaviour::Sound;
+        servers_[i]->behaviour = Behaviour::Sound;
         listServer(i, "ready");
     }
     for (std::size_t i = 0; i < fleet.gateways.size(); ++i) {
--- a/test/soak/soakfleet.h
+++ b/test/soak/soakfleet.h
@@ -25,6 +25,8 @@
     Truncated, /**< Closes in the middle of the answer. */
     WithoutEnd, /**< Sends a header without end. */
     Fails, /**< Answers 500. */
+    Unframed, /**< Sends answers without a length or chunks. */
+    UnframedBroken, /**< Ends them by a FIN inside an event, or by a reset. */
     Count
 };
 
@@ -64,7 +66,16 @@
     /** @brief Sets how a backend server answers. */
     void setBehaviour(std::size_t server, Behaviour behaviour)
     {
-        *behaviours_.at(server) = behaviour;
+        servers_.at(server)->behaviour = behaviour;
+    }
+
+    /** @brief Sends a prompt with the part under which each backend server ends its connection and then those of all requests for a second. */
+    void callPoison(const std::string &id, std::size_t gateway) const;
+
+    /** @brief Returns the number of prompts with that part that reached backend servers. */
+    [[nodiscard]] int poisonRunCount() const noexcept
+    {
+        return poisonRuns_;
     }
 
     /** @brief Restarts a gateway's process if it has ended. */
@@ -78,9 +89,15 @@
     std::vector<std::unique_ptr<harness::FaultProxy>> serverProxies; /**< By backend server. */
 
 private:
-    bool respond(Behaviour behaviour, const harness::PlainRequest &request, harness::PlainSocket &socket) const;
+    struct ServerState {
+        std::atomic<Behaviour> behaviour{Behaviour::Sound};
+        std::atomic<std::chrono::steady_clock::time_point> downUntil{};
+    };
+
+    bool respond(ServerState &server, const harness::PlainRequest &request, harness::PlainSocket &socket);
 
-    std::vector<std::unique_ptr<std::atomic<Behaviour>>> behaviours_;
+    std::vector<std::unique_ptr<ServerState>> servers_;
+    std::atomic<int> poisonRuns_{0};
     int version_ = 1;
 };
 
