--- a/src/cyclamenspool/gateway/promptquarantine.cpp
+++ b/src/cyclamenspool/gateway/promptquarantine.cpp
@@ -22,8 +22,6 @@
 constexpr Milliseconds quarantineTime{600000}; /* then one more loss is enough for the next quarantine */
 constexpr std::size_t maxSuspects = 512;
 constexpr std::size_t maxSurvivals = 20000;
-constexpr std::size_t maxUnpublishedLosses = 64;
-constexpr std::size_t maxPromptsPerLoss = 16;
 constexpr Milliseconds sweepPeriod{1000}; /* of survivals, at capacity */
 
 bool contains(const PromptParts &parts, std::uint64_t part)
@@ -69,13 +67,13 @@
         return each.server == server;
     });
     if (loss == losses.end()) {
-        if (losses.size() >= internal::maxUnpublishedLosses) {
+        if (losses.size() >= maxLossesPerMessage) {
             return;
         }
         loss = losses.insert(losses.end(), {server, {}});
     }
     const bool isNew = std::find(loss->prompts.begin(), loss->prompts.end(), uncleared) == loss->prompts.end();
-    if (isNew && loss->prompts.size() < internal::maxPromptsPerLoss) {
+    if (isNew && loss->prompts.size() < maxPromptsPerLoss) {
         loss->prompts.push_back(uncleared);
     }
 }
@@ -188,7 +186,7 @@
     for (const auto part : parts) {
         auto &publishedAt = survivals_[part].publishedAt;
         const bool isDue = publishedAt == core::MonotonicTime{} || now - publishedAt >= internal::survivalPublishPeriod;
-        if (isDue) {
+        if (isDue && unpublished_.survived.size() < maxSurvivedPerMessage) {
             publishedAt = now;
             unpublished_.survived.push_back(part);
         }
--- a/src/cyclamenspool/gateway/promptquarantine.h
+++ b/src/cyclamenspool/gateway/promptquarantine.h
@@ -34,7 +34,12 @@
     core::Milliseconds remaining{0}; /**< Time until the quarantine ends. */
 };
 
-/** @brief What gateways tell each other about prompt parts. */
+inline constexpr std::size_t maxTrackedParts = 64; /* of one prompt; further ones are ignored */
+inline constexpr std::size_t maxLossesPerMessage = 64; /* servers */
+inline constexpr std::size_t maxPromptsPerLoss = 16;
+inline constexpr std::size_t maxSurvivedPerMessage = 512;
+
+/** @brief What gateways tell each other about prompt parts, within the limits above. */
 struct PromptEvidence {
     std::vector<ServerLoss> losses;
     PromptParts survived; /**< Suspected parts that a backend server has answered. */
--- a/test/fuzz/answer.cpp
+++ b/test/fuzz/answer.cpp
@@ -1,5 +1,6 @@
 #include "check.h"
 
+#include <cyclamenspool/gateway/eventboundary.h>
 #include <cyclamenspool/gateway/eventscanner.h>
 #include <cyclamenspool/platform/headers.h>
 
@@ -46,6 +47,9 @@
     splitEvents += split.append(std::string_view(bytes).substr(splitPosition));
     fuzz::check(unsplitEvents == splitEvents && unsplit.partialEvent() == split.partialEvent(), "events do not depend on how the stream is split into chunks");
     fuzz::check(unsplit.lastEventId() == split.lastEventId(), "the last event id does not depend on how the stream is split into chunks");
+    gateway::EventBoundary boundary;
+    boundary.advance(bytes);
+    fuzz::check(boundary.isInsideEvent() == !unsplit.partialEvent().empty(), "a stream is inside an event exactly if bytes of one are held back");
     fuzz::check(unsplitEvents + unsplit.partialEvent() == bytes, "no byte of the stream is lost or added");
 }
 
