--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -150,7 +150,7 @@
     if (route.usesPromptCache) {
         admission.history = historyPrefixesOf(head.parts);
     }
-    for (std::size_t i = 0; i + 1 < head.parts.size(); ++i) {
+    for (std::size_t i = 0; i + 1 < head.parts.size() && i < maxTrackedParts; ++i) {
         admission.sharedParts.push_back(head.parts[i].id);
     }
     const auto requestKey = head.id.empty() ? ++requestsWithoutId_ : core::hash64(head.id);
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -37,7 +37,7 @@
     std::string service;
     std::string workspace; /**< Empty: none. */
     std::vector<HistoryPrefix> history; /**< Prefixes of its prompt, see historyPrefixesOf(); empty: none. */
-    PromptParts sharedParts; /**< Parts of its prompt except the last, which belongs to the request or its chat. */
+    PromptParts sharedParts; /**< First 64 parts of its prompt, except the last, which belongs to the request or its chat. */
     int urgency = 0; /**< 0 is the most urgent. */
 
     /** @brief Returns the hash that identifies the history; 0: none. */
--- a/src/cyclamenspool/gateway/promptmessages.cpp
+++ b/src/cyclamenspool/gateway/promptmessages.cpp
@@ -6,17 +6,13 @@
 
 namespace internal {
 
-constexpr int maxLosses = 64; /* servers in one message */
-constexpr int maxPrompts = 16; /* of one server */
-constexpr int maxParts = 64; /* of one prompt */
-constexpr int maxSurvived = 512;
 constexpr int maxPromptPassTo = 1000; /* gateways in one group of a zone */
 
 bool isLossPlausible(const wire::PromptLoss &loss)
 {
     const auto &prompts = loss.prompts();
-    return loss.prompts_size() <= maxPrompts && std::all_of(prompts.begin(), prompts.end(), [](const wire::LostPrompt &prompt) {
-               return prompt.parts_size() <= maxParts;
+    return prompts.size() <= static_cast<int>(maxPromptsPerLoss) && std::all_of(prompts.begin(), prompts.end(), [](const wire::LostPrompt &prompt) {
+               return prompt.parts_size() <= static_cast<int>(maxTrackedParts);
            });
 }
 
@@ -28,8 +24,8 @@
     if (bytes.empty() || !news.ParseFromString(bytes)) {
         return std::nullopt;
     }
-    const bool areSizesPlausible
-        = news.losses_size() <= internal::maxLosses && news.survived_size() <= internal::maxSurvived && news.pass_to_size() <= internal::maxPromptPassTo;
+    const bool areSizesPlausible = news.losses_size() <= static_cast<int>(maxLossesPerMessage)
+        && news.survived_size() <= static_cast<int>(maxSurvivedPerMessage) && news.pass_to_size() <= internal::maxPromptPassTo;
     const bool isPlausible = areSizesPlausible && std::all_of(news.losses().begin(), news.losses().end(), internal::isLossPlausible);
     return isPlausible ? std::optional(std::move(news)) : std::nullopt;
 }
--- a/src/cyclamenspool/gateway/promptmessages.h
+++ b/src/cyclamenspool/gateway/promptmessages.h
@@ -9,8 +9,8 @@
 
 namespace cyclamenspool::gateway {
 
-/** @brief Decodes evidence on prompt parts. @param bytes Serialized message. @return Message; empty if malformed or beyond 64 servers, 16 prompts of each, 64
- * parts of each prompt, 512 survived parts or 1,000 gateways to pass it to. */
+/** @brief Decodes evidence on prompt parts. @param bytes Serialized message. @return Message; empty if malformed, beyond the limits of PromptEvidence, or to be
+ * passed on to more than 1,000 gateways. */
 [[nodiscard]] std::optional<wire::PromptNews> decodePromptNews(const std::string &bytes);
 
 /** @brief Returns the evidence in a message that decodePromptNews() has accepted. */
@@ -23,11 +23,10 @@
 template<typename Message>
 [[nodiscard]] std::vector<QuarantinedPart> quarantinedIn(const Message &message)
 {
-    constexpr int maxParts = 512;
-    constexpr int maxCompanions = 64;
+    constexpr std::size_t maxParts = 512;
     std::vector<QuarantinedPart> all;
     for (const auto &entry : message.quarantined()) {
-        const bool isPlausible = entry.lasts_ms() > 0 && entry.companions_size() <= maxCompanions;
+        const bool isPlausible = entry.lasts_ms() > 0 && entry.companions_size() <= static_cast<int>(maxTrackedParts);
         if (isPlausible && all.size() < maxParts) {
             all.push_back({entry.part(), {entry.companions().begin(), entry.companions().end()}, core::Milliseconds(entry.lasts_ms())});
         }
