Quarantine: a first part that a poison part shares with sound prompts is not blamed

Cause, found on reading and in a module test that was red: prompts that were lost beside a poison part gave their common first part the same servers as the poison part, and a rare first part has no answer in time to clear it. Of two parts with the same lost servers the one that came in fewer prompts is blamed now, and losses that a quarantine explains are forgotten. Parts that always came together stay tied until an answer tells them apart.

--- a/src/cyclamenspool/gateway/promptquarantine.cpp
+++ b/src/cyclamenspool/gateway/promptquarantine.cpp
@@ -14,7 +14,7 @@
 constexpr int otherWeight = 1; /* of one that was lost at another time, perhaps under another prompt */
 constexpr int suspectedWeight = 2 * begunWeight;
 constexpr int quarantineWeight = 3 * begunWeight;
-constexpr std::size_t maxServersKept = 8; /* of one suspect, for the log */
+constexpr std::size_t maxServersKept = 16; /* of one suspect */
 constexpr Milliseconds minEvidenceTime{500}; /* from the first loss; other gateways report answers to prompts with the part within it */
 constexpr Milliseconds survivalMemory{10000}; /* an answer clears a part for this time */
 constexpr Milliseconds survivalPublishPeriod{5000}; /* for each part; shorter than survivalMemory */
@@ -82,6 +82,9 @@
 {
     expire(now);
     const auto &parts = prompt.parts;
+    if (isLossExplained(server, parts, now)) {
+        return;
+    }
     for (const auto part : parts) {
         if (suspects_.count(part) == 0 && !makeRoom(now)) {
             continue;
@@ -97,6 +100,64 @@
     }
 }
 
+bool PromptQuarantine::isLossExplained(const std::string &server, const PromptParts &parts, core::MonotonicTime now)
+{
+    for (auto &[part, suspect] : suspects_) {
+        if (suspect.quarantinedUntil <= now) {
+            continue;
+        }
+        if (internal::contains(parts, part)) {
+            suspect.companions = internal::intersectionOf(suspect.companions, parts);
+            addServer(suspect, server, internal::otherWeight);
+            clearExplained(part, suspect, now);
+            return true;
+        }
+        if (hasServer(suspect, server)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool PromptQuarantine::hasServer(const Suspect &suspect, const std::string &server)
+{
+    return std::any_of(suspect.servers.begin(), suspect.servers.end(), [&server](const LostServer &each) {
+        return each.name == server;
+    });
+}
+
+bool PromptQuarantine::isExplained(std::uint64_t part, const Suspect &suspect) const
+{
+    return std::any_of(suspects_.begin(), suspects_.end(), [part, &suspect](const auto &entry) {
+        const auto &[other, narrower] = entry;
+        const bool isNarrower = internal::contains(narrower.companions, part) && !internal::contains(suspect.companions, other);
+        return isNarrower && std::all_of(suspect.servers.begin(), suspect.servers.end(), [&narrower](const LostServer &server) {
+                   return hasServer(narrower, server.name);
+               });
+    });
+}
+
+void PromptQuarantine::clearExplained(std::uint64_t part, const Suspect &cause, core::MonotonicTime now)
+{
+    for (auto entry = suspects_.begin(); entry != suspects_.end();) {
+        auto &suspect = entry->second;
+        // Parts that always came together are equally likely; an answer to one of them will tell.
+        const bool isTied = internal::contains(cause.companions, entry->first) && internal::contains(suspect.companions, part);
+        const bool isOther = &suspect != &cause && !isTied && suspect.quarantinedUntil <= now;
+        auto &servers = suspect.servers;
+        if (isOther) {
+            servers.erase(std::remove_if(servers.begin(),
+                                         servers.end(),
+                                         [&cause](const LostServer &server) {
+                                             return hasServer(cause, server.name);
+                                         }),
+                          servers.end());
+        }
+        const bool isCleared = isOther && servers.empty() && suspect.earlierWeight == 0;
+        entry = isCleared ? suspects_.erase(entry) : std::next(entry);
+    }
+}
+
 void PromptQuarantine::addServer(Suspect &suspect, const std::string &server, int weight)
 {
     auto &servers = suspect.servers;
@@ -255,6 +316,7 @@
     if (!wasQuarantined) {
         suspect.quarantinedUntil = now + std::min(quarantined.remaining, internal::quarantineTime);
         events_.push_back({quarantined.part, true, namesOf(suspect)});
+        clearExplained(quarantined.part, suspect, now);
     }
 }
 
@@ -281,10 +343,12 @@
     if (suspect.quarantinedUntil > now) {
         return true;
     }
-    const bool isProved = weightOf(suspect) >= internal::quarantineWeight && now - suspect.firstLossAt >= internal::minEvidenceTime;
+    const bool hasEvidence = weightOf(suspect) >= internal::quarantineWeight && now - suspect.firstLossAt >= internal::minEvidenceTime;
+    const bool isProved = hasEvidence && !isExplained(part, suspect);
     if (isProved) {
         suspect.quarantinedUntil = now + internal::quarantineTime;
         events_.push_back({part, true, namesOf(suspect)});
+        clearExplained(part, suspect, now);
     }
     return isProved;
 }
--- a/src/cyclamenspool/gateway/promptquarantine.h
+++ b/src/cyclamenspool/gateway/promptquarantine.h
@@ -121,6 +121,10 @@
     [[nodiscard]] bool isQuarantined(std::uint64_t part, Suspect &suspect, core::MonotonicTime now);
     void recordLoss(const std::string &server, const LostPrompt &prompt, core::MonotonicTime now);
     [[nodiscard]] bool makeRoom(core::MonotonicTime now); /* false if all suspects are in quarantine */
+    [[nodiscard]] bool isLossExplained(const std::string &server, const PromptParts &parts, core::MonotonicTime now); /* by a part in quarantine */
+    [[nodiscard]] bool isExplained(std::uint64_t part, const Suspect &suspect) const; /* by a part that is in fewer prompts, lost at the same servers */
+    void clearExplained(std::uint64_t part, const Suspect &cause, core::MonotonicTime now); /* of other parts: losses that one in quarantine explains */
+    [[nodiscard]] static bool hasServer(const Suspect &suspect, const std::string &server);
     static void addServer(Suspect &suspect, const std::string &server, int weight);
     [[nodiscard]] static int weightOf(const Suspect &suspect);
     [[nodiscard]] static std::vector<std::string> namesOf(const Suspect &suspect);
--- a/test/gateway/promptquarantine.cpp
+++ b/test/gateway/promptquarantine.cpp
@@ -334,6 +334,41 @@
     CHECK(quarantine.check({0x8, poison}, start + 2s) == Verdict::Quarantined);
 }
 
+TEST_CASE("rare first part that a poison part shares with sound prompts: only the poison part is blamed", "[gateway][quarantine]")
+{
+    constexpr std::uint64_t document = 0x9;
+    PromptQuarantine quarantine;
+    for (int i = 0; i < 4; ++i) {
+        const auto server = "i-" + std::to_string(i);
+        const auto at = start + i * 300ms;
+        quarantine.onServerLost(server, {{firstPart, document + static_cast<std::uint64_t>(i)}, false}, at);
+        quarantine.onServerLost(server, begun({firstPart, poison}), at);
+    }
+    CHECK(quarantine.check({firstPart, document}, start + 1s) == Verdict::Suspected);
+    CHECK(quarantine.check({firstPart, poison}, start + 1s) == Verdict::Quarantined);
+    CHECK(quarantine.check({firstPart, document}, start + 1s) == Verdict::Clear);
+    // Neither do later losses under the poison part accuse the first part.
+    for (int i = 4; i < 12; ++i) {
+        const auto server = "i-" + std::to_string(i);
+        quarantine.onServerLost(server, {{firstPart, document}, false}, start + i * 300ms);
+        quarantine.onServerLost(server, begun({firstPart, poison}), start + i * 300ms);
+    }
+    CHECK(quarantine.check({firstPart, document}, start + 5s) == Verdict::Clear);
+    CHECK(quarantine.check({0x8, poison}, start + 5s) == Verdict::Clear);
+    quarantine.onServerLost("i-20", begun({0x8, poison}), start + 6s);
+    CHECK(quarantine.check({0x7, poison}, start + 6s) == Verdict::Quarantined);
+}
+
+TEST_CASE("poison first part among changing second parts: only the first part is blamed", "[gateway][quarantine]")
+{
+    PromptQuarantine quarantine;
+    for (int i = 0; i < 4; ++i) {
+        quarantine.onServerLost("i-" + std::to_string(i), begun({poison, 0x10 + static_cast<std::uint64_t>(i % 2)}), start + i * 300ms);
+    }
+    CHECK(quarantine.check({poison, 0x20}, start + 1s) == Verdict::Quarantined);
+    CHECK(quarantine.check({firstPart, 0x10}, start + 1s) == Verdict::Clear);
+}
+
 TEST_CASE("a quarantine ends, and one more crash renews it", "[gateway][quarantine]")
 {
     PromptQuarantine quarantine;
