--- a/src/cyclamenspool/gateway/promptquarantine.cpp
+++ b/src/cyclamenspool/gateway/promptquarantine.cpp
@@ -129,8 +129,8 @@
 bool PromptQuarantine::isExplained(std::uint64_t part, const Suspect &suspect) const
 {
     return std::any_of(suspects_.begin(), suspects_.end(), [part, &suspect](const auto &entry) {
-        const auto &[other, narrower] = entry;
-        const bool isNarrower = internal::contains(narrower.companions, part) && !internal::contains(suspect.companions, other);
+        const auto &narrower = entry.second;
+        const bool isNarrower = internal::contains(narrower.companions, part) && !internal::contains(suspect.companions, entry.first);
         return isNarrower && std::all_of(suspect.servers.begin(), suspect.servers.end(), [&narrower](const LostServer &server) {
                    return hasServer(narrower, server.name);
                });
