--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -47,10 +47,11 @@
 
     void operator()(const platform::RemovedServer &removed) const
     {
-        dispatcher_.withFleet([&removed](Fleet &fleet, core::MonotonicTime now) {
-            fleet.onServerRemoved(removed.id, now);
+        bool isKept = false;
+        dispatcher_.withFleet([&](Fleet &fleet, core::MonotonicTime now) {
+            isKept = fleet.onServerRemoved(removed.id, now);
         });
-        log("backend_server_gone", {{"server", removed.id}});
+        log("backend_server_gone", {{"server", removed.id}, {"kept", isKept}});
     }
 
     void operator()(const platform::ZoneEvacuation &evacuation) const
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -90,20 +90,21 @@
     server->coldUntil = now;
 }
 
-void Fleet::onServerRemoved(const std::string &id, core::MonotonicTime now)
+bool Fleet::onServerRemoved(const std::string &id, core::MonotonicTime now)
 {
     const auto found = servers_.find(id);
     if (found == servers_.end()) {
-        return;
+        return false;
     }
     if (isOutageOrGracePeriod(now)) {
         found->second->entryExpiredAt = now;
-        return;
+        return true;
     }
     found->second->isRemoved = true;
     removeFromService(found->second);
     idsByHash_.erase(serverHash(id));
     servers_.erase(found);
+    return false;
 }
 
 void Fleet::onZoneEvacuation(const std::string &zone, bool isEvacuated)
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -59,8 +59,9 @@
      * use until the end of the grace period, and is kept if its entry is listed again by then.
      * @param id Id of the backend server.
      * @param now Current time.
+     * @return True if it stays in use for now; false if it is out of use or not known.
      */
-    void onServerRemoved(const std::string &id, core::MonotonicTime now);
+    bool onServerRemoved(const std::string &id, core::MonotonicTime now);
 
     /** @brief Handles a further report of a backend server, whose entry is otherwise unchanged and not cold. @param hash serverHash() of its id. */
     void onServerReported(std::uint32_t hash, core::MonotonicTime now);
