--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <thread>
 
 namespace cyclamenspool::harness {
 
@@ -81,14 +82,39 @@
         start(gateway);
     }
     for (const auto &gateway : gateways) {
-        if (!LocalFleet::waitUntil([&gateway] {
-                return isReady(gateway);
-            })) {
-            throw std::runtime_error("a gateway did not become ready in time, logs in " + directory_);
-        }
+        waitUntilReady(gateway);
     }
 }
 
+void GatewayFleet::waitUntilReady(const Gateway &gateway) const
+{
+    if (!LocalFleet::waitUntil([&gateway] {
+            return isReady(gateway);
+        })) {
+        throw std::runtime_error("a gateway did not become ready in time, logs in " + directory_);
+    }
+}
+
+void GatewayFleet::useSecondStoreAddress(std::size_t index)
+{
+    auto &gateway = gateways.at(index);
+    auto settings = readSettings(gateway);
+    const std::string key = "store_address: ";
+    settings.replace(settings.find(key + store.address()), key.size() + store.address().size(), key + store.secondAddress());
+    writeSettings(gateway, settings);
+    gateway.process.kill();
+    start(gateway);
+    waitUntilReady(gateway);
+}
+
+void GatewayFleet::turnAway(std::size_t index)
+{
+    useSecondStoreAddress(index);
+    store.setSecondStatus(503);
+    // An open watch request may still deliver a change.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+}
+
 GatewayFleet::~GatewayFleet()
 {
     for (auto &gateway : gateways) {
--- a/test/harness/gatewayfleet.h
+++ b/test/harness/gatewayfleet.h
@@ -40,6 +40,13 @@
     /** @brief Starts a gateway's process with its present settings file; kills the one that still runs. */
     void start(Gateway &gateway);
 
+    /** @brief Restarts one gateway with the store's second address; the others keep the first one. @param index Index of the gateway. @throws
+     * std::runtime_error If it is not ready within 10 s. */
+    void useSecondStoreAddress(std::size_t index);
+
+    /** @brief As useSecondStoreAddress(); the store then answers 503 there. @param index Index of the gateway. */
+    void turnAway(std::size_t index);
+
     /** @brief Writes the routing configuration to the store. @param version Version. @param service Target of all routes. @param keys API keys of the workspace
      * "desk". @param idleTimeout Limit of a caller's pauses. */
     void publishRouting(int version,
@@ -68,6 +75,8 @@
     std::vector<Gateway> gateways;
 
 private:
+    void waitUntilReady(const Gateway &gateway) const;
+
     std::string directory_;
 };
 
--- a/test/harness/platformfakes.cpp
+++ b/test/harness/platformfakes.cpp
@@ -145,10 +145,10 @@
 
 FakeStore::FakeStore()
     : server_([this](const PlainRequest &request, PlainSocket &socket) {
-        return writeAll(socket, formatResponse(request, status_));
+        return respondUnlessLost(request, socket, status_, isSilent_);
     })
     , secondServer_([this](const PlainRequest &request, PlainSocket &socket) {
-        return respondUnlessLost(request, socket);
+        return respondUnlessLost(request, socket, secondStatus_, isLosingSecondResponses_);
     })
 {
 }
@@ -198,6 +198,11 @@
     isLosingSecondResponses_ = isLosing;
 }
 
+void FakeStore::setSilent(bool isSilent)
+{
+    isSilent_ = isSilent;
+}
+
 void FakeStore::setMaxWatchTime(std::chrono::milliseconds time)
 {
     maxWatchTime_ = time;
@@ -281,16 +286,22 @@
     return head + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-bool FakeStore::respondUnlessLost(const PlainRequest &request, PlainSocket &socket)
+bool FakeStore::respondUnlessLost(const PlainRequest &request,
+                                  PlainSocket &socket,
+                                  const std::atomic<int> &forcedStatus,
+                                  const std::atomic<bool> &isLosingResponses)
 {
     {
         const std::lock_guard lock(mutex_);
+        if (isSilent_) {
+            silentConnections_.insert(&socket);
+        }
         if (silentConnections_.count(&socket) > 0) {
             return true;
         }
     }
-    const auto response = formatResponse(request, secondStatus_);
-    if (!isLosingSecondResponses_) {
+    const auto response = formatResponse(request, forcedStatus);
+    if (!isLosingResponses && !isSilent_) {
         return writeAll(socket, response);
     }
     const std::lock_guard lock(mutex_);
--- a/test/harness/platformfakes.h
+++ b/test/harness/platformfakes.h
@@ -88,6 +88,10 @@
     /** @brief Sets whether responses at the second address are lost; a connection on which one was lost stays open and returns nothing further. */
     void setLosingSecondResponses(bool isLosing);
 
+    /** @brief Sets whether the store answers nobody, at either address. A call that arrives meanwhile is never answered, and neither is any later one on its
+     * connection. */
+    void setSilent(bool isSilent);
+
     /** @brief Sets the longest time for which a watch without a change is held; 1 s by default. */
     void setMaxWatchTime(std::chrono::milliseconds time);
 
@@ -118,7 +122,7 @@
     };
 
     [[nodiscard]] std::string formatResponse(const PlainRequest &request, const std::atomic<int> &forcedStatus);
-    bool respondUnlessLost(const PlainRequest &request, PlainSocket &socket);
+    bool respondUnlessLost(const PlainRequest &request, PlainSocket &socket, const std::atomic<int> &forcedStatus, const std::atomic<bool> &isLosingResponses);
     [[nodiscard]] std::string range(const std::string &prefix, const std::string &after);
     [[nodiscard]] std::string watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds timeout, const std::atomic<int> &forcedStatus);
     void record(const Change &change);
@@ -133,6 +137,7 @@
     std::atomic<int> status_{200};
     std::atomic<int> secondStatus_{200};
     std::atomic<bool> isLosingSecondResponses_{false};
+    std::atomic<bool> isSilent_{false};
     std::atomic<std::chrono::milliseconds> maxWatchTime_{std::chrono::milliseconds(1000)};
     std::set<const PlainSocket *> silentConnections_; /* on which a response was lost */
     ThreadedServer server_;
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -31,7 +31,6 @@
 
 namespace {
 
-/** @brief Restarts one gateway with the store's second address and makes the store answer 503 there; the other gateways keep the first address. */
 /** @brief Waits until a gateway accepts requests with an API key. @param gateway Index of the gateway. @return False if it does not within the time limit. */
 bool waitUntilKeyAccepted(const GatewayFleet &fleet, const std::string &key, std::chrono::milliseconds limit, std::size_t gateway = 0)
 {
@@ -44,28 +43,6 @@
         limit);
 }
 
-void useSecondStoreAddress(GatewayFleet &fleet, std::size_t index)
-{
-    auto &gateway = fleet.gateways[index];
-    auto settings = GatewayFleet::readSettings(gateway);
-    const auto &address = fleet.store.address();
-    settings.replace(settings.find("store_address: " + address), 15 + address.size(), "store_address: " + fleet.store.secondAddress());
-    GatewayFleet::writeSettings(gateway, settings);
-    gateway.process.kill();
-    fleet.start(gateway);
-    REQUIRE(LocalFleet::waitUntil([&gateway] {
-        return GatewayFleet::isReady(gateway);
-    }));
-}
-
-void makeStoreUnavailable(GatewayFleet &fleet, std::size_t index)
-{
-    useSecondStoreAddress(fleet, index);
-    fleet.store.setSecondStatus(503);
-    // An open watch request may still deliver a change.
-    std::this_thread::sleep_for(300ms);
-}
-
 } // namespace
 
 TEST_CASE("a request is forwarded unchanged, with the workspace instead of the API key", "[process][gateway]")
@@ -244,7 +221,7 @@
     GatewayFleet fleet(2, 2);
     const bool isStoreUnavailable = GENERATE(false, true);
     if (isStoreUnavailable) {
-        makeStoreUnavailable(fleet, 1);
+        fleet.turnAway(1);
     }
     fleet.store.put("servers/i-0", fleet.backendServers[0]->listEntry("pool", "draining"));
     std::this_thread::sleep_for(2000ms); /* maximum time until every gateway knows the new state */
@@ -278,7 +255,7 @@
 TEST_CASE("a gateway whose store is unavailable gets the routing from its peers within two seconds", "[process][gateway]")
 {
     GatewayFleet fleet(2, 1);
-    makeStoreUnavailable(fleet, 1);
+    fleet.turnAway(1);
     fleet.publishRouting(2, "pool", {"key-1", "key-2"});
     CHECK(waitUntilKeyAccepted(fleet, "key-2", 2000ms, 1));
     CHECK(GatewayFleet::readLog(fleet.gateways[1]).find("\"source\":\"peer\"") != std::string::npos);
@@ -333,7 +310,7 @@
     for (const auto &gateway : fleet.gateways) {
         CHECK(GatewayFleet::readLog(gateway).find("peer_message_unreadable") == std::string::npos);
     }
-    makeStoreUnavailable(fleet, 1);
+    fleet.turnAway(1);
     fleet.gateways[3].process.kill(); /* the only peer in the zone of the gateway */
     fleet.publishRouting(2, "pool", {"key-1", "key-2"});
     CHECK(waitUntilKeyAccepted(fleet, "key-2", 2000ms, 1));
@@ -342,7 +319,7 @@
 TEST_CASE("lost answers of the store: a change of the configuration is in force within two seconds of the recovery", "[process][gateway]")
 {
     GatewayFleet fleet(2, 1);
-    useSecondStoreAddress(fleet, 1);
+    fleet.useSecondStoreAddress(1);
     std::this_thread::sleep_for(1500ms); /* both gateways wait for a change */
     fleet.store.setLosingSecondResponses(true);
     fleet.publishRouting(2, "pool", {"key-1", "key-2"});
@@ -373,7 +350,7 @@
 TEST_CASE("lost answers of the store: a leaving server gets nothing two seconds after the recovery, whichever gateway watches the list", "[process][gateway]")
 {
     GatewayFleet fleet(2, 2);
-    useSecondStoreAddress(fleet, 1);
+    fleet.useSecondStoreAddress(1);
     std::atomic<bool> isStopped{false};
     auto reports = std::async(std::launch::async, [&] {
         while (!isStopped) {
