--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -114,20 +114,20 @@
 void Catalog::onStoreList(Section section, const member::StoreSnapshot &list)
 {
     apply(section, stateOf(section).replica.replace(list), "store");
-    onStoreSuccess(section);
+    onStoreSuccess(section, std::chrono::steady_clock::now());
 }
 
-void Catalog::onStoreChanges(Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision)
+void Catalog::onStoreChanges(Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision, core::MonotonicTime asOf)
 {
     auto &state = stateOf(section);
     if (!changes.empty()) {
         state.lastChange = std::chrono::steady_clock::now();
     }
     apply(section, state.replica.merge(changes, revision), "store");
-    onStoreSuccess(section);
+    onStoreSuccess(section, asOf);
 }
 
-void Catalog::onStoreSuccess(Section section)
+void Catalog::onStoreSuccess(Section section, core::MonotonicTime asOf)
 {
     auto &state = stateOf(section);
     if (state.isUnavailable) {
@@ -136,7 +136,7 @@
     }
     state.isUnavailable = false;
     state.failedCalls = 0;
-    state.lastRefresh = std::chrono::steady_clock::now();
+    state.lastRefresh = std::max(state.lastRefresh, asOf);
     if (section == Section::Servers) {
         dispatcher_.withFleet([](Fleet &fleet, core::MonotonicTime now) {
             fleet.onStoreAvailable(now);
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -27,8 +27,12 @@
     /** @brief Applies a full list from the store. @param list All items of the section. */
     void onStoreList(Section section, const member::StoreSnapshot &list);
 
-    /** @brief Applies changes from the store. @param revision Revision up to which the changes are complete. */
-    void onStoreChanges(Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision);
+    /** @brief Applies changes from the store. @param revision Revision up to which the changes are complete. @param asOf Time up to which they
+     * are complete. */
+    void onStoreChanges(Section section,
+                        const std::vector<member::StoreItem> &changes,
+                        std::uint64_t revision,
+                        core::MonotonicTime asOf = std::chrono::steady_clock::now());
 
     /** @brief Reduces changes of the list of backend servers that are not applied yet, for the other gateways of the zone. @param changes As for
      * onStoreChanges(). @param revision As for onStoreChanges(). */
@@ -88,7 +92,7 @@
         std::uint64_t failedCalls = 0; /* since the last successful one */
     };
 
-    void onStoreSuccess(Section section);
+    void onStoreSuccess(Section section, core::MonotonicTime asOf);
     void refreshComplete();
     void apply(Section section, const std::vector<member::StoreItem> &changes, const char *source);
     void applyOne(const member::StoreItem &item, const char *source);
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -52,6 +52,7 @@
     , catalog_(dispatcher_)
     , gossip_(control(), settings_, dispatcher_, catalog_)
     , acceptor_(control())
+    , storeChecks_(control(), settings_.storeAddress, catalog_, storeCheckCallbacks())
     , signals_(control(), SIGTERM, SIGINT, SIGHUP)
     , acceptTimer_(control())
     , settingsTimer_(control())
@@ -69,6 +70,7 @@
     watchSettings();
     watchSection(Catalog::Section::OperatorConfig);
     watchSection(Catalog::Section::Servers);
+    storeChecks_.start();
     gossip_.setStoreCalls(storeCalls());
     gossip_.start();
     listen();
@@ -180,7 +182,7 @@
         catalog_.onStoreList(section, list);
     };
     callbacks.onChanges = [this, section](const std::vector<member::StoreItem> &changes, std::uint64_t revision) {
-        onStoreChanges(section, changes, revision);
+        onStoreChanges(section, {changes, revision, std::chrono::steady_clock::now()});
     };
     callbacks.onFailure = [this, section](const std::string &reason) {
         catalog_.onStoreFailure(section, reason);
@@ -221,22 +223,48 @@
     return calls;
 }
 
-void GatewayNode::onStoreChanges(Catalog::Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision)
+StoreCheckCallbacks GatewayNode::storeCheckCallbacks()
+{
+    StoreCheckCallbacks callbacks;
+    callbacks.period = [this] {
+        return storeCheckPeriod(watchBounds());
+    };
+    callbacks.isOnDuty = [this] {
+        return gossip_.isStoreChecker();
+    };
+    callbacks.onChanges = [this](Catalog::Section section, const platform::StoreChanges &changes) {
+        onStoreChanges(section, changes);
+    };
+    callbacks.replaceCall = [this](Catalog::Section section) {
+        storeClients_.at(static_cast<std::size_t>(section))->replaceCall();
+    };
+    callbacks.relist = [this](Catalog::Section section) {
+        storeClients_.at(static_cast<std::size_t>(section))->relist();
+    };
+    return callbacks;
+}
+
+void GatewayNode::onStoreChanges(Catalog::Section section, const platform::StoreChanges &changes)
 {
     const bool isPublished = section == Catalog::Section::Servers && gossip_.isListWatcher();
-    const auto delta = isPublished ? catalog_.reduceServerChanges(changes, revision) : ListDelta();
-    catalog_.onStoreChanges(section, changes, revision);
+    const auto delta = isPublished ? catalog_.reduceServerChanges(changes.items, changes.revision) : ListDelta();
+    catalog_.onStoreChanges(section, changes.items, changes.revision, changes.asOf);
     if (isPublished) {
         gossip_.publishListDelta(delta);
     }
 }
 
+WatchBounds GatewayNode::watchBounds() const
+{
+    return {currentSettings_.maxLeaveDelay, currentSettings_.maxConfigurationDelay};
+}
+
 core::Milliseconds GatewayNode::watchPause(Catalog::Section section) const
 {
     if (catalog_.revision(section) == 0) {
         return core::Milliseconds(0);
     }
-    const WatchBounds bounds{currentSettings_.maxLeaveDelay, currentSettings_.maxConfigurationDelay};
+    const auto bounds = watchBounds();
     return section == Catalog::Section::Servers ? listPause(bounds, gossip_.isListWatcher(), catalog_.age(section))
                                                 : configurationPause(bounds, catalog_.timeSinceChange(section));
 }
@@ -348,6 +376,7 @@
     for (const auto &client : storeClients_) {
         client->stop();
     }
+    storeChecks_.stop();
     settingsTimer_.cancel();
     gossip_.stop();
     for (const auto &worker : workers_) {
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -5,6 +5,8 @@
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/operatorpage.h>
 #include <cyclamenspool/gateway/peergossip.h>
+#include <cyclamenspool/gateway/storechecks.h>
+#include <cyclamenspool/gateway/watchpolicy.h>
 #include <cyclamenspool/gateway/worker.h>
 #include <cyclamenspool/http/server.h>
 #include <cyclamenspool/platform/storeclient.h>
@@ -42,7 +44,9 @@
     void closeAcceptor();
     void watchSection(Catalog::Section section);
     [[nodiscard]] StoreCalls storeCalls();
-    void onStoreChanges(Catalog::Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision);
+    [[nodiscard]] StoreCheckCallbacks storeCheckCallbacks();
+    void onStoreChanges(Catalog::Section section, const platform::StoreChanges &changes);
+    [[nodiscard]] WatchBounds watchBounds() const;
     [[nodiscard]] core::Milliseconds watchPause(Catalog::Section section) const;
     void waitForSignal();
     void onSignal(int signal);
@@ -71,6 +75,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::size_t nextWorker_ = 0;
     std::vector<std::unique_ptr<platform::StoreClient>> storeClients_;
+    StoreChecks storeChecks_;
     std::unique_ptr<http::Server> readyServer_;
     std::unique_ptr<http::Server> operatorServer_;
     boost::asio::signal_set signals_;
--- a/src/cyclamenspool/gateway/missedchange.h
+++ b/src/cyclamenspool/gateway/missedchange.h
@@ -25,6 +25,12 @@
      */
     [[nodiscard]] bool onPeerRevision(std::uint64_t peerRevision, std::uint64_t ownRevision, core::Milliseconds overdueTime, core::MonotonicTime now) noexcept;
 
+    /** @brief Returns the time since the first report of a change that is missing; zero if none is. @param now Current time. */
+    [[nodiscard]] core::MonotonicTime::duration missingTime(core::MonotonicTime now) const noexcept
+    {
+        return since_ ? now - *since_ : core::MonotonicTime::duration(0);
+    }
+
 private:
     std::uint64_t revision_ = 0; /* of the earliest reported change that is missing */
     std::optional<core::MonotonicTime> since_;
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -370,10 +370,17 @@
     const auto ownRevision = catalog_.revision(section);
     const bool isConfiguration = section == Catalog::Section::OperatorConfig;
     const auto overdueTime = isConfiguration ? configurationOverdueTime(bounds) : unansweredTime(bounds);
-    const bool isMissed = missedChanges_[section].onPeerRevision(revision, ownRevision, overdueTime, now);
-    const bool isLate = isMissed && (isConfiguration || catalog_.age(section) >= listOverdueAge(bounds));
+    auto &missed = missedChanges_[section];
+    const bool isOverdue = missed.onPeerRevision(revision, ownRevision, overdueTime, now);
     // A copy can also be late because this process is: a response that is being read must not be given up.
-    return isLate && storeCalls_.waitingTime && storeCalls_.waitingTime(section) >= unansweredTime(bounds);
+    const auto waitingTime = storeCalls_.waitingTime ? storeCalls_.waitingTime(section) : core::Milliseconds(0);
+    if (waitingTime < unansweredTime(bounds)) {
+        return false;
+    }
+    // A call that was waiting when a peer already had the change should have returned at once.
+    const bool isCallLost = missed.missingTime(now) >= unansweredTime(bounds) && waitingTime >= missed.missingTime(now);
+    const bool isMissed = isOverdue || (isCallLost && revision > ownRevision);
+    return isMissed && (isConfiguration || catalog_.age(section) >= listOverdueAge(bounds));
 }
 
 void PeerGossip::pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision)
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -86,6 +86,13 @@
      */
     [[nodiscard]] bool isListWatcher() const;
 
+    /**
+     * @brief Returns whether this gateway checks the store for the gateways of its zone.
+     *
+     * It is the one that watches the list; of a zone whose gateways all fail to reach the store, the one with the lowest hash of its address.
+     */
+    [[nodiscard]] bool isStoreChecker() const;
+
     /** @brief Sends changes of the list of backend servers to the other gateways of the zone. @param delta Changes. */
     void publishListDelta(ListDelta delta);
 
@@ -134,6 +141,7 @@
     void applyLoads(const wire::GatewayNews &update);
     [[nodiscard]] std::string buildZoneTotals(core::Milliseconds placementAge);
     [[nodiscard]] bool isOtherZone(const Peer &peer) const;
+    [[nodiscard]] bool isFirstInZone() const;
     [[nodiscard]] bool isLiveInOwnZone(const Peer &peer, core::MonotonicTime now) const;
     [[nodiscard]] std::size_t exchangePeerCount() const;
     [[nodiscard]] core::MonotonicTime lastSign(const Peer &peer) const;
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -24,15 +24,24 @@
     return peer.zone == settings_.zone && internal::elapsed(peer.lastSeen, now) < unresponsiveTimeout();
 }
 
-bool PeerGossip::isListWatcher() const
+bool PeerGossip::isFirstInZone() const
 {
     const auto now = std::chrono::steady_clock::now();
-    const auto ownRank = core::hash64(settings_.peerAddress);
-    const bool isAnyBefore = std::any_of(peers_.begin(), peers_.end(), [this, now, ownRank](const auto &entry) {
+    const std::pair ownRank(catalog_.isStoreUnavailable(Catalog::Section::Servers), core::hash64(settings_.peerAddress));
+    return std::none_of(peers_.begin(), peers_.end(), [this, now, ownRank](const auto &entry) {
         const auto &[address, peer] = entry;
-        return isLiveInOwnZone(peer, now) && !peer.isStoreUnavailable && core::hash64(address) < ownRank;
+        return isLiveInOwnZone(peer, now) && std::pair(peer.isStoreUnavailable, core::hash64(address)) < ownRank;
     });
-    return !isAnyBefore && !catalog_.isStoreUnavailable(Catalog::Section::Servers);
+}
+
+bool PeerGossip::isListWatcher() const
+{
+    return isFirstInZone() && !catalog_.isStoreUnavailable(Catalog::Section::Servers);
+}
+
+bool PeerGossip::isStoreChecker() const
+{
+    return isFirstInZone();
 }
 
 std::vector<std::string> PeerGossip::liveMembers() const
--- /dev/null
+++ b/src/cyclamenspool/gateway/storechecks.cpp
@@ -0,0 +1,121 @@
+#include <cyclamenspool/gateway/storechecks.h>
+
+#include <cyclamenspool/telemetry/log.h>
+
+#include <array>
+#include <utility>
+
+namespace cyclamenspool::gateway {
+
+namespace internal {
+
+constexpr core::Milliseconds maxAnswerTime{1000}; /* a check without an answer for longer counts as a failed call */
+constexpr core::Milliseconds watchHeadStart{100}; /* for the configuration's own watch, which normally returns a change before it is asked for */
+constexpr std::array<Catalog::Section, 2> sections{Catalog::Section::OperatorConfig, Catalog::Section::Servers};
+
+} // namespace internal
+
+StoreChecks::StoreChecks(boost::asio::io_context &context, std::string address, Catalog &catalog, StoreCheckCallbacks callbacks)
+    : catalog_(catalog)
+    , callbacks_(std::move(callbacks))
+    , poller_(context, std::move(address))
+    , checkTimer_(context)
+    , configurationTimer_(context)
+{
+}
+
+void StoreChecks::start()
+{
+    check();
+}
+
+void StoreChecks::stop()
+{
+    checkTimer_.cancel();
+    configurationTimer_.cancel();
+    poller_.stop();
+}
+
+void StoreChecks::check()
+{
+    if (poller_.oldestAge() > internal::maxAnswerTime) {
+        onUnavailable("a check was not answered");
+    }
+    if (catalog_.isComplete() && callbacks_.isOnDuty()) {
+        poll(Catalog::Section::Servers);
+    }
+    checkTimer_.expires_after(callbacks_.period());
+    checkTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            check();
+        }
+    });
+}
+
+void StoreChecks::poll(Catalog::Section section)
+{
+    platform::StorePollCallbacks callbacks;
+    callbacks.onChanges = [this, section](const platform::StoreChanges &changes) {
+        onChanges(section, changes);
+    };
+    callbacks.onCompacted = [this, section] {
+        callbacks_.relist(section);
+    };
+    callbacks.onFailure = [this](const std::string &reason) {
+        onUnavailable(reason);
+    };
+    callbacks.onMalformed = [](const std::string &key, const std::string &reason) {
+        telemetry::logRateLimited("item_passed_over", {{"key", key}, {"reason", reason}});
+    };
+    poller_.poll(std::string(Catalog::prefixOf(section)), catalog_.revision(section), std::move(callbacks));
+}
+
+void StoreChecks::onChanges(Catalog::Section section, const platform::StoreChanges &changes)
+{
+    onAvailable();
+    const bool isWatchLate = changes.revision > catalog_.revision(section) && !changes.items.empty();
+    callbacks_.onChanges(section, changes);
+    if (isWatchLate) {
+        callbacks_.replaceCall(section);
+    }
+    if (section == Catalog::Section::Servers) {
+        pollConfigurationIfBehind(changes);
+    }
+}
+
+void StoreChecks::pollConfigurationIfBehind(const platform::StoreChanges &changes)
+{
+    const auto isBehind = [this, storeRevision = changes.revision] {
+        return catalog_.revision(Catalog::Section::OperatorConfig) < storeRevision;
+    };
+    if (!isBehind()) {
+        catalog_.onStoreChanges(Catalog::Section::OperatorConfig, {}, changes.revision, changes.asOf);
+        return;
+    }
+    configurationTimer_.expires_after(internal::watchHeadStart);
+    configurationTimer_.async_wait([this, isBehind](const boost::system::error_code &error) {
+        if (!error && isBehind()) {
+            poll(Catalog::Section::OperatorConfig);
+        }
+    });
+}
+
+void StoreChecks::onUnavailable(const std::string &reason)
+{
+    for (const auto section : internal::sections) {
+        catalog_.onStoreFailure(section, reason);
+    }
+}
+
+void StoreChecks::onAvailable()
+{
+    for (const auto section : internal::sections) {
+        if (catalog_.isStoreUnavailable(section)) {
+            // The section's own watch may wait on a connection that carries nothing further.
+            callbacks_.replaceCall(section);
+            catalog_.onStoreChanges(section, {}, catalog_.revision(section), {});
+        }
+    }
+}
+
+} // namespace cyclamenspool::gateway
--- /dev/null
+++ b/src/cyclamenspool/gateway/storechecks.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cyclamenspool/core/now.h>
+#include <cyclamenspool/gateway/catalog.h>
+#include <cyclamenspool/platform/storepoller.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cyclamenspool::gateway {
+
+/** @brief What StoreChecks asks of its owner; all are called on the control thread. */
+struct StoreCheckCallbacks {
+    std::function<core::Milliseconds()> period; /**< Returns the time between two checks. */
+    std::function<bool()> isOnDuty; /**< Returns whether this gateway checks the store for its zone. */
+    std::function<void(Catalog::Section, const platform::StoreChanges &)> onChanges; /**< Applies changes, none included. */
+    std::function<void(Catalog::Section)> replaceCall; /**< Replaces the call in progress of the section's own watch, if any. */
+    std::function<void(Catalog::Section)> relist; /**< Lists the section again. */
+};
+
+/**
+ * @brief Asks the store at short intervals what has changed, so that a watch that it never answers delays no change.
+ *
+ * Peers cannot show such a loss if it hits the watches of all gateways. The store has one revision counter: a check reads the changes of the list of backend servers, and
+ * those of the operator's documents only if the store's revision is later than the one up to which they are known. Control thread only.
+ */
+class StoreChecks
+{
+public:
+    /**
+     * @brief Creates an instance that does not check yet.
+     * @param context Context of the control thread.
+     * @param address IP address and port of the store.
+     * @param catalog Copies to bring up to date.
+     * @param callbacks See StoreCheckCallbacks.
+     */
+    StoreChecks(boost::asio::io_context &context, std::string address, Catalog &catalog, StoreCheckCallbacks callbacks);
+
+    /** @brief Starts checking; a gateway that is not on duty, or has no copies yet, skips its checks. */
+    void start();
+
+    /** @brief Ends all checks for good. */
+    void stop();
+
+private:
+    void check();
+    void poll(Catalog::Section section);
+    void onChanges(Catalog::Section section, const platform::StoreChanges &changes);
+    void onUnavailable(const std::string &reason);
+    void onAvailable();
+    void pollConfigurationIfBehind(const platform::StoreChanges &changes);
+
+    Catalog &catalog_;
+    StoreCheckCallbacks callbacks_;
+    platform::StorePoller poller_;
+    boost::asio::steady_timer checkTimer_;
+    boost::asio::steady_timer configurationTimer_;
+};
+
+} // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/watchpolicy.cpp
+++ b/src/cyclamenspool/gateway/watchpolicy.cpp
@@ -15,6 +15,8 @@
 constexpr double configurationOverdueShare = 0.375; /* of the bound for the configuration; longer than the pause after a change */
 
 constexpr int unansweredDivisor = 8; /* of the smaller bound */
+constexpr int checkDivisor = 4; /* of the smaller bound; the rest is for an unanswered check, messages to the zone and requests on their way */
+constexpr core::Milliseconds maxCheckPeriod{500};
 
 core::Milliseconds scale(core::Milliseconds time, double factor) noexcept
 {
@@ -54,6 +56,11 @@
     return std::min(bounds.leaving, bounds.configuration) / internal::unansweredDivisor;
 }
 
+core::Milliseconds storeCheckPeriod(const WatchBounds &bounds) noexcept
+{
+    return std::min(std::min(bounds.leaving, bounds.configuration) / internal::checkDivisor, internal::maxCheckPeriod);
+}
+
 core::Milliseconds configurationWatchTime() noexcept
 {
     return internal::longWatchTime;
--- a/src/cyclamenspool/gateway/watchpolicy.h
+++ b/src/cyclamenspool/gateway/watchpolicy.h
@@ -59,6 +59,12 @@
  */
 [[nodiscard]] core::Milliseconds unansweredTime(const WatchBounds &bounds) noexcept;
 
+/**
+ * @brief Returns the time between two checks of the store by the gateway that checks it for its zone, at most 500 ms.
+ * @param bounds Bounds.
+ */
+[[nodiscard]] core::Milliseconds storeCheckPeriod(const WatchBounds &bounds) noexcept;
+
 /** @brief Returns how long the store may hold a watch of the routing configuration without a change. */
 [[nodiscard]] core::Milliseconds configurationWatchTime() noexcept;
 
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -1,58 +1,35 @@
 #include <cyclamenspool/platform/storeclient.h>
 
 #include <cyclamenspool/platform/storepage.h>
-#include <cyclamenspool/wire/endpoint.h>
-#include <cyclamenspool/wire/tcpkeepalive.h>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <iterator>
-#include <stdexcept>
 #include <utility>
 
 namespace cyclamenspool::platform {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace bhttp = boost::beast::http;
 
 namespace internal {
 
-constexpr std::chrono::milliseconds connectTimeout{800};
 constexpr std::chrono::milliseconds callTimeout{2500}; /* of a list; for a watch, added to the time that it waits for a change */
 constexpr std::chrono::milliseconds minRetryPause{200};
 constexpr std::chrono::milliseconds maxRetryPause{800}; /* while there is a copy to work with */
-constexpr wire::TcpKeepAlive storeKeepAlive{std::chrono::milliseconds(2000), std::chrono::seconds(1), 2};
 constexpr std::chrono::milliseconds waitAfterFailure{50}; /* longest wait of the first watch after a failure, so that the recovery is noticed at once */
-constexpr std::uint64_t maxResponseBytes = 64UL * 1024 * 1024;
-constexpr unsigned goneStatus = 410;
-
-/** @brief Thrown if the store has compacted the changes after the requested revision; a new list is needed. */
-class RevisionCompacted : public std::runtime_error
-{
-public:
-    RevisionCompacted()
-        : std::runtime_error("the store has compacted the requested revision")
-    {
-    }
-};
 
 } // namespace internal
 
 StoreClient::StoreClient(asio::io_context &context, std::string address, std::string prefix, StoreCallbacks callbacks)
     : context_(context)
-    , address_(std::move(address))
     , prefix_(std::move(prefix))
     , callbacks_(std::move(callbacks))
     , timer_(context)
+    , connection_(context, std::move(address))
 {
 }
 
@@ -65,25 +42,24 @@
 {
     stopping_ = true;
     timer_.cancel();
-    if (stream_ != nullptr) {
-        stream_->cancel();
-    }
-}
-
-std::chrono::milliseconds StoreClient::waitingTime() const
-{
-    const auto now = std::chrono::steady_clock::now();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now - waitingSince_.value_or(now));
+    connection_.cancel();
 }
 
 void StoreClient::replaceCall()
 {
-    if (stream_ != nullptr) {
+    if (isCalling_) {
         isCallReplaced_ = true;
-        stream_->cancel();
+        connection_.cancel();
     }
 }
 
+void StoreClient::relist()
+{
+    needsList_ = true;
+    replaceCall();
+    timer_.cancel();
+}
+
 asio::awaitable<void> StoreClient::run()
 {
     while (!stopping_) {
@@ -91,7 +67,7 @@
         bool isCompacted = false;
         try {
             co_await listOrWatch();
-        } catch (const internal::RevisionCompacted &) {
+        } catch (const RevisionCompacted &) {
             needsList_ = true;
             isCompacted = true;
         } catch (const boost::system::system_error &error) {
@@ -99,13 +75,14 @@
         } catch (const std::exception &error) {
             failure = error.what();
         }
-        waitingSince_.reset();
+        isCalling_ = false;
+        if (!failure.empty()) {
+            connection_.close();
+        }
         if (std::exchange(isCallReplaced_, false) && !failure.empty()) {
-            stream_.reset();
             continue;
         }
         if (!failure.empty() && !stopping_) {
-            stream_.reset();
             hasFailed_ = true;
             callbacks_.onFailure(failure);
         }
@@ -180,41 +157,10 @@
     callbacks_.onChanges(page.items, page.revision);
 }
 
-asio::awaitable<void> StoreClient::connect()
-{
-    buffer_.clear();
-    stream_ = std::make_unique<beast::tcp_stream>(context_);
-    stream_->expires_after(internal::connectTimeout);
-    co_await stream_->async_connect(wire::parseEndpoint(address_), asio::use_awaitable);
-    wire::setTcpKeepAlive(stream_->socket(), internal::storeKeepAlive);
-}
-
 asio::awaitable<std::string> StoreClient::call(std::string target, std::chrono::milliseconds timeout)
 {
-    waitingSince_ = std::chrono::steady_clock::now();
-    if (stream_ == nullptr) {
-        co_await connect();
-    }
-    bhttp::request<bhttp::empty_body> request(bhttp::verb::get, target, 11);
-    request.set(bhttp::field::host, address_);
-    stream_->expires_after(timeout);
-    co_await bhttp::async_write(*stream_, request, asio::use_awaitable);
-    bhttp::response_parser<bhttp::string_body> parser;
-    parser.body_limit(internal::maxResponseBytes);
-    co_await bhttp::async_read_header(*stream_, buffer_, parser, asio::use_awaitable);
-    waitingSince_.reset();
-    co_await bhttp::async_read(*stream_, buffer_, parser, asio::use_awaitable);
-    auto response = parser.release();
-    if (!response.keep_alive()) {
-        stream_.reset();
-    }
-    if (response.result_int() == internal::goneStatus) {
-        throw internal::RevisionCompacted();
-    }
-    if (response.result() != bhttp::status::ok) {
-        throw std::runtime_error("the store responded with status " + std::to_string(response.result_int()));
-    }
-    co_return std::move(response.body());
+    isCalling_ = true;
+    co_return co_await connection_.get(std::move(target), timeout);
 }
 
 asio::awaitable<void> StoreClient::pause(std::chrono::milliseconds time)
--- a/src/cyclamenspool/platform/storeclient.h
+++ b/src/cyclamenspool/platform/storeclient.h
@@ -1,19 +1,16 @@
 #pragma once
 
 #include <cyclamenspool/member/storereplica.h>
+#include <cyclamenspool/platform/storeconnection.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <memory>
-#include <optional>
 #include <string>
 
 namespace cyclamenspool::platform {
@@ -46,11 +43,17 @@
     void start();
 
     /** @brief Returns the time for which the call in progress has waited for its response headers; zero if none waits. */
-    [[nodiscard]] std::chrono::milliseconds waitingTime() const;
+    [[nodiscard]] std::chrono::milliseconds waitingTime() const
+    {
+        return connection_.waitingTime();
+    }
 
-    /** @brief Replaces the call in progress by a new one on a new connection; does not count as a failure. */
+    /** @brief Replaces the call in progress, if any, by a new one on a new connection; does not count as a failure. */
     void replaceCall();
 
+    /** @brief Lists again at once, as the store has compacted the changes after the revision; replaces the call in progress. */
+    void relist();
+
     /** @brief Cancels the call in progress and ends the watch for good. Call on the context's thread. */
     void stop();
 
@@ -60,19 +63,16 @@
     boost::asio::awaitable<void> list();
     boost::asio::awaitable<void> watch();
     boost::asio::awaitable<std::string> call(std::string target, std::chrono::milliseconds timeout);
-    boost::asio::awaitable<void> connect();
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     boost::asio::awaitable<void> pauseWhileUpToDate();
     [[nodiscard]] std::chrono::milliseconds retryPause() const;
 
     boost::asio::io_context &context_;
-    std::string address_;
     std::string prefix_;
     StoreCallbacks callbacks_;
     boost::asio::steady_timer timer_;
-    std::unique_ptr<boost::beast::tcp_stream> stream_;
-    boost::beast::flat_buffer buffer_;
-    std::optional<std::chrono::steady_clock::time_point> waitingSince_; /* empty: no call waits for its response headers */
+    StoreConnection connection_;
+    bool isCalling_ = false;
     bool isCallReplaced_ = false;
     bool needsList_ = false; /* the store has compacted the changes after the revision */
     int failuresInRow_ = 0; /* failed calls, and lists after a compaction, since the last successful watch */
--- /dev/null
+++ b/src/cyclamenspool/platform/storepoller.cpp
@@ -0,0 +1,108 @@
+#include <cyclamenspool/platform/storepoller.h>
+
+#include <cyclamenspool/platform/storepage.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenspool::platform {
+
+namespace internal {
+
+constexpr std::chrono::milliseconds pollTimeout{2500};
+constexpr std::size_t maxRunningPolls = 8;
+constexpr const char *shortestWait = "1"; /* milliseconds */
+
+} // namespace internal
+
+StorePoller::StorePoller(boost::asio::io_context &context, std::string address)
+    : context_(context)
+    , address_(std::move(address))
+{
+}
+
+void StorePoller::poll(const std::string &prefix, std::uint64_t revision, StorePollCallbacks callbacks)
+{
+    if (running_.size() >= internal::maxRunningPolls) {
+        return;
+    }
+    auto poll = std::make_shared<Poll>();
+    poll->prefix = prefix;
+    poll->revision = revision;
+    poll->callbacks = std::move(callbacks);
+    poll->connection = idle_ != nullptr ? std::move(idle_) : std::make_unique<StoreConnection>(context_, address_);
+    poll->startedAt = std::chrono::steady_clock::now();
+    running_.push_back(poll);
+    boost::asio::co_spawn(context_, run(std::move(poll)), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> StorePoller::run(PollPtr poll)
+{
+    const std::string target
+        = "/-/kv-watch?prefix=" + poll->prefix + "&after=" + std::to_string(poll->revision) + "&wait_ms=" + std::string(internal::shortestWait);
+    StoreChanges changes;
+    changes.asOf = poll->startedAt;
+    std::string failure;
+    bool isCompacted = false;
+    try {
+        const auto page = readWatchPage(co_await poll->connection->get(target, internal::pollTimeout), poll->callbacks.onMalformed);
+        changes.items = page.items;
+        changes.revision = page.revision;
+    } catch (const RevisionCompacted &) {
+        isCompacted = true;
+    } catch (const boost::system::system_error &error) {
+        failure = error.code().message(); // what() would add the place in the library's source.
+    } catch (const std::exception &error) {
+        failure = error.what();
+    }
+    running_.remove(poll);
+    if (poll->isCancelled) {
+        co_return;
+    }
+    if (!failure.empty()) {
+        poll->callbacks.onFailure(failure);
+        co_return;
+    }
+    idle_ = std::move(poll->connection);
+    cancelEarlier(*poll);
+    if (isCompacted) {
+        poll->callbacks.onCompacted();
+    } else {
+        poll->callbacks.onChanges(changes);
+    }
+}
+
+void StorePoller::cancelEarlier(const Poll &succeeded)
+{
+    for (const auto &poll : running_) {
+        if (poll->prefix == succeeded.prefix && poll->startedAt < succeeded.startedAt) {
+            poll->isCancelled = true;
+            poll->connection->cancel();
+        }
+    }
+}
+
+std::chrono::milliseconds StorePoller::oldestAge() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    auto oldest = std::chrono::milliseconds(0);
+    for (const auto &poll : running_) {
+        if (!poll->isCancelled) {
+            oldest = std::max(oldest, std::chrono::duration_cast<std::chrono::milliseconds>(now - poll->startedAt));
+        }
+    }
+    return oldest;
+}
+
+void StorePoller::stop()
+{
+    for (const auto &poll : running_) {
+        poll->isCancelled = true;
+        poll->connection->cancel();
+    }
+}
+
+} // namespace cyclamenspool::platform
