--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -113,12 +113,14 @@
 
 void Catalog::onStoreList(Section section, const member::StoreSnapshot &list)
 {
+    onStoreAnswered(section);
     apply(section, stateOf(section).replica.replace(list), "store");
     onStoreSuccess(section, std::chrono::steady_clock::now());
 }
 
 void Catalog::onStoreChanges(Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision, core::MonotonicTime asOf)
 {
+    onStoreAnswered(section);
     auto &state = stateOf(section);
     if (!changes.empty()) {
         state.lastChange = std::chrono::steady_clock::now();
@@ -127,6 +129,15 @@
     onStoreSuccess(section, asOf);
 }
 
+void Catalog::onStoreAnswered(Section section)
+{
+    if (section == Section::Servers) {
+        dispatcher_.withFleet([](Fleet &fleet, core::MonotonicTime now) {
+            fleet.onStoreAvailable(now);
+        });
+    }
+}
+
 void Catalog::onStoreSuccess(Section section, core::MonotonicTime asOf)
 {
     auto &state = stateOf(section);
@@ -167,8 +178,13 @@
     }
 }
 
-void Catalog::onPeerSnapshot(Section section, const member::StoreSnapshot &peerSnapshot)
+void Catalog::onPeerSnapshot(Section section, const member::StoreSnapshot &peerSnapshot, const std::optional<StoreUptime> &uptime)
 {
+    if (uptime) {
+        dispatcher_.withFleet([&uptime](Fleet &fleet, core::MonotonicTime now) {
+            fleet.onStoreUptimeReported(*uptime, now);
+        });
+    }
     apply(section, stateOf(section).replica.replace(peerSnapshot), "peer");
     refreshComplete();
 }
@@ -176,11 +192,9 @@
 ListDelta Catalog::reduceServerChanges(const std::vector<member::StoreItem> &changes, std::uint64_t revision)
 {
     auto delta = reduceListChanges(stateOf(Section::Servers).replica, changes, revision);
-    dispatcher_.withFleet([&delta](const Fleet &fleet, core::MonotonicTime now) {
-        const auto end = fleet.storeOutageEnd();
-        if (end) {
-            delta.storeAvailableTime = std::chrono::duration_cast<core::Milliseconds>(now - *end);
-        }
+    dispatcher_.withFleet([&delta](Fleet &fleet, core::MonotonicTime now) {
+        fleet.onStoreAvailable(now);
+        delta.storeUptime = fleet.storeUptime();
     });
     return delta;
 }
@@ -192,18 +206,19 @@
     if (ownRevision == 0 || ownRevision < delta.baseRevision || ownRevision > delta.revision) {
         return false;
     }
-    if (delta.storeAvailableTime) {
-        dispatcher_.withFleet([&delta](Fleet &fleet, core::MonotonicTime now) {
-            fleet.onStoreOutageReported(now - *delta.storeAvailableTime);
-        });
-    }
+    dispatcher_.withFleet([&delta](Fleet &fleet, core::MonotonicTime now) {
+        if (delta.storeUptime) {
+            fleet.onStoreUptimeReported(*delta.storeUptime, now);
+        } else {
+            fleet.onStoreAvailable(now);
+        }
+    });
     apply(Section::Servers, state.replica.merge(delta.items, delta.revision), "peer");
     const auto reported = reportedServers(delta, state.replica);
     dispatcher_.withFleet([&reported](Fleet &fleet, core::MonotonicTime now) {
         for (const auto hash : reported) {
             fleet.onServerReported(hash, now);
         }
-        fleet.onStoreAvailable(now);
     });
     state.lastRefresh = std::chrono::steady_clock::now();
     return true;
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -42,8 +42,9 @@
     void onStoreFailure(Section section, const std::string &reason);
 
     /** @brief Applies a peer's snapshot of a section. @param peerSnapshot Snapshot; ignored if it is older than the cached copy. Callers ask for
-     * one only while the store is unavailable or its answer is missing; this is not checked here. */
-    void onPeerSnapshot(Section section, const member::StoreSnapshot &peerSnapshot);
+     * one only while the store is unavailable or its answer is missing; this is not checked here. @param uptime The store's uptime as the peer knows it; empty:
+     * not reported. */
+    void onPeerSnapshot(Section section, const member::StoreSnapshot &peerSnapshot, const std::optional<StoreUptime> &uptime);
 
     /**
      * @brief Applies changes of the list of backend servers that a peer has read from the store.
@@ -93,6 +94,7 @@
     };
 
     void onStoreSuccess(Section section, core::MonotonicTime asOf);
+    void onStoreAnswered(Section section);
     void refreshComplete();
     void apply(Section section, const std::vector<member::StoreItem> &changes, const char *source);
     void applyOne(const member::StoreItem &item, const char *source);
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -22,7 +22,6 @@
 constexpr double byteTimeoutFactor = 6.0; /* multiplies the mean time to the response headers */
 constexpr double timeToHeadersWeight = 0.1; /* weight of the latest response in the moving average */
 constexpr double estimateWindowSeconds = 2.0; /* window of ServerState::peerEstimateSends */
-constexpr Milliseconds outageGracePeriod{2200}; /* servers renew their entries within 2 s after the store is available again */
 constexpr Milliseconds initialListTime{1000}; /* duration of reading the first list: servers listed within it were there before this process started */
 constexpr double failureWeight = 0.08; /* weight of the latest response in the moving average */
 constexpr double failureRatioMargin = 0.18; /* least excess over the scaled mean of the service's other servers for a suspicion */
@@ -96,7 +95,7 @@
     if (found == servers_.end()) {
         return false;
     }
-    if (isOutageOrGracePeriod(now)) {
+    if (store_.mayEntryHaveExpired(now)) {
         found->second->entryExpiredAt = now;
         return true;
     }
@@ -121,37 +120,26 @@
     }
 }
 
-bool Fleet::isOutageOrGracePeriod(core::MonotonicTime now) const
-{
-    return hasStoreFailed_ && (!storeAvailableSince_ || now < *storeAvailableSince_ + internal::outageGracePeriod);
-}
-
 void Fleet::onStoreUnavailable()
 {
-    hasStoreFailed_ = true;
-    storeAvailableSince_.reset();
+    store_.onCallFailed();
 }
 
 void Fleet::onStoreAvailable(core::MonotonicTime now)
 {
-    if (!storeAvailableSince_) {
-        storeAvailableSince_ = now;
-    }
+    store_.onAnswered(now);
     removeExpired(now);
 }
 
-void Fleet::onStoreOutageReported(core::MonotonicTime endedAt)
+void Fleet::onStoreUptimeReported(const StoreUptime &uptime, core::MonotonicTime now)
 {
-    const bool isLater = !storeAvailableSince_ || endedAt > *storeAvailableSince_;
-    if (!hasStoreFailed_ || isLater) {
-        hasStoreFailed_ = true;
-        storeAvailableSince_ = endedAt;
-    }
+    store_.onReported(uptime);
+    removeExpired(now);
 }
 
 void Fleet::removeExpired(core::MonotonicTime now)
 {
-    if (now < *storeAvailableSince_ + internal::outageGracePeriod) {
+    if (store_.mayEntryHaveExpired(now)) {
         return;
     }
     for (auto known = servers_.begin(); known != servers_.end();) {
@@ -353,7 +341,7 @@
 
 Availability Fleet::availabilityOf(const ServerState &server, core::MonotonicTime now) const
 {
-    const bool isExpired = server.entryExpiredAt && storeAvailableSince_ && now >= *storeAvailableSince_ + internal::outageGracePeriod;
+    const bool isExpired = server.entryExpiredAt && !store_.mayEntryHaveExpired(now);
     if (server.entry.leaving || server.isRemoved || isExpired) {
         return Availability::Leaving;
     }
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -3,6 +3,7 @@
 #include <cyclamenspool/gateway/limitsplitter.h>
 #include <cyclamenspool/gateway/peerloads.h>
 #include <cyclamenspool/gateway/serverstate.h>
+#include <cyclamenspool/gateway/storeavailability.h>
 
 #include <cstdint>
 #include <map>
@@ -55,8 +56,8 @@
     /**
      * @brief Handles the removal of an entry from the store.
      *
-     * During a store outage and a grace period of 2.2 s after it, the entry may have expired only because it could not be renewed: the backend server stays in
-     * use until the end of the grace period, and is kept if its entry is listed again by then.
+     * After an outage of the store, the entry may have expired only because it could not be renewed: the backend server stays in use as long as
+     * StoreAvailability says so, and is kept if its entry is listed again by then.
      * @param id Id of the backend server.
      * @param now Current time.
      * @return True if it stays in use for now; false if it is out of use or not known.
@@ -69,19 +70,21 @@
     /** @brief Begins or ends the evacuation of a zone. @param zone Availability zone. @param isEvacuated True if the zone gets no new requests from now on. */
     void onZoneEvacuation(const std::string &zone, bool isEvacuated);
 
-    /** @brief Handles a failed call to the store: begins or continues an outage. */
+    /** @brief Handles a failed call of this gateway to the store. */
     void onStoreUnavailable();
 
-    /** @brief Handles a successful call to the store: ends an outage, and removes the expired entries once its grace period is over. */
+    /** @brief Handles a successful call to the store; removes the expired entries once the servers had time to renew them. Call it before removals from the response
+     * are applied too. */
     void onStoreAvailable(core::MonotonicTime now);
 
-    /** @brief Takes over the end of an outage that another gateway has seen, unless this one knows a later end. @param endedAt End of the outage. */
-    void onStoreOutageReported(core::MonotonicTime endedAt);
+    /** @brief Handles another gateway's report of the store's uptime. Call it before removals from the same message are applied. @param uptime Uptime.
+     * @param now Current time. */
+    void onStoreUptimeReported(const StoreUptime &uptime, core::MonotonicTime now);
 
-    /** @brief Returns the end of the latest outage of the store; empty if there was none, or during one. */
-    [[nodiscard]] std::optional<core::MonotonicTime> storeOutageEnd() const noexcept
+    /** @brief Returns StoreAvailability::uptime(). */
+    [[nodiscard]] std::optional<StoreUptime> storeUptime() const noexcept
     {
-        return hasStoreFailed_ ? storeAvailableSince_ : std::nullopt;
+        return store_.uptime();
     }
 
     /** @brief Updates the failure statistics and the availability of a backend server when a request ends. */
@@ -171,7 +174,6 @@
     void markSuspect(ServerState &server, core::Milliseconds time, bool isResponding, core::MonotonicTime now) const;
     [[nodiscard]] bool isFailureOutlier(const ServerState &server, core::MonotonicTime now) const;
     void removeExpired(core::MonotonicTime now);
-    [[nodiscard]] bool isOutageOrGracePeriod(core::MonotonicTime now) const;
 
     std::map<std::string, ServerPtr> servers_; /* by id */
     std::map<std::string, std::vector<ServerPtr>, std::less<>> byService_;
@@ -180,8 +182,7 @@
     std::unordered_map<std::uint32_t, std::string> idsByHash_;
     std::set<std::string> evacuatedZones_;
     std::optional<core::MonotonicTime> firstListedAt_;
-    bool hasStoreFailed_ = false; /* a call to the store has failed since the start */
-    std::optional<core::MonotonicTime> storeAvailableSince_;
+    StoreAvailability store_;
 };
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/listdelta.h
+++ b/src/cyclamenspool/gateway/listdelta.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cyclamenspool/core/now.h>
+#include <cyclamenspool/gateway/storeavailability.h>
 #include <cyclamenspool/member/storereplica.h>
 
 #include <cstdint>
@@ -18,7 +18,7 @@
     std::vector<std::uint32_t> reported; /**< Servers with a further report only, by serverHash(). */
     bool isReportedAllBut = false; /**< The servers in reported are those without a further report only; all other listed ones have one. */
     std::vector<std::string> passTo; /**< Peer addresses of the gateways to which the receiver passes the changes on. */
-    std::optional<core::Milliseconds> storeAvailableTime; /**< Time since the end of the store's latest outage; empty if there was none. */
+    std::optional<StoreUptime> storeUptime; /**< At the gateway that has read the changes; empty: not reported. */
 };
 
 /**
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -275,6 +275,7 @@
     update.set_operator_revision(catalog_.changeRevision(Catalog::Section::OperatorConfig));
     update.set_server_revision(catalog_.changeRevision(Catalog::Section::Servers));
     update.set_store_unavailable(catalog_.isStoreUnavailable(Catalog::Section::Servers));
+    setStoreUptime(update, storeUptime());
     // Concatenated protobuf messages parse as one merged message.
     return sharedUpdate_ + update.SerializeAsString();
 }
@@ -335,6 +336,7 @@
     }
     dispatcher_.onPeerHistoryPlacements(placements, update.zone() == settings_.zone);
     applyQuarantined(quarantinedIn(update));
+    applyStoreUptime(storeUptimeIn(update));
     for (const auto &known : update.peers()) {
         onKnownPeer(known, now);
     }
@@ -364,6 +366,24 @@
     });
 }
 
+std::optional<StoreUptime> PeerGossip::storeUptime() const
+{
+    std::optional<StoreUptime> uptime;
+    dispatcher_.withFleet([&uptime](const Fleet &fleet, core::MonotonicTime) {
+        uptime = fleet.storeUptime();
+    });
+    return uptime;
+}
+
+void PeerGossip::applyStoreUptime(const std::optional<StoreUptime> &uptime)
+{
+    if (uptime) {
+        dispatcher_.withFleet([&uptime](Fleet &fleet, core::MonotonicTime now) {
+            fleet.onStoreUptimeReported(*uptime, now);
+        });
+    }
+}
+
 bool PeerGossip::isOverdue(Catalog::Section section, std::uint64_t revision, core::MonotonicTime now)
 {
     const WatchBounds bounds{settings_.maxLeaveDelay, settings_.maxConfigurationDelay};
@@ -402,7 +422,7 @@
     callbacks.onMessage = [this, section](const std::string &message) {
         const auto snapshot = internal::logIfUnreadable(decodeSnapshot(message), internal::itemsPath, message.size());
         if (snapshot) {
-            catalog_.onPeerSnapshot(section, *snapshot);
+            catalog_.onPeerSnapshot(section, snapshot->snapshot, snapshot->storeUptime);
         }
     };
     connectionPool_.submit(address, internal::itemsPath, pull.SerializeAsString(), std::move(callbacks));
@@ -418,7 +438,7 @@
         }
     } else if (path == internal::itemsPath) {
         const auto section = Catalog::sectionOf(decodePullPrefix(message));
-        reply = section ? encodeSnapshot(catalog_.snapshot(*section)) : std::string();
+        reply = section ? encodeSnapshot({catalog_.snapshot(*section), storeUptime()}) : std::string();
     } else if (path == internal::zonePath) {
         const auto age = decodeZonePull(message);
         reply = age ? buildZoneTotals(*age) : std::string();
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -139,6 +140,8 @@
     void passOn(const std::vector<std::string> &addresses, const char *path, const std::string &message);
     [[nodiscard]] std::vector<std::string> liveMembers() const;
     void applyLoads(const wire::GatewayNews &update);
+    [[nodiscard]] std::optional<StoreUptime> storeUptime() const;
+    void applyStoreUptime(const std::optional<StoreUptime> &uptime);
     [[nodiscard]] std::string buildZoneTotals(core::Milliseconds placementAge);
     [[nodiscard]] bool isOtherZone(const Peer &peer) const;
     [[nodiscard]] bool isFirstInZone() const;
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -192,6 +192,7 @@
     });
     dispatcher_.onPeerHistoryPlacements(placements, false);
     applyQuarantined(quarantinedIn(totals));
+    applyStoreUptime(storeUptimeIn(totals));
     for (const auto &known : totals.peers()) {
         onKnownPeer(known, now);
     }
@@ -219,6 +220,7 @@
         totals.add_placed_histories(placement.historyKey);
     }
     addQuarantined(totals, quarantinedParts());
+    setStoreUptime(totals, storeUptime());
     advertiseZonePeers(totals, now);
     totals.set_operator_revision(catalog_.changeRevision(Catalog::Section::OperatorConfig));
     totals.set_server_revision(catalog_.changeRevision(Catalog::Section::Servers));
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -11,8 +11,6 @@
 constexpr int maxPassTo = 1000; /* gateways in one group of a zone */
 constexpr std::int64_t maxLoadAge = 3600000; /* milliseconds, summed over the gateways of a zone */
 
-constexpr std::int64_t maxAvailableTime = 3600000; /* milliseconds; an outage that ended earlier has no effect any more */
-
 void setItem(wire::ListedItem &entry, const member::StoreItem &item)
 {
     entry.set_key(item.key);
@@ -159,10 +157,7 @@
     delta.reported.assign(message.reported().begin(), message.reported().end());
     delta.isReportedAllBut = message.reported_all_but();
     delta.passTo.assign(message.pass_to().begin(), message.pass_to().end());
-    if (message.has_available_ms()) {
-        const auto time = std::clamp<std::int64_t>(message.available_ms(), 0, internal::maxAvailableTime);
-        delta.storeAvailableTime = core::Milliseconds(time);
-    }
+    delta.storeUptime = storeUptimeIn(message);
     return delta;
 }
 
@@ -179,34 +174,34 @@
     }
     message.set_reported_all_but(delta.isReportedAllBut);
     message.mutable_pass_to()->Add(delta.passTo.begin(), delta.passTo.end());
-    if (delta.storeAvailableTime) {
-        message.set_available_ms(delta.storeAvailableTime->count());
-    }
+    setStoreUptime(message, delta.storeUptime);
     return message.SerializeAsString();
 }
 
-std::optional<member::StoreSnapshot> decodeSnapshot(const std::string &bytes)
+std::optional<PeerSnapshot> decodeSnapshot(const std::string &bytes)
 {
     wire::ItemCopy copy;
     if (bytes.empty() || !copy.ParseFromString(bytes)) {
         return std::nullopt;
     }
-    member::StoreSnapshot snapshot;
-    snapshot.revision = copy.revision();
+    PeerSnapshot result;
+    result.snapshot.revision = copy.revision();
     for (const auto &item : copy.items()) {
-        snapshot.items.push_back({item.key(), item.value(), item.revision(), false});
+        result.snapshot.items.push_back({item.key(), item.value(), item.revision(), false});
     }
-    return snapshot;
+    result.storeUptime = storeUptimeIn(copy);
+    return result;
 }
 
-std::string encodeSnapshot(const member::StoreSnapshot &snapshot)
+std::string encodeSnapshot(const PeerSnapshot &copy)
 {
-    wire::ItemCopy copy;
-    copy.set_revision(snapshot.revision);
-    for (const auto &item : snapshot.items) {
-        internal::setItem(*copy.add_items(), item);
+    wire::ItemCopy message;
+    message.set_revision(copy.snapshot.revision);
+    for (const auto &item : copy.snapshot.items) {
+        internal::setItem(*message.add_items(), item);
     }
-    return copy.SerializeAsString();
+    setStoreUptime(message, copy.storeUptime);
+    return message.SerializeAsString();
 }
 
 std::string decodePullPrefix(const std::string &bytes)
--- a/src/cyclamenspool/gateway/peermessages.h
+++ b/src/cyclamenspool/gateway/peermessages.h
@@ -55,11 +55,45 @@
 /** @brief Encodes changes of the list of backend servers. @param delta Changes. @return Serialized message. */
 [[nodiscard]] std::string encodeListDelta(const ListDelta &delta);
 
-/** @brief Decodes a snapshot of the platform store's items. @param bytes Serialized message. @return Items with their revision; empty if malformed. */
-[[nodiscard]] std::optional<member::StoreSnapshot> decodeSnapshot(const std::string &bytes);
-
-/** @brief Encodes a snapshot of the platform store's items. @param snapshot Items with their revision. @return Serialized message. */
-[[nodiscard]] std::string encodeSnapshot(const member::StoreSnapshot &snapshot);
+/** @brief A gateway's copy of a section of the platform's store. */
+struct PeerSnapshot {
+    member::StoreSnapshot snapshot;
+    std::optional<StoreUptime> storeUptime; /**< Empty: not reported. */
+};
+
+/** @brief Decodes a peer's copy of the platform store's items. @param bytes Serialized message. @return Copy; empty if malformed. */
+[[nodiscard]] std::optional<PeerSnapshot> decodeSnapshot(const std::string &bytes);
+
+/** @brief Encodes a copy of the platform store's items. @param copy Copy. @return Serialized message. */
+[[nodiscard]] std::string encodeSnapshot(const PeerSnapshot &copy);
+
+/** @brief Returns the store's uptime in a message, in this process's time; empty if it has none or one that is out of range. */
+template<typename Message>
+[[nodiscard]] std::optional<StoreUptime> storeUptimeIn(const Message &message)
+{
+    constexpr std::int64_t maxAge = 1000LL * 3600 * 1000; /* milliseconds */
+    const auto &uptime = message.store_uptime();
+    const bool isValid = message.has_store_uptime() && uptime.answered_ms() >= 0 && uptime.since_ms() >= uptime.answered_ms() && uptime.since_ms() <= maxAge;
+    if (!isValid) {
+        return std::nullopt;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    return StoreUptime{now - core::Milliseconds(uptime.since_ms()), now - core::Milliseconds(uptime.answered_ms())};
+}
+
+/** @brief Writes the store's uptime to a message. @param uptime Uptime; empty: none is written. */
+template<typename Message>
+void setStoreUptime(Message &message, const std::optional<StoreUptime> &uptime)
+{
+    if (!uptime) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto answeredTime = std::chrono::duration_cast<core::Milliseconds>(now - uptime->until);
+    const auto sinceTime = std::chrono::duration_cast<core::Milliseconds>(now - uptime->since);
+    message.mutable_store_uptime()->set_answered_ms(std::max<std::int64_t>(answeredTime.count(), 0));
+    message.mutable_store_uptime()->set_since_ms(std::max<std::int64_t>(sinceTime.count(), 0));
+}
 
 /** @brief Decodes a peer's request for items. @param bytes Serialized message. @return Prefix of the requested keys; empty if malformed. */
 [[nodiscard]] std::string decodePullPrefix(const std::string &bytes);
--- a/test/gateway/listdelta.cpp
+++ b/test/gateway/listdelta.cpp
@@ -4,6 +4,7 @@
 #include <cyclamenspool/gateway/peermessages.h>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace cyclamenspool;
@@ -58,6 +59,14 @@
     return follower.catalog.onPeerListDelta(*delta);
 }
 
+/** @brief Plays an outage of the store at the only gateway that calls it. */
+void loseStore(Copy &watcher)
+{
+    watcher.catalog.onStoreFailure(Catalog::Section::Servers, "reset");
+    std::this_thread::sleep_for(1600ms); /* longer than the gap between answers of one uptime */
+    watcher.catalog.onStoreChanges(Catalog::Section::Servers, {}, 10);
+}
+
 } // namespace
 
 TEST_CASE("hundreds of gateways: one report of each server is a few bytes for the gateways that do not watch the list", "[gateway][list]")
@@ -119,8 +128,7 @@
 {
     Copy watcher;
     Copy follower;
-    watcher.catalog.onStoreFailure(Catalog::Section::Servers, "reset");
-    watcher.catalog.onStoreChanges(Catalog::Section::Servers, {}, 10);
+    loseStore(watcher);
     CHECK(publish(watcher, follower, {{"servers/s1", {}, 12, true}}, 12));
     CHECK(publish(watcher, follower, {entryOf("s0", 13)}, 13));
     bool isExpired = false;
@@ -196,8 +204,7 @@
 {
     Copy watcher;
     Copy follower;
-    watcher.catalog.onStoreFailure(Catalog::Section::Servers, "reset");
-    watcher.catalog.onStoreChanges(Catalog::Section::Servers, {}, 10);
+    loseStore(watcher);
     StoreItem lapsed{"servers/s1", {}, 12, true};
     CHECK(publish(watcher, follower, {lapsed}, 12));
     CHECK(watcher.availabilityOf("s1") == Availability::Usable);
--- /dev/null
+++ b/test/gateway/storeavailability.cpp
@@ -0,0 +1,95 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/gateway/fleet.h>
+#include <cyclamenspool/gateway/storeavailability.h>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using gateway::Fleet;
+using gateway::StoreAvailability;
+using gateway::StoreUptime;
+
+namespace {
+
+const core::MonotonicTime start = core::MonotonicTime() + 1h;
+
+/** @brief Records an answer every half second, the last one not after a time. */
+void answerUntil(StoreAvailability &store, core::MonotonicTime from, core::MonotonicTime to)
+{
+    for (auto at = from; at <= to; at += 500ms) {
+        store.onAnswered(at);
+    }
+}
+
+} // namespace
+
+TEST_CASE("an entry that is found removed has not expired while the store answers, also if this gateway's own calls fail meanwhile", "[gateway][store]")
+{
+    StoreAvailability store;
+    answerUntil(store, start, start + 10s);
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 10s));
+    store.onCallFailed();
+    store.onReported({start, start + 15s});
+    store.onAnswered(start + 15500ms);
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 15500ms));
+}
+
+TEST_CASE("an outage that every gateway sees: entries may have expired until servers had time to renew them", "[gateway][store]")
+{
+    StoreAvailability store;
+    answerUntil(store, start, start + 10s);
+    store.onReported({start, start + 10s});
+    store.onAnswered(start + 16s);
+    CHECK(store.mayEntryHaveExpired(start + 16s));
+    CHECK(store.mayEntryHaveExpired(start + 18100ms));
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 18200ms));
+}
+
+TEST_CASE("a gateway that learns late that the store answered another one meanwhile does not take its own gap for an outage", "[gateway][store]")
+{
+    StoreAvailability store;
+    answerUntil(store, start, start + 10s);
+    store.onAnswered(start + 16s);
+    CHECK(store.mayEntryHaveExpired(start + 16100ms));
+    store.onReported({start + 1s, start + 15900ms});
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 16200ms));
+}
+
+TEST_CASE("an earlier uptime of a peer that lost the store does not hide an outage", "[gateway][store]")
+{
+    StoreAvailability store;
+    answerUntil(store, start, start + 10s);
+    store.onAnswered(start + 16s);
+    store.onReported({start - 5s, start + 9s});
+    REQUIRE(store.uptime());
+    CHECK(store.uptime()->since == start + 16s);
+    CHECK(store.mayEntryHaveExpired(start + 17s));
+}
+
+TEST_CASE("a gateway that starts just after an outage takes the outage's end from its peers", "[gateway][store]")
+{
+    StoreAvailability store;
+    store.onAnswered(start);
+    CHECK_FALSE(store.uptime());
+    store.onReported({start - 300ms, start});
+    CHECK(store.mayEntryHaveExpired(start + 1800ms));
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 1900ms));
+    store.onReported({start - 20s, start});
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 100ms));
+}
+
+TEST_CASE("a removal that a peer has read is final while the store serves that peer, whatever happens to this gateway's calls", "[gateway][store]")
+{
+    Fleet fleet;
+    world::BackendServer entry;
+    entry.id = "s0";
+    entry.service = "pool";
+    fleet.onServerListed(entry, start);
+    fleet.onStoreAvailable(start);
+    fleet.onStoreUnavailable();
+    for (auto at = start; at <= start + 10s; at += 500ms) {
+        fleet.onStoreUptimeReported({start, at}, at);
+    }
+    CHECK_FALSE(fleet.onServerRemoved("s0", start + 10s));
+    CHECK(fleet.serversOf("pool").empty());
+}
