Placement: the load bound follows the mean of the servers without a limit while others name one

Cause: with 70% of the servers limited, the others carry over twice the mean of all, so that the load bound moved histories from one of them to the next with each request. Change: the mean behind the bound is that of the servers without a limit, if it is higher. Without a limited server nothing changes. Conclusion: a limited server is a smaller one, for the bound as for the rate.

--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -103,6 +103,38 @@
     return availability == Availability::Leaving || availability == Availability::Evacuated || availability == Availability::BackingOff;
 }
 
+/**
+ * @brief Mean load of a service's servers, the base of the load bound.
+ *
+ * It includes the servers that get no new requests, so that the bound does not rise when their requests move to the others. Servers that name a limit take less than
+ * their part: if the others have a higher mean, that one counts, so that histories do not move among them.
+ */
+class MeanLoad
+{
+public:
+    void add(int load, bool isLimited) noexcept
+    {
+        total_ += load;
+        ++servers_;
+        if (!isLimited) {
+            unlimitedTotal_ += load;
+            ++unlimitedServers_;
+        }
+    }
+
+    [[nodiscard]] double mean() const noexcept
+    {
+        const double all = total_ / std::max(servers_, 1.0);
+        return std::max(all, unlimitedTotal_ / std::max(unlimitedServers_, 1.0));
+    }
+
+private:
+    double total_ = 0;
+    double servers_ = 0;
+    double unlimitedTotal_ = 0;
+    double unlimitedServers_ = 0;
+};
+
 /** @brief Least time until a server that has asked for fewer requests may get one. */
 class EarliestReturn
 {
@@ -129,12 +161,12 @@
     std::vector<internal::Candidate> candidates;
     const auto &servers = fleet.serversOf(query.service);
     candidates.reserve(servers.size());
-    double total = 0;
+    internal::MeanLoad meanLoad;
     internal::EarliestReturn earliestReturn;
     for (const auto &server : servers) {
         const auto availability = fleet.availabilityOf(*server, now);
         const int load = Fleet::loadOf(*server);
-        total += load;
+        meanLoad.add(load, server->statements.limit(now).has_value());
         if (!internal::getsNoNewRequests(availability)) {
             candidates.push_back({&server, availability, load, internal::rankOf(*server, load, query, limits)});
         } else if (availability == Availability::BackingOff) {
@@ -144,9 +176,7 @@
     if (candidates.empty()) {
         return {nullptr, core::ErrorKind::NoCandidate, "no backend server accepts new requests", earliestReturn.time()};
     }
-    // The mean includes the servers that get no new requests, so that the bound does not rise when their requests move to the others.
-    const double mean = total / static_cast<double>(servers.size());
-    const double bound = limits.loadFactor * internal::loadFactorMargin * mean + internal::loadBoundSlack;
+    const double bound = limits.loadFactor * internal::loadFactorMargin * meanLoad.mean() + internal::loadBoundSlack;
     const auto updateAge = fleet.totalPeerUpdateAge(now);
     const auto connections = internal::connectionShare(splitter, limits, now);
     // Usually only the first few candidates are visited: a heap yields them without sorting all of them.
--- a/test/gateway/serverstatements.cpp
+++ b/test/gateway/serverstatements.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -35,6 +36,7 @@
 struct LimitedPlay {
     std::size_t worst = 0; /* greatest number of requests in 4 s at a server, from 3 s after its first statement */
     double used = 0; /* part of the limits that was used, of all servers, from then on */
+    double away = 0; /* part of the requests at servers without a limit that did not go to the server which most of their history went to */
     int refused = 0;
     int sent = 0;
 };
@@ -85,6 +87,7 @@
     }
     std::vector<std::vector<core::MonotonicTime>> arrivals(static_cast<std::size_t>(load.servers));
     std::deque<Response> responses;
+    std::map<std::uint64_t, std::map<int, int>> unlimitedSends; /* by history and server */
     LimitedPlay result;
     gateway::PlacementLimits limits;
     limits.zone = "az-a";
@@ -125,7 +128,8 @@
         for (due += load.requestsPerSecond * 0.005; due >= 1; due -= 1) {
             const auto index = random.index(gateways.size());
             auto &each = *gateways[index];
-            const gateway::PlacementQuery query{"pool", 100 + random.index(200), 2000, {}, {}};
+            const auto history = 100 + random.index(200);
+            const gateway::PlacementQuery query{"pool", history, 2000, {}, {}};
             const auto placement = gateway::place(each.fleet, each.splitter, query, limits, now);
             if (placement.server == nullptr) {
                 ++result.refused;
@@ -134,10 +138,26 @@
             ++result.sent;
             ++placement.server->outstanding;
             placement.server->statements.onSent(now);
-            arrivals[static_cast<std::size_t>(std::stoi(placement.server->entry.id.substr(1)))].push_back(now);
+            const int server = std::stoi(placement.server->entry.id.substr(1));
+            arrivals[static_cast<std::size_t>(server)].push_back(now);
+            if (server >= load.limited && now > start + 3500ms) {
+                ++unlimitedSends[history][server];
+            }
             responses.push_back({now + 300ms, now, index, placement.server});
         }
     }
+    double total = 0;
+    double away = 0;
+    for (const auto &[history, sends] : unlimitedSends) {
+        int most = 0;
+        for (const auto &[server, count] : sends) {
+            total += count;
+            away += count;
+            most = std::max(most, count);
+        }
+        away -= most;
+    }
+    result.away = away / std::max(total, 1.0);
     double inWindow = 0;
     for (int server = 0; server < load.limited; ++server) {
         const auto &times = arrivals[static_cast<std::size_t>(server)];
@@ -176,6 +196,16 @@
     }
 }
 
+TEST_CASE("most servers limited under a high load: histories stay together at the servers that take them", "[gateway][statements]")
+{
+    LimitedLoad load;
+    load.requestsPerSecond = 160;
+    const auto result = play(load);
+    INFO("away " << result.away << ", refused " << result.refused);
+    CHECK(result.away < 0.15);
+    CHECK(result.refused == 0);
+}
+
 TEST_CASE("all servers limited below the demand: the limits are kept and the rest is refused at once", "[gateway][statements]")
 {
     for (const int gateways : {1, 3, 24, 300}) {
