Store keys of other writers: encoded in calls, and no backend server with an id that cannot stand in a header

Report of another operator: an odd entry among those of the servers ended the machines that read the list, or they stopped following it. Two faults of the same class were found beside them. A key with "&", "#", a space or a line end as the last one of a page went into the next call as it was: a gateway that started then never got the list, and answered 503 to everyone. An id with a line end named a usable server, and would have put a header into requests. Change: the key is percent-encoded; an id must consist of visible ASCII characters, else the entry is skipped and named in the log.

--- a/src/cyclamenspool/platform/documents.cpp
+++ b/src/cyclamenspool/platform/documents.cpp
@@ -6,6 +6,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/json/parse.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace cyclamenspool::platform {
@@ -223,8 +224,21 @@
     return routing;
 }
 
+/** @brief Returns whether an id can stand in a header: visible ASCII characters only. */
+bool isValidId(const std::string &id)
+{
+    constexpr char firstVisible = '!';
+    constexpr char lastVisible = '~';
+    return !id.empty() && std::all_of(id.begin(), id.end(), [](char each) {
+        return each >= firstVisible && each <= lastVisible;
+    });
+}
+
 world::BackendServer serverOf(const std::string &id, const member::StoreItem &item)
 {
+    if (!isValidId(id)) {
+        throw MalformedValue("the id in the key must consist of visible ASCII characters");
+    }
     const auto value = parse(item.value);
     const auto &object = value.as_object();
     world::BackendServer server;
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace cyclamenspool::platform {
@@ -22,6 +23,26 @@
 constexpr std::chrono::milliseconds maxRetryPause{800}; /* while there is a copy to work with */
 constexpr std::chrono::milliseconds waitAfterFailure{50}; /* longest wait of the first watch after a failure, so that the recovery is noticed at once */
 
+/** @brief Percent-encodes a key; keys of other writers may hold any bytes. */
+std::string encodeQueryValue(const std::string &text)
+{
+    constexpr std::string_view plain = "-._~/";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char each : text) {
+        const auto byte = static_cast<unsigned char>(each);
+        const bool isAlphanumeric = (each >= '0' && each <= '9') || (each >= 'A' && each <= 'Z') || (each >= 'a' && each <= 'z');
+        if (isAlphanumeric || plain.find(each) != std::string_view::npos) {
+            encoded += each;
+        } else {
+            encoded += '%';
+            encoded += digits[byte >> 4U];
+            encoded += digits[byte & 0xfU];
+        }
+    }
+    return encoded;
+}
+
 } // namespace internal
 
 StoreClient::StoreClient(asio::io_context &context, std::string address, std::string prefix, StoreCallbacks callbacks)
@@ -133,7 +154,7 @@
     while (hasMore) {
         std::string target = "/-/kv-range?prefix=" + prefix_;
         if (!after.empty()) {
-            target += "&after=" + after;
+            target += "&after=" + internal::encodeQueryValue(after);
         }
         auto page = readListPage(co_await call(target, internal::callTimeout), callbacks_.onMalformed);
         // The pages are not one snapshot, so the watch continues from the first page's revision.
--- a/test/harness/platformfakes.cpp
+++ b/test/harness/platformfakes.cpp
@@ -44,7 +44,15 @@
         return "";
     }
     const auto start = position + name.size() + 1;
-    return target.substr(start, target.find('&', start) - start);
+    const auto encoded = target.substr(start, target.find('&', start) - start);
+    std::string value;
+    for (std::size_t i = 0; i < encoded.size(); ++i) {
+        constexpr int hexadecimal = 16;
+        const bool isEscape = encoded[i] == '%' && i + 2 < encoded.size();
+        value += isEscape ? static_cast<char>(std::stoi(encoded.substr(i + 1, 2), nullptr, hexadecimal)) : encoded[i];
+        i += isEscape ? 2 : 0;
+    }
+    return value;
 }
 
 bool isNumber(const std::string &text)
