A stream goes on only with a response 200 that is a stream of events

Report of another operator: a stream broke off, the next runner answered with an error, and clients found its text in their stream, or a stream that looked complete. Here: errors (4xx, 5xx, 3xx, no digest, bytes that are no response) were not relayed; a 200 of another type was, and the stream ended as complete; a 204 ended it as complete too. Change: once bytes of a stream have gone to the caller, another server's response continues it only with status 200 and the type of an event stream (or none); else it counts as a failed attempt, and the stream is cut if there is no other.

--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds minAnswerTime{300}; /* a backend server that sends a body for so long has not crashed under its prompt */
 constexpr std::size_t maxPendingBytes = 64UL * 1024; /* unwritten response bytes of a slow caller above which reading from the backend server pauses */
 
+constexpr unsigned okStatus = 200;
+
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -72,7 +74,9 @@
     const bool canRetry = route.isRetryable() && sentAttempts_ < route.maxAttempts;
     const bool isUnusable = internal::isSuccess(status) ? !isAuthentic : (internal::isServerFailure(status) && canRetry);
     const bool isResumed = isRelayStarted();
-    if (isUnusable || (isResumed && !internal::isSuccess(status))) {
+    // The rest of a stream can only be a stream again: other bodies would end up in the middle of it.
+    const bool isContinuation = status == internal::okStatus && head.isEventStream;
+    if (isUnusable || (isResumed && !isContinuation)) {
         mayHaveRun_ = true;
         call_->cancel();
         finishAttempt(Outcome::Failed);
--- a/test/process/oddinput.cpp
+++ b/test/process/oddinput.cpp
@@ -69,3 +69,38 @@
     const auto log = GatewayFleet::readLog(gateway);
     CHECK(log.find("\"started\"", log.find("\"started\"") + 1) == (isListedAnew ? log.rfind("\"started\"") : std::string::npos));
 }
+
+// Guards against an answer that is no continuation of a stream in the middle of it, and against a stream that looks complete after one.
+TEST_CASE("a stream whose next server answers with anything but a stream of events is cut, without bytes of that answer", "[process][gateway][odd]")
+{
+    const std::string digest = "Cyclamenspool-Response-Seal: s\r\n";
+    const std::string json = "Content-Type: application/json\r\nContent-Length: 17\r\n\r\n{\"error\":\"no\"}\n\n\n";
+    const std::string error = GENERATE_COPY("HTTP/1.1 500 X\r\n" + digest + json,
+                                            "HTTP/1.1 404 X\r\n" + digest + json,
+                                            "HTTP/1.1 200 OK\r\n" + digest + json,
+                                            "HTTP/1.1 200 OK\r\n" + json,
+                                            "HTTP/1.1 202 X\r\n" + digest + "Content-Type: text/event-stream\r\nContent-Length: 9\r\n\r\nerror: 1\n",
+                                            "HTTP/1.1 204 X\r\n" + digest + "\r\n",
+                                            "HTTP/1.1 302 X\r\n" + digest + "Location: /\r\nContent-Length: 0\r\n\r\n",
+                                            std::string("error: no stream here\n\n"));
+    CAPTURE(error);
+    GatewayFleet fleet(1, 2);
+    std::atomic<int> attempts{0};
+    for (auto &server : fleet.backendServers) {
+        server->setHandler([&](const PlainRequest &request, PlainSocket &socket) {
+            if (++attempts > 1) {
+                writeAll(socket, error);
+                std::this_thread::sleep_for(50ms);
+                return false;
+            }
+            writeAll(socket, responseHeadFor(request) + chunk(serverSentEvent(1)) + chunk(serverSentEvent(2)));
+            std::this_thread::sleep_for(50ms);
+            return resetConnection(socket);
+        });
+    }
+    const auto response = sendRequest(fleet.makeRequest("r1", "/resumed/x"));
+    CHECK(attempts == 2);
+    CHECK(response.status == 200);
+    CHECK(response.body == serverSentEvent(1) + serverSentEvent(2));
+    CHECK_FALSE(response.isComplete);
+}
