Test: an earlier refusal that is written once more on a kept connection

Report of another operator: clients were told "not run" for requests that ran, or those ran twice. It cannot happen here: a response with another id is skipped, one without an id on a reused connection fails the call as one that may have run. Shown with and without the earlier id, two servers, 20 requests each: no 503, no second run. No change of the code.

--- a/test/process/oddinput.cpp
+++ b/test/process/oddinput.cpp
@@ -70,6 +70,33 @@
     CHECK(log.find("\"started\"", log.find("\"started\"") + 1) == (isListedAnew ? log.rfind("\"started\"") : std::string::npos));
 }
 
+// Guards against a refusal of an earlier request, written once more on a kept connection, that is taken for the answer to the next request.
+TEST_CASE("an earlier refusal that is written once more on a kept connection says nothing of the next request", "[process][gateway][odd]")
+{
+    GatewayFleet fleet(1, 2);
+    const bool hasId = GENERATE(false, true);
+    for (auto &server : fleet.backendServers) {
+        server->setHandler([hasId](const PlainRequest &request, PlainSocket &socket) {
+            static thread_local std::string previous;
+            const std::string id(request["Cyclamenspool-Request-Id"]);
+            if (!previous.empty()) {
+                const auto idLine = hasId ? "Cyclamenspool-Request-Id: " + previous + "\r\n" : std::string();
+                writeAll(socket, "HTTP/1.1 503 X\r\n" + idLine + "Cyclamenspool-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+                std::this_thread::sleep_for(20ms);
+            }
+            previous = id;
+            return writeAll(socket, formatResponseWithDigest(request, "own"));
+        });
+    }
+    for (int i = 0; i < 20; ++i) {
+        const auto id = "r" + std::to_string(i);
+        const auto response = sendRequest(fleet.makeRequest(id));
+        CHECK(response.status != 503);
+        CHECK((response.status != 200 || response.body == "own"));
+        CHECK(fleet.backendServers[0]->runCount(id) + fleet.backendServers[1]->runCount(id) == 1);
+    }
+}
+
 // Guards against an answer that is no continuation of a stream in the middle of it, and against a stream that looks complete after one.
 TEST_CASE("a stream whose next server answers with anything but a stream of events is cut, without bytes of that answer", "[process][gateway][odd]")
 {
