List changes: an item that the watching gateway has from a later page is passed on as a change

When the watch then returned such a change, the watching gateway compared it with its own copy, found no difference, and told its zone of a further report only. A server that began to leave between two pages stayed in use at the other gateways of the zone until its entry was removed. Change: only items up to the copy's revision count as known to the others. The module test fails on the code before.

--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -84,8 +84,8 @@
     /** @brief Handles a failed call of this gateway to the store. */
     void onStoreUnavailable();
 
-    /** @brief Handles a successful call to the store; removes the expired entries once the servers had time to renew them. Call it before removals from the response
-     * are applied too. */
+    /** @brief Handles a successful call to the store; removes the expired entries once the servers had time to renew them. Call it before removals from the
+     * response are applied too. */
     void onStoreAvailable(core::MonotonicTime now);
 
     /** @brief Handles another gateway's report of the store's uptime. Call it before removals from the same message are applied. @param uptime Uptime.
--- a/src/cyclamenspool/gateway/listdelta.cpp
+++ b/src/cyclamenspool/gateway/listdelta.cpp
@@ -33,6 +33,13 @@
     }
 }
 
+/** @brief Finds an item that every copy of the replica's revision has. Items of later pages of a list can be newer. @return Item; null if there is none. */
+const member::StoreItem *findComplete(const member::StoreReplica &replica, const std::string &key)
+{
+    const auto *item = replica.find(key);
+    return item != nullptr && item->revision <= replica.revision() ? item : nullptr;
+}
+
 std::uint32_t hashOfKey(const std::string &key)
 {
     return serverHash(key.substr(std::min(key.size(), platform::serverPrefix.size())));
@@ -67,7 +74,8 @@
     std::map<std::string, const member::StoreItem *> latest;
     for (const auto &change : changes) {
         const auto earlier = latest.find(change.key);
-        const auto before = internal::serverOf(earlier == latest.end() ? replica.find(change.key) : earlier->second);
+        const auto *known = earlier == latest.end() ? internal::findComplete(replica, change.key) : earlier->second;
+        const auto before = internal::serverOf(known);
         const auto after = internal::serverOf(&change);
         latest[change.key] = &change;
         if (after && before == after && after->coldRemaining.count() == 0) {
--- a/src/cyclamenspool/gateway/peermessages.h
+++ b/src/cyclamenspool/gateway/peermessages.h
@@ -37,7 +37,8 @@
     const auto now = std::chrono::steady_clock::now();
     std::vector<ServerStatementReport> reports;
     for (const auto &entry : message.statements()) {
-        const bool isPlausible = entry.limit_age_ms() >= 0 && entry.limit_age_ms() <= maxAge && (!entry.has_limit() || (entry.limit() >= 0 && entry.limit() <= maxLimit));
+        const bool isPlausible
+            = entry.limit_age_ms() >= 0 && entry.limit_age_ms() <= maxAge && (!entry.has_limit() || (entry.limit() >= 0 && entry.limit() <= maxLimit));
         if (!isPlausible || reports.size() == maxReports) {
             continue;
         }
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -106,8 +106,8 @@
 /**
  * @brief Mean load of a service's servers, the base of the load bound.
  *
- * It includes the servers that get no new requests, so that the bound does not rise when their requests move to the others. Servers that name a limit take less than
- * their part: if the others have a higher mean, that one counts, so that histories do not move among them.
+ * It includes the servers that get no new requests, so that the bound does not rise when their requests move to the others. Servers that name a limit take less
+ * than their part: if the others have a higher mean, that one counts, so that histories do not move among them.
  */
 class MeanLoad
 {
--- a/src/cyclamenspool/gateway/serverstatements.h
+++ b/src/cyclamenspool/gateway/serverstatements.h
@@ -86,8 +86,8 @@
 /**
  * @brief Returns the number of gateways that share a limit; the others send the server nothing.
  *
- * Each of them may save up one request. So their number is bounded by the burst that the server bears, which the users set at five requests and half of the limit over
- * four seconds.
+ * Each of them may save up one request. So their number is bounded by the burst that the server bears, which the users set at five requests and half of the
+ * limit over four seconds.
  * @param perSecond Limit in requests per second.
  * @param gateways Number of gateways.
  */
--- a/src/cyclamenspool/gateway/storeavailability.h
+++ b/src/cyclamenspool/gateway/storeavailability.h
@@ -13,7 +13,8 @@
 };
 
 /**
- * @brief Decides whether the removal of a backend server's entry may be due to an outage of the store, in which no server could renew its entry. Not thread safe.
+ * @brief Decides whether the removal of a backend server's entry may be due to an outage of the store, in which no server could renew its entry. Not thread
+ * safe.
  *
  * That a store does not answer this gateway is no outage while it answers others: gateways tell each other their latest uptime. Answers at most 1.5 s apart
  * belong to one uptime.
@@ -36,8 +37,8 @@
     /** @brief Returns the latest uptime, for other gateways; empty if it is not known yet whether an outage preceded it. */
     [[nodiscard]] std::optional<StoreUptime> uptime() const noexcept;
 
-    /** @brief Returns whether an entry that is found removed may have expired in an outage: until 2.2 s after the end of the outage, in which servers renew their
-     * entries. */
+    /** @brief Returns whether an entry that is found removed may have expired in an outage: until 2.2 s after the end of the outage, in which servers renew
+     * their entries. */
     [[nodiscard]] bool mayEntryHaveExpired(core::MonotonicTime now) const noexcept;
 
 private:
--- a/src/cyclamenspool/gateway/storechecks.h
+++ b/src/cyclamenspool/gateway/storechecks.h
@@ -25,8 +25,8 @@
 /**
  * @brief Asks the store at short intervals what has changed, so that a watch that it never answers delays no change.
  *
- * Peers cannot show such a loss if it hits the watches of all gateways. The store has one revision counter: a check reads the changes of the list of backend servers, and
- * those of the operator's documents only if the store's revision is later than the one up to which they are known. Control thread only.
+ * Peers cannot show such a loss if it hits the watches of all gateways. The store has one revision counter: a check reads the changes of the list of backend
+ * servers, and those of the operator's documents only if the store's revision is later than the one up to which they are known. Control thread only.
  */
 class StoreChecks
 {
--- a/src/cyclamenspool/platform/storepoller.h
+++ b/src/cyclamenspool/platform/storepoller.h
@@ -35,8 +35,8 @@
 /**
  * @brief Reads the changes under a key prefix of the platform's store without waiting for the next one.
  *
- * Polls may overlap, each on a connection of its own, so that one that is never answered delays no later one. A poll that succeeds cancels the earlier ones of its
- * prefix.
+ * Polls may overlap, each on a connection of its own, so that one that is never answered delays no later one. A poll that succeeds cancels the earlier ones of
+ * its prefix.
  */
 class StorePoller
 {
--- a/test/gateway/listdelta.cpp
+++ b/test/gateway/listdelta.cpp
@@ -211,6 +211,18 @@
     CHECK(follower.availabilityOf("s1") == Availability::Usable);
 }
 
+// Guards against a leaving server that the watching gateway knew before its followers: it listed a later page after the revision that its copy has.
+TEST_CASE("a change that the watching gateway has from a later page of its list reaches the follower", "[gateway][list]")
+{
+    Copy watcher;
+    Copy follower;
+    watcher.catalog.onStoreList(Catalog::Section::Servers, {{entryOf("s0", 3), entryOf("s1", 13, "draining")}, 12});
+    follower.catalog.onStoreChanges(Catalog::Section::Servers, {}, 12);
+    CHECK(publish(watcher, follower, {entryOf("s1", 13, "draining")}, 14));
+    CHECK(watcher.availabilityOf("s1") == Availability::Leaving);
+    CHECK(follower.availabilityOf("s1") == Availability::Leaving);
+}
+
 TEST_CASE("malformed changes of the list are rejected", "[gateway][list]")
 {
     CHECK_FALSE(gateway::decodeListDelta(""));
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -327,7 +327,8 @@
         REQUIRE(gateway::place(pool.fleet, pool.splitter, {"pool", i, 10000, {}, {}}, pool.limits, start).server != nullptr);
     }
     const std::chrono::duration<double> placementTime(static_cast<double>(std::clock() - placementStart) / CLOCKS_PER_SEC);
-    INFO("list: " << listTime.count() << ", updates: " << updateTime.count() << ", with a third changed: " << changedTime.count() << " s of processor time per second; placements: " << placementTime.count());
+    INFO("list: " << listTime.count() << ", updates: " << updateTime.count() << ", with a third changed: " << changedTime.count()
+                  << " s of processor time per second; placements: " << placementTime.count());
     CHECK(listTime.count() < 0.1); /* 0.5 s at a fifth of a core */
     CHECK(updateTime.count() < 0.012);
     CHECK(changedTime.count() < 0.012);
