--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -53,6 +53,7 @@
         checkLeaving();
         checkConfiguration();
         checkPoison();
+        checkStoreReturn();
         checkPlannedStop();
         isOver_ = true;
         for (auto &thread : threads) {
@@ -269,16 +270,39 @@
     void checkLeaving()
     {
         const auto server = random_.index(fleet_.serverProxies.size());
-        auto &backend = *fleet_.fleet.backendServers[server];
         log("check: server leaves", server, leaveBound);
         fleet_.listServer(server, "draining");
         std::this_thread::sleep_for(leaveBound);
+        expectNoNewWork(server);
+        fleet_.listServer(server, "ready");
+    }
+
+    void expectNoNewWork(std::size_t server)
+    {
+        auto &backend = *fleet_.fleet.backendServers[server];
         const int before = backend.totalRunCount();
         std::this_thread::sleep_for(500ms);
         if (backend.totalRunCount() != before) {
             promises_.addViolation({"no new work to a leaving server", "", std::to_string(backend.totalRunCount() - before) + " requests at " + backend.id()});
         }
+    }
+
+    void checkStoreReturn()
+    {
+        core::RandomSource random(seed_); /* of its own: the draws of the other checks belong to the listed seeds */
+        const auto silence = std::chrono::milliseconds(300 + random.index(3000));
+        const auto server = random.index(fleet_.serverProxies.size());
+        log("check: the store answers nobody, then a server leaves and a key is added", server, silence);
+        fleet_.fleet.store.setSilent(true);
+        std::this_thread::sleep_for(silence);
+        fleet_.fleet.store.setSilent(false);
+        fleet_.listServer(server, "draining");
+        fleet_.publishKeys({"key-late"});
+        std::this_thread::sleep_for(std::max(configurationBound, leaveBound));
+        expectKey("key-late", true, "configuration in force in time after the store's return");
+        expectNoNewWork(server);
         fleet_.listServer(server, "ready");
+        fleet_.publishKeys({});
     }
 
     void checkConfiguration()
