List changes: a watch that returns after a later check publishes nothing

Found on reading the change: with checks beside the watch, a response can hold less than the copy already has. What it published had a revision below its base, which other gateways log as unreadable and ignore.

--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -246,7 +246,9 @@
 
 void GatewayNode::onStoreChanges(Catalog::Section section, const platform::StoreChanges &changes)
 {
-    const bool isPublished = section == Catalog::Section::Servers && gossip_.isListWatcher();
+    // A watch can return after a check that has read more.
+    const bool isLatest = changes.revision >= catalog_.revision(section);
+    const bool isPublished = section == Catalog::Section::Servers && isLatest && gossip_.isListWatcher();
     const auto delta = isPublished ? catalog_.reduceServerChanges(changes.items, changes.revision) : ListDelta();
     catalog_.onStoreChanges(section, changes.items, changes.revision, changes.asOf);
     if (isPublished) {
