Second reading of the change: an uptime of any length is read, answers are recorded once, one text of a watch

Found on reading the whole change again, each in place of what stood there: - A report of the store's uptime of more than 1,000 hours was rejected, so that gateways would have taken local failures for outages again after 42 days. The age is now capped at an hour in the message, as for statements. Test: uptimes of 0 to 90,000 hours; 2,000 failed before. - Expired entries were removed before a response was applied and once more after it; an entry that a late response lists again lost its server's statistics. An answer is recorded before, entries are removed once, after. Test: the server stays the same object. - The target of a watch and the text of a failed call were formed twice: watchTarget(), StoreConnection::get(). - isStoreChecker() and isFirstInZone() were one function; one access to a section's store client; a variable shadowed its function; nested conditions. - Comments told how values were chosen.

--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -148,11 +148,6 @@
     state.isUnavailable = false;
     state.failedCalls = 0;
     state.lastRefresh = std::max(state.lastRefresh, asOf);
-    if (section == Section::Servers) {
-        dispatcher_.withFleet([](Fleet &fleet, core::MonotonicTime now) {
-            fleet.onStoreAvailable(now);
-        });
-    }
     refreshComplete();
 }
 
@@ -181,8 +176,8 @@
 void Catalog::onPeerSnapshot(Section section, const member::StoreSnapshot &peerSnapshot, const std::optional<StoreUptime> &uptime)
 {
     if (uptime) {
-        dispatcher_.withFleet([&uptime](Fleet &fleet, core::MonotonicTime now) {
-            fleet.onStoreUptimeReported(*uptime, now);
+        dispatcher_.withFleet([&uptime](Fleet &fleet, core::MonotonicTime) {
+            fleet.onStoreUptimeReported(*uptime);
         });
     }
     apply(section, stateOf(section).replica.replace(peerSnapshot), "peer");
@@ -208,7 +203,7 @@
     }
     dispatcher_.withFleet([&delta](Fleet &fleet, core::MonotonicTime now) {
         if (delta.storeUptime) {
-            fleet.onStoreUptimeReported(*delta.storeUptime, now);
+            fleet.onStoreUptimeReported(*delta.storeUptime);
         } else {
             fleet.onStoreAvailable(now);
         }
@@ -231,6 +226,11 @@
         latest = std::max(latest, item.revision);
         applyOne(item, source);
     }
+    if (section == Section::Servers) {
+        dispatcher_.withFleet([](Fleet &fleet, core::MonotonicTime now) {
+            fleet.removeExpired(now);
+        });
+    }
 }
 
 void Catalog::applyOne(const member::StoreItem &item, const char *source)
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -130,13 +130,11 @@
 void Fleet::onStoreAvailable(core::MonotonicTime now)
 {
     store_.onAnswered(now);
-    removeExpired(now);
 }
 
-void Fleet::onStoreUptimeReported(const StoreUptime &uptime, core::MonotonicTime now)
+void Fleet::onStoreUptimeReported(const StoreUptime &uptime)
 {
     store_.onReported(uptime);
-    removeExpired(now);
 }
 
 void Fleet::removeExpired(core::MonotonicTime now)
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -84,13 +84,14 @@
     /** @brief Handles a failed call of this gateway to the store. */
     void onStoreUnavailable();
 
-    /** @brief Handles a successful call to the store; removes the expired entries once the servers had time to renew them. Call it before removals from the
-     * response are applied too. */
+    /** @brief Handles a successful call to the store; call it before the response is applied. */
     void onStoreAvailable(core::MonotonicTime now);
 
-    /** @brief Handles another gateway's report of the store's uptime. Call it before removals from the same message are applied. @param uptime Uptime.
-     * @param now Current time. */
-    void onStoreUptimeReported(const StoreUptime &uptime, core::MonotonicTime now);
+    /** @brief Handles another gateway's report of the store's uptime; call it before the rest of the message is applied. */
+    void onStoreUptimeReported(const StoreUptime &uptime);
+
+    /** @brief Removes the expired entries once the servers had time to renew them. */
+    void removeExpired(core::MonotonicTime now);
 
     /** @brief Returns StoreAvailability::uptime(). */
     [[nodiscard]] std::optional<StoreUptime> storeUptime() const noexcept
@@ -190,7 +191,6 @@
     [[nodiscard]] int reportedLoadOf(const std::string &id) const;
     void markSuspect(ServerState &server, core::Milliseconds time, bool isResponding, core::MonotonicTime now) const;
     [[nodiscard]] bool isFailureOutlier(const ServerState &server, core::MonotonicTime now) const;
-    void removeExpired(core::MonotonicTime now);
 
     std::map<std::string, ServerPtr> servers_; /* by id */
     std::map<std::string, std::vector<ServerPtr>, std::less<>> byService_;
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -204,17 +204,19 @@
     storeClients_.back()->start();
 }
 
+platform::StoreClient &GatewayNode::storeClient(Catalog::Section section)
+{
+    return *storeClients_.at(static_cast<std::size_t>(section));
+}
+
 StoreCalls GatewayNode::storeCalls()
 {
-    const auto clientOf = [this](Catalog::Section section) -> platform::StoreClient & {
-        return *storeClients_.at(static_cast<std::size_t>(section));
-    };
     StoreCalls calls;
-    calls.waitingTime = [clientOf](Catalog::Section section) {
-        return clientOf(section).waitingTime();
+    calls.waitingTime = [this](Catalog::Section section) {
+        return storeClient(section).waitingTime();
     };
-    calls.replace = [this, clientOf](Catalog::Section section) {
-        auto &client = clientOf(section);
+    calls.replace = [this](Catalog::Section section) {
+        auto &client = storeClient(section);
         telemetry::logRateLimited(
             "store_call_replaced",
             {{"section", std::string(Catalog::prefixOf(section))}, {"revision", catalog_.revision(section)}, {"waited_ms", client.waitingTime().count()}});
@@ -236,10 +238,10 @@
         onStoreChanges(section, changes);
     };
     callbacks.replaceCall = [this](Catalog::Section section) {
-        storeClients_.at(static_cast<std::size_t>(section))->replaceCall();
+        storeClient(section).replaceCall();
     };
     callbacks.relist = [this](Catalog::Section section) {
-        storeClients_.at(static_cast<std::size_t>(section))->relist();
+        storeClient(section).relist();
     };
     return callbacks;
 }
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -43,6 +43,7 @@
     static void startSession(Worker &worker, boost::asio::ip::tcp::socket socket);
     void closeAcceptor();
     void watchSection(Catalog::Section section);
+    [[nodiscard]] platform::StoreClient &storeClient(Catalog::Section section);
     [[nodiscard]] StoreCalls storeCalls();
     [[nodiscard]] StoreCheckCallbacks storeCheckCallbacks();
     void onStoreChanges(Catalog::Section section, const platform::StoreChanges &changes);
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -383,8 +383,8 @@
 void PeerGossip::applyStoreUptime(const std::optional<StoreUptime> &uptime)
 {
     if (uptime) {
-        dispatcher_.withFleet([&uptime](Fleet &fleet, core::MonotonicTime now) {
-            fleet.onStoreUptimeReported(*uptime, now);
+        dispatcher_.withFleet([&uptime](Fleet &fleet, core::MonotonicTime) {
+            fleet.onStoreUptimeReported(*uptime);
         });
     }
 }
@@ -396,7 +396,7 @@
     const bool isConfiguration = section == Catalog::Section::OperatorConfig;
     const auto overdueTime = isConfiguration ? configurationOverdueTime(bounds) : unansweredTime(bounds);
     auto &missed = missedChanges_[section];
-    const bool isOverdue = missed.onPeerRevision(revision, ownRevision, overdueTime, now);
+    const bool isTimeOver = missed.onPeerRevision(revision, ownRevision, overdueTime, now);
     // A copy can also be late because this process is: a response that is being read must not be given up.
     const auto waitingTime = storeCalls_.waitingTime ? storeCalls_.waitingTime(section) : core::Milliseconds(0);
     if (waitingTime < unansweredTime(bounds)) {
@@ -404,7 +404,7 @@
     }
     // A call that was waiting when a peer already had the change should have returned at once.
     const bool isCallLost = missed.missingTime(now) >= unansweredTime(bounds) && waitingTime >= missed.missingTime(now);
-    const bool isMissed = isOverdue || (isCallLost && revision > ownRevision);
+    const bool isMissed = isTimeOver || (isCallLost && revision > ownRevision);
     return isMissed && (isConfiguration || catalog_.age(section) >= listOverdueAge(bounds));
 }
 
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -144,7 +144,6 @@
     void applyStoreUptime(const std::optional<StoreUptime> &uptime);
     [[nodiscard]] std::string buildZoneTotals(core::Milliseconds placementAge);
     [[nodiscard]] bool isOtherZone(const Peer &peer) const;
-    [[nodiscard]] bool isFirstInZone() const;
     [[nodiscard]] bool isLiveInOwnZone(const Peer &peer, core::MonotonicTime now) const;
     [[nodiscard]] std::size_t exchangePeerCount() const;
     [[nodiscard]] core::MonotonicTime lastSign(const Peer &peer) const;
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -24,7 +24,7 @@
     return peer.zone == settings_.zone && internal::elapsed(peer.lastSeen, now) < unresponsiveTimeout();
 }
 
-bool PeerGossip::isFirstInZone() const
+bool PeerGossip::isStoreChecker() const
 {
     const auto now = std::chrono::steady_clock::now();
     const std::pair ownRank(catalog_.isStoreUnavailable(Catalog::Section::Servers), core::hash64(settings_.peerAddress));
@@ -36,12 +36,7 @@
 
 bool PeerGossip::isListWatcher() const
 {
-    return isFirstInZone() && !catalog_.isStoreUnavailable(Catalog::Section::Servers);
-}
-
-bool PeerGossip::isStoreChecker() const
-{
-    return isFirstInZone();
+    return isStoreChecker() && !catalog_.isStoreUnavailable(Catalog::Section::Servers);
 }
 
 std::vector<std::string> PeerGossip::liveMembers() const
--- a/src/cyclamenspool/gateway/peerloads.cpp
+++ b/src/cyclamenspool/gateway/peerloads.cpp
@@ -51,7 +51,14 @@
     auto before = previous.begin();
     auto after = next.begin();
     while (before != previous.end() || after != next.end()) {
-        const int order = before == previous.end() ? 1 : (after == next.end() ? -1 : before->server.compare(after->server));
+        int order = 0; /* negative: only before has the server, positive: only after */
+        if (before == previous.end()) {
+            order = 1;
+        } else if (after == next.end()) {
+            order = -1;
+        } else {
+            order = before->server.compare(after->server);
+        }
         const auto &server = order <= 0 ? before->server : after->server;
         const int removed = order <= 0 ? (before++)->outstanding : 0;
         const int added = order >= 0 ? (after++)->outstanding : 0;
--- a/src/cyclamenspool/gateway/peermessages.h
+++ b/src/cyclamenspool/gateway/peermessages.h
@@ -6,6 +6,7 @@
 #include <cyclamenspool/member/storereplica.h>
 #include <cyclamenspool/wire/generated/messages.pb.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,18 +28,29 @@
 /** @brief Writes a suspected backend server to an entry of a message. */
 void encodeSuspicion(const Suspicion &suspicion, wire::Suspicion &entry);
 
+namespace internal {
+
+inline constexpr std::int64_t maxReportedAge = 3600000; /* milliseconds; nothing depends on more */
+
+/** @brief Returns the age of an event for a message, in milliseconds, at most maxReportedAge. */
+[[nodiscard]] inline std::int64_t reportedAge(core::MonotonicTime at, core::MonotonicTime now) noexcept
+{
+    return std::clamp<std::int64_t>(std::chrono::duration_cast<core::Milliseconds>(now - at).count(), 0, maxReportedAge);
+}
+
+} // namespace internal
+
 /** @brief Returns the statements of backend servers in a message, at most 64; ages and limits out of range are left out. */
 template<typename Message>
 [[nodiscard]] std::vector<ServerStatementReport> statementsIn(const Message &message)
 {
     constexpr std::size_t maxReports = 64;
-    constexpr std::int64_t maxAge = 3600000; /* milliseconds */
     constexpr double maxLimit = 1e6; /* requests per second */
     const auto now = std::chrono::steady_clock::now();
     std::vector<ServerStatementReport> reports;
     for (const auto &entry : message.statements()) {
-        const bool isPlausible
-            = entry.limit_age_ms() >= 0 && entry.limit_age_ms() <= maxAge && (!entry.has_limit() || (entry.limit() >= 0 && entry.limit() <= maxLimit));
+        const bool isAgePlausible = entry.limit_age_ms() >= 0 && entry.limit_age_ms() <= internal::maxReportedAge;
+        const bool isPlausible = isAgePlausible && (!entry.has_limit() || (entry.limit() >= 0 && entry.limit() <= maxLimit));
         if (!isPlausible || reports.size() == maxReports) {
             continue;
         }
@@ -56,7 +68,6 @@
 template<typename Message>
 void addStatements(Message &message, const std::vector<ServerStatementReport> &reports)
 {
-    constexpr std::int64_t maxAge = 3600000; /* milliseconds; a server that has named no limit */
     const auto now = std::chrono::steady_clock::now();
     for (const auto &report : reports) {
         auto *entry = message.add_statements();
@@ -66,8 +77,7 @@
         if (report.limit.perSecond) {
             entry->set_limit(*report.limit.perSecond);
         }
-        const auto age = std::chrono::duration_cast<core::Milliseconds>(now - report.limit.statedAt);
-        entry->set_limit_age_ms(std::clamp<std::int64_t>(age.count(), 0, maxAge));
+        entry->set_limit_age_ms(internal::reportedAge(report.limit.statedAt, now));
     }
 }
 
@@ -115,14 +125,16 @@
 template<typename Message>
 [[nodiscard]] std::optional<StoreUptime> storeUptimeIn(const Message &message)
 {
-    constexpr std::int64_t maxAge = 1000LL * 3600 * 1000; /* milliseconds */
     const auto &uptime = message.store_uptime();
-    const bool isValid = message.has_store_uptime() && uptime.answered_ms() >= 0 && uptime.since_ms() >= uptime.answered_ms() && uptime.since_ms() <= maxAge;
+    const bool isValid = message.has_store_uptime() && uptime.answered_ms() >= 0 && uptime.since_ms() >= uptime.answered_ms();
     if (!isValid) {
         return std::nullopt;
     }
     const auto now = std::chrono::steady_clock::now();
-    return StoreUptime{now - core::Milliseconds(uptime.since_ms()), now - core::Milliseconds(uptime.answered_ms())};
+    const auto timeOf = [now](std::int64_t age) {
+        return now - core::Milliseconds(std::min(age, internal::maxReportedAge));
+    };
+    return StoreUptime{timeOf(uptime.since_ms()), timeOf(uptime.answered_ms())};
 }
 
 /** @brief Writes the store's uptime to a message. @param uptime Uptime; empty: none is written. */
@@ -133,10 +145,8 @@
         return;
     }
     const auto now = std::chrono::steady_clock::now();
-    const auto answeredTime = std::chrono::duration_cast<core::Milliseconds>(now - uptime->until);
-    const auto sinceTime = std::chrono::duration_cast<core::Milliseconds>(now - uptime->since);
-    message.mutable_store_uptime()->set_answered_ms(std::max<std::int64_t>(answeredTime.count(), 0));
-    message.mutable_store_uptime()->set_since_ms(std::max<std::int64_t>(sinceTime.count(), 0));
+    message.mutable_store_uptime()->set_answered_ms(internal::reportedAge(uptime->until, now));
+    message.mutable_store_uptime()->set_since_ms(internal::reportedAge(uptime->since, now));
 }
 
 /** @brief Decodes a peer's request for items. @param bytes Serialized message. @return Prefix of the requested keys; empty if malformed. */
--- a/src/cyclamenspool/gateway/serverstatements.cpp
+++ b/src/cyclamenspool/gateway/serverstatements.cpp
@@ -8,12 +8,12 @@
 
 namespace internal {
 
-constexpr std::chrono::seconds limitExpiry{30}; /* a server that answers nobody for so long is taken for one without a limit */
-constexpr double burstRequests = 4; /* of the five that the users allow above the rate */
-constexpr double burstSeconds = 1.5; /* of the two seconds' worth of the limit that they allow above the rate */
-constexpr std::chrono::duration<double> bucketTime{0.5}; /* requests that a gateway may save up, at least one */
+constexpr std::chrono::seconds limitExpiry{30}; /* without a further statement */
+constexpr double burstRequests = 4; /* above the rate, over all holders */
+constexpr double burstSeconds = 1.5; /* worth of the limit, in addition */
+constexpr std::chrono::duration<double> bucketTime{0.5}; /* worth of its share that a gateway may save up, at least one request */
 constexpr core::Milliseconds reportTolerance{50}; /* the age in a report lacks the time that the message took */
-constexpr core::Milliseconds notHolderWait{1000}; /* until a gateway without a share asks again */
+constexpr core::Milliseconds notHolderWait{1000}; /* for a gateway without a share */
 
 } // namespace internal
 
--- a/src/cyclamenspool/gateway/serverstatements.h
+++ b/src/cyclamenspool/gateway/serverstatements.h
@@ -21,7 +21,7 @@
 /**
  * @brief What a backend server has said of itself in its responses to this gateway, and to others as they report it. Not thread safe.
  *
- * That it leaves holds for its process. A wish for no requests holds for this gateway until its end. Of limits the latest statement holds, for at most 30 s.
+ * That it leaves holds for its process, a back-off time for this gateway. Of limits the latest statement holds, for at most 30 s.
  */
 class ServerStatements
 {
@@ -50,7 +50,7 @@
         return isLeaving_;
     }
 
-    /** @brief Returns the end of the time in which it wants no request of this gateway. */
+    /** @brief Returns the end of its back-off time. */
     [[nodiscard]] core::MonotonicTime backOffUntil() const noexcept
     {
         return backOffUntil_;
@@ -86,8 +86,7 @@
 /**
  * @brief Returns the number of gateways that share a limit; the others send the server nothing.
  *
- * Each of them may save up one request. So their number is bounded by the burst that the server bears, which the users set at five requests and half of the
- * limit over four seconds.
+ * Each of them may save up one request, so their number bounds the burst above the limit.
  * @param perSecond Limit in requests per second.
  * @param gateways Number of gateways.
  */
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -91,8 +91,6 @@
         } catch (const RevisionCompacted &) {
             needsList_ = true;
             isCompacted = true;
-        } catch (const boost::system::system_error &error) {
-            failure = error.code().message(); // what() would add the place in the library's source.
         } catch (const std::exception &error) {
             failure = error.what();
         }
@@ -171,7 +169,7 @@
 asio::awaitable<void> StoreClient::watch()
 {
     const auto wait = hasFailed_ ? internal::waitAfterFailure : callbacks_.watchTime();
-    const std::string target = "/-/kv-watch?prefix=" + prefix_ + "&after=" + std::to_string(callbacks_.revision()) + "&wait_ms=" + std::to_string(wait.count());
+    const auto target = watchTarget(prefix_, callbacks_.revision(), wait);
     const auto page = readWatchPage(co_await call(target, wait + internal::callTimeout), callbacks_.onMalformed);
     hasFailed_ = false;
     failuresInRow_ = 0;
--- a/src/cyclamenspool/platform/storeconnection.cpp
+++ b/src/cyclamenspool/platform/storeconnection.cpp
@@ -41,6 +41,15 @@
 }
 
 asio::awaitable<std::string> StoreConnection::get(std::string target, std::chrono::milliseconds timeout)
+{
+    try {
+        co_return co_await exchange(std::move(target), timeout);
+    } catch (const boost::system::system_error &error) {
+        throw std::runtime_error(error.code().message()); // what() would add the place in the library's source.
+    }
+}
+
+asio::awaitable<std::string> StoreConnection::exchange(std::string target, std::chrono::milliseconds timeout)
 {
     waitingSince_ = std::chrono::steady_clock::now();
     if (stream_ == nullptr) {
--- a/src/cyclamenspool/platform/storeconnection.h
+++ b/src/cyclamenspool/platform/storeconnection.h
@@ -51,6 +51,7 @@
 
 private:
     boost::asio::awaitable<void> connect();
+    boost::asio::awaitable<std::string> exchange(std::string target, std::chrono::milliseconds timeout);
 
     boost::asio::io_context &context_;
     std::string address_;
--- a/src/cyclamenspool/platform/storepage.cpp
+++ b/src/cyclamenspool/platform/storepage.cpp
@@ -63,6 +63,11 @@
 
 } // namespace internal
 
+std::string watchTarget(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait)
+{
+    return "/-/kv-watch?prefix=" + prefix + "&after=" + std::to_string(revision) + "&wait_ms=" + std::to_string(wait.count());
+}
+
 StorePage readListPage(const std::string &body, const MalformedItemHandler &onMalformed)
 {
     const auto response = json::parse(body);
--- a/src/cyclamenspool/platform/storepage.h
+++ b/src/cyclamenspool/platform/storepage.h
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/member/storereplica.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -20,6 +21,14 @@
     bool hasMore = false; /**< Another page follows; lists only. */
 };
 
+/**
+ * @brief Formats the target of a watch.
+ * @param prefix Prefix of the keys.
+ * @param revision Revision after which changes are requested.
+ * @param wait Longest time for which the store holds the call without a change.
+ */
+[[nodiscard]] std::string watchTarget(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait);
+
 /**
  * @brief Decodes a page of a list.
  * @param body JSON body of the response.
--- a/src/cyclamenspool/platform/storepoller.cpp
+++ b/src/cyclamenspool/platform/storepoller.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::chrono::milliseconds pollTimeout{2500};
 constexpr std::size_t maxRunningPolls = 8;
-constexpr const char *shortestWait = "1"; /* milliseconds */
+constexpr std::chrono::milliseconds shortestWait{1};
 
 } // namespace internal
 
@@ -41,8 +41,7 @@
 
 boost::asio::awaitable<void> StorePoller::run(PollPtr poll)
 {
-    const std::string target
-        = "/-/kv-watch?prefix=" + poll->prefix + "&after=" + std::to_string(poll->revision) + "&wait_ms=" + std::string(internal::shortestWait);
+    const auto target = watchTarget(poll->prefix, poll->revision, internal::shortestWait);
     StoreChanges changes;
     changes.asOf = poll->startedAt;
     std::string failure;
@@ -53,8 +52,6 @@
         changes.revision = page.revision;
     } catch (const RevisionCompacted &) {
         isCompacted = true;
-    } catch (const boost::system::system_error &error) {
-        failure = error.code().message(); // what() would add the place in the library's source.
     } catch (const std::exception &error) {
         failure = error.what();
     }
--- a/test/gateway/storeavailability.cpp
+++ b/test/gateway/storeavailability.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <cyclamenspool/gateway/catalog.h>
 #include <cyclamenspool/gateway/fleet.h>
+#include <cyclamenspool/gateway/peermessages.h>
 #include <cyclamenspool/gateway/storeavailability.h>
 
 using namespace cyclamenspool;
@@ -78,6 +80,37 @@
     CHECK_FALSE(store.mayEntryHaveExpired(start + 100ms));
 }
 
+// Guards against gateways that ignore each other's reports once they have run for long.
+TEST_CASE("an uptime of any length reaches another gateway", "[gateway][store]")
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto age : {0h, 1h, 2000h, 90000h}) {
+        CAPTURE(age.count());
+        const auto copy = gateway::decodeSnapshot(gateway::encodeSnapshot({{{}, 7}, StoreUptime{now - age, now}}));
+        REQUIRE(copy);
+        REQUIRE(copy->storeUptime);
+        CHECK(now - copy->storeUptime->since >= std::min<std::chrono::hours>(age, 1h) - 1s);
+    }
+}
+
+TEST_CASE("an entry that a late response lists again keeps its server", "[gateway][store]")
+{
+    gateway::Dispatcher dispatcher{config::GatewaySettings()};
+    gateway::Catalog catalog(dispatcher);
+    constexpr auto section = gateway::Catalog::Section::Servers;
+    const std::string text = R"({"service":"pool","address":"10.0.0.1:80","zone":"az-a","slots":8,"state":"ready"})";
+    catalog.onStoreList(section, {{{"servers/s0", text, 3, false}}, 3});
+    gateway::ServerPtr before;
+    dispatcher.withFleet([&before](gateway::Fleet &fleet, core::MonotonicTime now) {
+        before = fleet.find("s0");
+        before->entryExpiredAt = now;
+    });
+    catalog.onStoreChanges(section, {{"servers/s0", text, 5, false}}, 5);
+    dispatcher.withFleet([&before](gateway::Fleet &fleet, core::MonotonicTime) {
+        CHECK(fleet.find("s0") == before);
+    });
+}
+
 TEST_CASE("a removal that a peer has read is final while the store serves that peer, whatever happens to this gateway's calls", "[gateway][store]")
 {
     Fleet fleet;
@@ -88,7 +121,7 @@
     fleet.onStoreAvailable(start);
     fleet.onStoreUnavailable();
     for (auto at = start; at <= start + 10s; at += 500ms) {
-        fleet.onStoreUptimeReported({start, at}, at);
+        fleet.onStoreUptimeReported({start, at});
     }
     CHECK_FALSE(fleet.onServerRemoved("s0", start + 10s));
     CHECK(fleet.serversOf("pool").empty());
