--- /dev/null
+++ b/test/process/plannedstop.cpp
@@ -0,0 +1,233 @@
+#include <catch2/catch.hpp>
+
+#include <harness/eventstream.h>
+#include <harness/gatewayfleet.h>
+#include <harness/localfleet.h>
+
+#include <cyclamenspool/wire/endpoint.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <random>
+#include <thread>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using harness::chunk;
+using harness::formatResponseWithDigest;
+using harness::GatewayFleet;
+using harness::LocalFleet;
+using harness::PlainRequest;
+using harness::PlainSocket;
+using harness::responseHeadFor;
+using harness::serverSentEvent;
+using harness::writeAll;
+
+namespace {
+
+/** @brief How a request on a connection ended, as its caller sees it. */
+enum class End : int {
+    Answered, /**< A complete response. */
+    Unread, /**< The connection was reset or could not be used: a gateway that closes with unread bytes resets. */
+    GivenUp, /**< The connection was closed in order without a complete response: the request was read and not answered. */
+};
+
+/** @brief A connection of a caller to a gateway. */
+class Caller
+{
+public:
+    explicit Caller(const GatewayFleet::Gateway &gateway)
+        : socket_(context_)
+    {
+        boost::system::error_code error;
+        socket_.connect(wire::parseEndpoint(gateway.callerAddress), error);
+        isOpen_ = !error;
+    }
+
+    /** @brief Sends a request and waits for the end of its response. */
+    End request(const std::string &id, const std::string &path = "/once/x")
+    {
+        const bool isSent = isOpen_
+            && writeAll(socket_,
+                        "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-1\r\nCyclamenspool-Request-Id: " + id
+                            + "\r\nCyclamenspool-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n");
+        if (!isSent) {
+            isOpen_ = false;
+            return End::Unread;
+        }
+        boost::beast::http::response<boost::beast::http::string_body> response;
+        boost::system::error_code error;
+        boost::beast::http::read(socket_, buffer_, response, error);
+        status_ = error ? 0 : response.result_int();
+        isOpen_ = !error && response.keep_alive();
+        if (!error) {
+            return End::Answered;
+        }
+        return error == boost::asio::error::connection_reset ? End::Unread : End::GivenUp;
+    }
+
+    /** @brief Returns whether the connection can be used for another request, as far as the last response tells. */
+    [[nodiscard]] bool isOpen() const noexcept
+    {
+        return isOpen_;
+    }
+
+    /** @brief Returns the status of the last response; 0 if there was none. */
+    [[nodiscard]] unsigned status() const noexcept
+    {
+        return status_;
+    }
+
+private:
+    boost::asio::io_context context_;
+    PlainSocket socket_;
+    boost::beast::flat_buffer buffer_;
+    bool isOpen_ = false;
+    unsigned status_ = 0;
+};
+
+/** @brief Changes the grace period of a running gateway, which is 6 s at the start. @param seconds New value, as written in the settings file. */
+void setGracePeriod(GatewayFleet::Gateway &gateway, const std::string &seconds)
+{
+    auto settings = GatewayFleet::readSettings(gateway);
+    settings.replace(settings.find("grace_s: 6"), 10, "grace_s: " + seconds);
+    GatewayFleet::writeSettings(gateway, settings);
+    gateway.process.signal(SIGHUP);
+    REQUIRE(LocalFleet::waitUntil([&gateway] {
+        return GatewayFleet::readLog(gateway).find("in force\"") != std::string::npos;
+    }));
+}
+
+/** @brief Makes a backend server send a stream of events, one each 100 ms. */
+void sendStreams(harness::FakeBackendServer &server, int events)
+{
+    server.setHandler([events](const PlainRequest &request, PlainSocket &socket) {
+        if (request.target().substr(0, 8) != "/stream/") {
+            return writeAll(socket, formatResponseWithDigest(request, "done"));
+        }
+        bool isOpen = writeAll(socket, responseHeadFor(request));
+        for (int id = 1; id <= events && isOpen; ++id) {
+            isOpen = writeAll(socket, chunk(serverSentEvent(id)));
+            std::this_thread::sleep_for(100ms);
+        }
+        return writeAll(socket, "0\r\n\r\n");
+    });
+}
+
+} // namespace
+
+// Guards against a request that is read and dropped on a connection whose last response promised that it stays open.
+TEST_CASE("planned stop: the request after a stream whose headers kept the connection open is answered", "[process][gateway][stop]")
+{
+    GatewayFleet fleet(1, 1);
+    auto &gateway = fleet.gateways[0];
+    const int events = GENERATE(27, 33); /* the stream ends while new requests are accepted, and while they are refused */
+    CAPTURE(events);
+    sendStreams(*fleet.backendServers[0], events);
+    std::vector<std::future<std::pair<End, unsigned>>> callers;
+    for (int i = 0; i < 8; ++i) {
+        callers.push_back(std::async(std::launch::async, [&gateway, i] {
+            Caller caller(gateway);
+            const auto id = "r" + std::to_string(i);
+            const auto first = caller.request(id + "a", "/stream/x");
+            if (first != End::Answered || !caller.isOpen()) {
+                return std::pair(End::Unread, 0U); // The response to the stream did not promise an open connection.
+            }
+            const auto second = caller.request(id + "b");
+            return std::pair(second, caller.status());
+        }));
+    }
+    std::this_thread::sleep_for(100ms);
+    gateway.process.signal(SIGTERM);
+    for (auto &each : callers) {
+        const auto [end, status] = each.get();
+        CHECK(end == End::Answered);
+        CHECK((status == 200 || status == 503));
+    }
+    CHECK(gateway.process.wait(7s) == 0);
+}
+
+// Guards against an exit that comes before the requests in progress were ended, if the event loop is late at that time.
+TEST_CASE("planned stop: requests in progress are answered by a process that is suspended until its exit", "[process][gateway][stop]")
+{
+    GatewayFleet fleet(1, 1);
+    auto &gateway = fleet.gateways[0];
+    setGracePeriod(gateway, "2.5");
+    fleet.backendServers[0]->setHandler([](const PlainRequest &, PlainSocket &) {
+        std::this_thread::sleep_for(5000ms);
+        return false;
+    });
+    std::vector<std::future<std::pair<End, unsigned>>> callers;
+    for (int i = 0; i < 8; ++i) {
+        callers.push_back(std::async(std::launch::async, [&gateway, i] {
+            Caller caller(gateway);
+            const auto end = caller.request("r" + std::to_string(i));
+            return std::pair(end, caller.status());
+        }));
+    }
+    std::this_thread::sleep_for(200ms);
+    gateway.process.signal(SIGTERM);
+    std::this_thread::sleep_for(1400ms);
+    gateway.process.signal(SIGSTOP);
+    std::this_thread::sleep_for(800ms);
+    gateway.process.signal(SIGCONT);
+    for (auto &each : callers) {
+        const auto [end, status] = each.get();
+        CHECK(end == End::Answered);
+        CHECK(status == 502); /* it may have run */
+    }
+    CHECK(gateway.process.wait(2s) == 0);
+}
+
+// Guards against a request that is read and not answered at any moment of a planned stop, while the process is late by up to 0.3 s.
+TEST_CASE("planned stop of a late process: no request is read and given up, whenever it arrives", "[process][gateway][stop]")
+{
+    GatewayFleet fleet(1, 1);
+    auto &gateway = fleet.gateways[0];
+    sendStreams(*fleet.backendServers[0], 38);
+    std::atomic<bool> isProcessGone{false};
+    std::atomic<int> answered{0};
+    std::atomic<int> givenUp{0};
+    std::vector<std::future<void>> callers;
+    for (int number = 0; number < 12; ++number) {
+        callers.push_back(std::async(std::launch::async, [&, number] {
+            for (int i = 0; !isProcessGone; ++i) {
+                Caller caller(gateway);
+                // Odd callers keep their connections, with pauses; the others use a new one for each request.
+                for (int j = 0; !isProcessGone; ++j) {
+                    const auto end = caller.request(std::to_string(number) + "-" + std::to_string(i) + "-" + std::to_string(j));
+                    answered += end == End::Answered ? 1 : 0;
+                    givenUp += end == End::GivenUp ? 1 : 0;
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1 + number));
+                    if (number % 2 == 0 || !caller.isOpen()) {
+                        break;
+                    }
+                }
+            }
+        }));
+    }
+    auto stream = std::async(std::launch::async, [&gateway] {
+        return Caller(gateway).request("stream", "/stream/x"); // Keeps the process until its end.
+    });
+    std::this_thread::sleep_for(200ms);
+    gateway.process.signal(SIGTERM);
+    std::mt19937 random(29); // NOLINT(cert-msc32-c,cert-msc51-cpp): the pauses are to be the same in every run
+    while (gateway.process.wait(0ms) == -1) {
+        gateway.process.signal(SIGSTOP);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20 + random() % 280));
+        gateway.process.signal(SIGCONT);
+        std::this_thread::sleep_for(std::chrono::milliseconds(5 + random() % 40));
+    }
+    isProcessGone = true;
+    for (auto &each : callers) {
+        each.get();
+    }
+    CHECK(stream.get() == End::Answered);
+    CHECK(answered > 50);
+    CHECK(givenUp == 0);
+}
