Caller connections: bytes are read from the socket by the handler that parses them

Cause: async_read_some() takes the bytes when it is started, if there are any, and queues its handler. closeIfIdle(), queued in between, found no request, an empty buffer and nothing left in the socket, and closed. It needs an event loop that is late, as with 1,800 new routes on 0.09 of a core. The idle timeout had the same gap. Change: the session waits until the socket is readable and reads in the handler that parses, so that no byte is read without an owner. While a connection lingers after its last response, further requests stay unread, and closing resets it; the rest of a refused request is still read. As many system calls as before.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -52,10 +52,12 @@
 
 void CallerSession::start()
 {
+    boost::system::error_code ignored;
+    socket_.non_blocking(true, ignored);
     wire::setTcpKeepAlive(socket_, internal::callerKeepAlive);
     timeoutAt_ = std::chrono::steady_clock::now() + internal::callerLimits(worker_).idleTimeout;
     armTimer();
-    read();
+    waitForBytes();
 }
 
 bool CallerSession::isKeepAlive() const noexcept
@@ -63,35 +65,62 @@
     return keepAlive_ && !worker_.isDraining();
 }
 
-void CallerSession::read()
+void CallerSession::waitForBytes()
 {
-    if (isReading_ || isClosed_ || readBuffer_.size() > internal::maxPipelinedBytes + internal::callerLimits(worker_).headerBytes) {
+    if (isWaitingForBytes_ || isClosed_ || readBuffer_.size() > internal::maxPipelinedBytes + internal::callerLimits(worker_).headerBytes) {
         return;
     }
-    isReading_ = true;
+    isWaitingForBytes_ = true;
     auto self = shared_from_this();
-    socket_.async_read_some(readBuffer_.prepare(internal::readSize), [self](const boost::system::error_code &error, std::size_t count) {
-        self->isReading_ = false;
-        self->onRead(error, count);
+    // An asynchronous read would take the bytes from the socket before its handler runs; a close in between would lose them without an answer.
+    socket_.async_wait(asio::ip::tcp::socket::wait_read, [self](const boost::system::error_code &error) {
+        self->isWaitingForBytes_ = false;
+        if (error && !self->isClosed_) {
+            self->onDisconnected();
+        } else if (!self->isClosed_) {
+            self->onReadable();
+        }
     });
 }
 
-void CallerSession::onRead(const boost::system::error_code &error, std::size_t count)
+void CallerSession::onReadable()
 {
-    if (isClosed_) {
-        return;
+    if (closeAfterWrite_) {
+        discard();
+    } else {
+        read();
     }
-    if (error) {
+}
+
+void CallerSession::read()
+{
+    boost::system::error_code error;
+    const auto count = socket_.read_some(readBuffer_.prepare(internal::readSize), error);
+    if (error && error != asio::error::would_block) {
         onDisconnected();
         return;
     }
-    if (isLingering_) {
-        read();
-        return;
-    }
     readBuffer_.commit(count);
     processBuffered();
-    read();
+    waitForBytes();
+}
+
+void CallerSession::discard()
+{
+    if (!parser_) {
+        // A further request stays unread, so that its caller knows that it was not taken.
+        if (wire::isClosedByPeer(socket_)) {
+            onDisconnected();
+        }
+        return;
+    }
+    boost::system::error_code error;
+    socket_.read_some(readBuffer_.prepare(internal::readSize), error);
+    if (error && error != asio::error::would_block) {
+        onDisconnected();
+    } else {
+        waitForBytes();
+    }
 }
 
 void CallerSession::processBuffered()
@@ -261,7 +290,7 @@
     auto self = shared_from_this();
     asio::post(worker_.context(), [self] {
         self->processBuffered();
-        self->read();
+        self->waitForBytes();
     });
 }
 
@@ -284,13 +313,17 @@
     return isClosed_ || wire::isClosedByPeer(socket_);
 }
 
-void CallerSession::closeIfIdle()
+bool CallerSession::isIdle()
 {
     boost::system::error_code ignored;
     const bool isUnread = socket_.available(ignored) > 0;
-    const bool isIdle = exchange_ == nullptr && !parser_ && pendingBytes() == 0 && readBuffer_.size() == 0 && !isUnread;
+    return exchange_ == nullptr && !parser_ && pendingBytes() == 0 && readBuffer_.size() == 0 && !isUnread;
+}
+
+void CallerSession::closeIfIdle()
+{
     // A request that arrives while the connection is being closed is never read, so its caller can safely retry it.
-    if (isIdle && !isLingering_) {
+    if (!isLingering_ && !isClosed_ && isIdle()) {
         close();
     }
 }
@@ -315,9 +348,8 @@
     setResetOnClose(false);
     boost::system::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    readBuffer_.clear();
     setTimeout(std::chrono::steady_clock::now() + internal::lingerTime);
-    read();
+    waitForBytes();
 }
 
 void CallerSession::onDisconnected()
@@ -374,6 +406,10 @@
                                            : "the request headers were incomplete at the header timeout");
         return;
     }
+    if (exchange_ == nullptr && !closeAfterWrite_ && pendingBytes() == 0 && !isIdle()) {
+        expectProgress(); /* a request has arrived, and the event loop is late */
+        return;
+    }
     close();
 }
 
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -70,8 +70,10 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    void waitForBytes();
+    void onReadable();
     void read();
-    void onRead(const boost::system::error_code &error, std::size_t count);
+    void discard();
     void processBuffered();
     bool parse(); /* true if more of the buffered bytes can be parsed now */
     void onHeaders();
@@ -83,6 +85,7 @@
     void expectProgress();
     void setResetOnClose(bool isReset);
     void linger();
+    [[nodiscard]] bool isIdle();
     void onDisconnected();
     void close();
     void setTimeout(core::MonotonicTime time);
@@ -102,7 +105,7 @@
     std::string bytesInWrite_;
     std::size_t writtenBytes_ = 0; /* of bytesInWrite_ */
     std::shared_ptr<Exchange> exchange_;
-    bool isReading_ = false;
+    bool isWaitingForBytes_ = false;
     bool keepAlive_ = true;
     bool closeAfterWrite_ = false;
     bool isLingering_ = false;
