Caller connections: a connection closes after a response only if its headers said so

What callers saw: the request after a stream was read and dropped, and the connection closed without an answer, if the stream's headers were written before a planned stop began and its end came after: the headers promised an open connection. Cause: the decision to close was taken anew at the end of the response; what arrived then was read and discarded for up to 1 s. Change: the decision is taken once, for the headers. A connection that stays open is closed later as an idle one, unread, or answers its next request. If bytes of a pipelined request have been read already, the connection stays open for them.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -60,9 +60,10 @@
     waitForBytes();
 }
 
-bool CallerSession::isKeepAlive() const noexcept
+bool CallerSession::decideKeepAlive()
 {
-    return keepAlive_ && !worker_.isDraining();
+    keepAlive_ = keepAlive_ && (!worker_.isDraining() || readBuffer_.size() > 0);
+    return keepAlive_;
 }
 
 void CallerSession::waitForBytes()
@@ -278,7 +279,7 @@
 void CallerSession::finishResponse()
 {
     exchange_.reset();
-    if (!isKeepAlive()) {
+    if (!keepAlive_) {
         closeAfterWrite_ = true;
         expectProgress();
         if (pendingBytes() == 0) {
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -52,8 +52,12 @@
     /** @brief Closes the connection at once, which cuts off the current response. */
     void abort();
 
-    /** @brief Returns whether the connection stays open after the current response. */
-    [[nodiscard]] bool isKeepAlive() const noexcept;
+    /**
+     * @brief Decides, for the headers of the current response, whether the connection stays open after it.
+     *
+     * In a shutdown it does so only if bytes of a further request have been read.
+     */
+    [[nodiscard]] bool decideKeepAlive();
 
     /** @brief Marks the current response as one that the end of the connection completes: until its last byte is written, any other end is a reset. */
     void beginUnframedResponse();
@@ -106,7 +110,7 @@
     std::size_t writtenBytes_ = 0; /* of bytesInWrite_ */
     std::shared_ptr<Exchange> exchange_;
     bool isWaitingForBytes_ = false;
-    bool keepAlive_ = true;
+    bool keepAlive_ = true; /* after the current response; as its headers say once they are written */
     bool closeAfterWrite_ = false;
     bool isLingering_ = false;
     bool isClosed_ = false;
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -314,7 +314,7 @@
     refusal.kind = kind;
     refusal.detail = detail;
     refusal.retryAfter = chooseRetryAfter(kind, callerRemainingTime(), worker_.random(), availableIn_);
-    refusal.keepAlive = session_->isKeepAlive();
+    refusal.keepAlive = session_->decideKeepAlive();
     refusal.isHeadRequest = request_.method() == bhttp::verb::head;
     worker_.dispatcher().countRefusal(kind);
     session_->write(formatRefusal(refusal));
--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -149,7 +149,7 @@
         } else {
             session_->beginUnframedResponse();
         }
-        out += session_->isKeepAlive() ? "\r\n" : "Connection: close\r\n\r\n";
+        out += session_->decideKeepAlive() ? "\r\n" : "Connection: close\r\n\r\n";
     }
     out += isChunked ? internal::formatChunk(bytes) : bytes;
     session_->write(std::move(out));
@@ -192,7 +192,7 @@
     if (!isHeadRequest && !internal::hasNoBody(responseStatus_)) {
         out += "Content-Length: " + std::to_string(responseBody_.size()) + "\r\n";
     }
-    out += session_->isKeepAlive() ? "\r\n" : "Connection: close\r\n\r\n";
+    out += session_->decideKeepAlive() ? "\r\n" : "Connection: close\r\n\r\n";
     if (!isHeadRequest) {
         out += responseBody_;
     }
