Planned stop: the process exits after its event loops have run what was queued before, and counts a connection from its accept

What callers saw: requests in progress closed without an answer when the process was late around the end of the grace period. Cause: one check could find that the requests were to be ended and that the exit was due; it queued the end of the requests and stopped the event loops before it ran. A worker that was late lost it in the same way. A connection that was accepted and handed to a worker did not count as open until the worker ran. Requests were refused from a flag that was set every 0.1 s, up to 0.1 s after its time, so that some were accepted later than 3 s after the signal. Change: planShutdown() names the times of all steps; workers compare the clock with them. A worker stops by a handler of its own queue. A session counts from its construction on the accepting thread. A request that is incomplete at the end of the grace period is refused. Log: `stopped` sums up the requests that were taken, answered, refused and cut; `response_cut` names a response that the exit cuts off.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/gateway/exchange.h>
 #include <cyclamenspool/gateway/refusal.h>
+#include <cyclamenspool/telemetry/log.h>
 #include <cyclamenspool/wire/socketstate.h>
 #include <cyclamenspool/wire/tcpkeepalive.h>
 
@@ -42,16 +43,17 @@
     , socket_(std::move(socket))
     , timer_(worker.context())
 {
-    worker_.setSessionRegistered(*this, true);
+    worker_.countSession();
 }
 
 CallerSession::~CallerSession()
 {
-    worker_.setSessionRegistered(*this, false);
+    worker_.removeSession(*this);
 }
 
 void CallerSession::start()
 {
+    worker_.addSession(*this);
     boost::system::error_code ignored;
     socket_.non_blocking(true, ignored);
     wire::setTcpKeepAlive(socket_, internal::callerKeepAlive);
@@ -188,6 +190,8 @@
 {
     auto request = parser_->release();
     parser_.reset();
+    worker_.tally().taken++;
+    lastRequestId_ = platform::readRequestId(request.base());
     keepAlive_ = request.keep_alive();
     timeoutAt_ = core::MonotonicTime::max();
     exchange_ = std::make_shared<Exchange>(worker_, *this, std::move(request), requestStart_);
@@ -306,6 +310,8 @@
     if (exchange_ != nullptr) {
         const auto exchange = exchange_;
         exchange->onShutdown();
+    } else if (parser_ && !closeAfterWrite_ && !isClosed_) {
+        refuseIncomplete(core::ErrorKind::ShuttingDown, "the gateway shut down before the request was complete");
     }
 }
 
@@ -329,6 +335,14 @@
     }
 }
 
+void CallerSession::reportCut()
+{
+    if (!isClosed_ && pendingBytes() > 0) {
+        worker_.tally().cut++;
+        telemetry::logRateLimited("response_cut", {{"request", lastRequestId_}, {"unwritten_bytes", pendingBytes()}});
+    }
+}
+
 void CallerSession::beginUnframedResponse()
 {
     keepAlive_ = false;
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -28,7 +28,8 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
 public:
-    /** @brief Creates a session and registers it with its worker. @param worker Worker that owns the connection. @param socket Accepted connection. */
+    /** @brief Creates a session, which its worker counts from now on; on any thread. @param worker Worker that owns the connection. @param socket Accepted
+     * connection. */
     CallerSession(Worker &worker, boost::asio::ip::tcp::socket socket);
     ~CallerSession();
     CallerSession(const CallerSession &) = delete;
@@ -65,12 +66,15 @@
     /** @brief Returns whether the caller has closed the connection, also if the event loop is too late to have noticed. */
     [[nodiscard]] bool hasCallerLeft();
 
-    /** @brief Ends the request in progress because the process is about to exit, see Exchange::onShutdown(). */
+    /** @brief Ends the request in progress because the process is about to exit, see Exchange::onShutdown(); an incomplete one is refused. */
     void endRequest();
 
     /** @brief Closes the connection if no request or response is in progress. */
     void closeIfIdle();
 
+    /** @brief Logs and counts the response that the process's exit cuts off, if any. */
+    void reportCut();
+
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -109,6 +113,7 @@
     std::string bytesInWrite_;
     std::size_t writtenBytes_ = 0; /* of bytesInWrite_ */
     std::shared_ptr<Exchange> exchange_;
+    std::string lastRequestId_; /* of the latest complete request */
     bool isWaitingForBytes_ = false;
     bool keepAlive_ = true; /* after the current response; as its headers say once they are written */
     bool closeAfterWrite_ = false;
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -324,6 +324,7 @@
 void Exchange::abortResponse(core::ErrorKind kind, const std::string &detail)
 {
     worker_.dispatcher().countRefusal(kind);
+    worker_.tally().cut++;
     log(core::ruleOf(kind).name, detail);
     recordMetrics(false);
     deadlineTimer_.cancel();
@@ -359,8 +360,10 @@
 
 void Exchange::finish(std::string_view requestOutcome, const std::string &detail)
 {
+    const bool isAnswered = requestOutcome == answeredOutcome;
+    (isAnswered ? worker_.tally().answered : worker_.tally().refused)++;
     log(requestOutcome, detail);
-    recordMetrics(requestOutcome == answeredOutcome);
+    recordMetrics(isAnswered);
     deadlineTimer_.cancel();
     stallTimer_.cancel();
     auto *session = std::exchange(session_, nullptr);
@@ -372,6 +375,7 @@
     if (session_ == nullptr) {
         return;
     }
+    worker_.tally().callerGone++;
     log("caller_gone", "");
     worker_.dispatcher().countCallerGone();
     session_ = nullptr;
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -7,6 +7,7 @@
 #include <cyclamenspool/telemetry/log.h>
 #include <cyclamenspool/wire/endpoint.h>
 
+#include <algorithm>
 #include <csignal>
 #include <numeric>
 #include <random>
@@ -21,10 +22,6 @@
 constexpr std::chrono::milliseconds peerDiscoveryTime{1500}; /* longest wait for a first peer before the process reports ready */
 constexpr std::chrono::milliseconds configurationWait{400}; /* connections are not accepted for up to this time while the first configuration is missing */
 constexpr std::chrono::milliseconds configurationPollPeriod{5};
-constexpr std::chrono::milliseconds balancerDetectionTime{2300}; /* the balancer probes once a second and removes the process after the second failure */
-constexpr std::chrono::milliseconds refuseAfter{3000}; /* after the start of the drain; a request accepted later could outlast the shutdown's grace period */
-constexpr std::chrono::milliseconds answerMargin{800}; /* requests in progress are answered this long before the end of the shutdown's grace period */
-constexpr std::chrono::milliseconds exitMargin{400}; /* the process exits this long before that end */
 constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
 constexpr std::chrono::milliseconds settingsPollPeriod{5000}; /* the settings file may change without a SIGHUP */
 constexpr std::chrono::milliseconds drainCheckPeriod{100};
@@ -84,11 +81,26 @@
     for (auto &thread : threads) {
         thread.join();
     }
-    telemetry::logRateLimited("stopped", {});
+    logStopped();
     telemetry::closeLog(0);
     return 0;
 }
 
+void GatewayNode::logStopped() const
+{
+    const auto sum = [this](std::atomic<std::uint64_t> RequestTally::*count) {
+        return std::accumulate(workers_.begin(), workers_.end(), std::uint64_t{0}, [count](std::uint64_t total, const auto &worker) {
+            return total + (worker->tally().*count).load();
+        });
+    };
+    telemetry::logRateLimited("stopped",
+                              {{"taken", sum(&RequestTally::taken)},
+                               {"answered", sum(&RequestTally::answered)},
+                               {"refused", sum(&RequestTally::refused)},
+                               {"cut", sum(&RequestTally::cut)},
+                               {"caller_gone", sum(&RequestTally::callerGone)}});
+}
+
 void GatewayNode::listen()
 {
     const auto endpoint = wire::parseEndpoint(settings_.callerAddress);
@@ -155,8 +167,10 @@
 
 void GatewayNode::startSession(Worker &worker, asio::ip::tcp::socket socket)
 {
-    asio::post(worker.context(), [&worker, socket = std::move(socket)]() mutable {
-        std::make_shared<CallerSession>(worker, std::move(socket))->start();
+    // The session counts as open from here on, however late the worker is.
+    auto session = std::make_shared<CallerSession>(worker, std::move(socket));
+    asio::post(worker.context(), [session = std::move(session)] {
+        session->start();
     });
 }
 
@@ -332,32 +346,27 @@
 
 void GatewayNode::checkDrain()
 {
-    const auto elapsed = std::chrono::steady_clock::now() - drainStart_;
-    const bool areRequestsToEnd = elapsed > currentSettings_.gracePeriod - internal::answerMargin && !areRequestsEnded_;
+    const auto now = std::chrono::steady_clock::now();
+    const auto plan = planShutdown(drainStart_, currentSettings_.gracePeriod);
+    const bool areRequestsToEnd = now >= plan.endRequests && !areRequestsEnded_;
     for (const auto &worker : workers_) {
-        if (elapsed >= internal::balancerDetectionTime) {
-            worker->beginDrain();
-        }
-        if (elapsed >= internal::refuseAfter) {
-            worker->refuseNewRequests();
+        worker->setShutdownPlan(plan);
+        if (now >= plan.refuse) {
             worker->closeIdleSessions();
         }
         if (areRequestsToEnd) {
-            worker->beginDrain();
-            worker->refuseNewRequests();
             worker->endRequests();
         }
     }
     areRequestsEnded_ = areRequestsEnded_ || areRequestsToEnd;
-    const bool isDone = elapsed > internal::refuseAfter && openConnections() == 0;
-    const bool isGraceOver = elapsed > currentSettings_.gracePeriod - internal::exitMargin;
-    if (isGraceOver || (isDone && !acceptor_.is_open())) {
+    // A connection counts from its accept, on this thread, to its end, so that none can follow once there is none and the acceptor is closed.
+    const bool isDone = now >= plan.refuse && openConnections() == 0;
+    if ((isDone && !acceptor_.is_open()) || now >= plan.exit) {
         telemetry::logRateLimited("drained", {{"open_connections", openConnections()}});
         stop();
         return;
     }
     if ((isDone || areRequestsEnded_) && acceptor_.is_open()) {
-        // A connection that was accepted just now is not counted yet: it is served until the next check.
         closeAcceptor();
     }
     phaseTimer_.expires_after(internal::drainCheckPeriod);
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -55,6 +55,7 @@
     void watchSettings();
     void beginDrain();
     void checkDrain();
+    void logStopped() const;
     [[nodiscard]] std::size_t openConnections() const;
     void stop();
     [[nodiscard]] bool isReady() const;
--- a/src/cyclamenspool/gateway/worker.cpp
+++ b/src/cyclamenspool/gateway/worker.cpp
@@ -25,12 +25,32 @@
 
 void Worker::stop()
 {
-    context_.stop();
+    forEachSession(&CallerSession::reportCut);
+    boost::asio::post(context_, [this] {
+        context_.stop();
+    });
+}
+
+void Worker::setShutdownPlan(const ShutdownPlan &plan) noexcept
+{
+    drainFrom_ = plan.closeAfterResponse;
+    refuseFrom_ = plan.refuse;
+}
+
+bool Worker::isDraining() const noexcept
+{
+    return hasPassed(drainFrom_);
 }
 
-void Worker::beginDrain()
+bool Worker::isRefusingRequests() const noexcept
 {
-    draining_ = true;
+    return hasPassed(refuseFrom_);
+}
+
+bool Worker::hasPassed(const std::atomic<core::MonotonicTime> &time) noexcept
+{
+    const auto value = time.load();
+    return value != core::MonotonicTime::max() && std::chrono::steady_clock::now() >= value;
 }
 
 void Worker::closeIdleSessions()
@@ -56,14 +76,15 @@
     });
 }
 
-void Worker::setSessionRegistered(CallerSession &session, bool isRegistered)
+void Worker::addSession(CallerSession &session)
+{
+    sessions_.insert(&session);
+}
+
+void Worker::removeSession(CallerSession &session)
 {
-    if (isRegistered) {
-        sessions_.insert(&session);
-    } else {
-        sessions_.erase(&session);
-    }
-    sessionCount_ = sessions_.size();
+    sessions_.erase(&session);
+    --sessionCount_;
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/worker.h
+++ b/src/cyclamenspool/gateway/worker.h
@@ -4,14 +4,25 @@
 #include <cyclamenspool/gateway/backendconnectionpool.h>
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/fwd.h>
+#include <cyclamenspool/gateway/shutdownplan.h>
 
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
+#include <cstdint>
 #include <set>
 
 namespace cyclamenspool::gateway {
 
+/** @brief How requests ended; each is counted once. Thread safe. */
+struct RequestTally {
+    std::atomic<std::uint64_t> taken{0}; /**< Complete requests read. */
+    std::atomic<std::uint64_t> answered{0}; /**< Complete responses of backend servers. */
+    std::atomic<std::uint64_t> refused{0}; /**< Responses of the gateway itself. */
+    std::atomic<std::uint64_t> cut{0}; /**< Responses that were broken off. */
+    std::atomic<std::uint64_t> callerGone{0}; /**< Callers that left before the end of the response. */
+};
+
 /**
  * @brief Event loop of one gateway thread, with the caller and backend connections that belong to it.
  *
@@ -26,23 +37,17 @@
     /** @brief Runs the event loop on the calling thread until stop(). An exception of a handler is logged and ends that handler only. */
     void run();
 
-    /** @brief Makes run() return. Thread safe. */
+    /** @brief Makes run() return once what was queued before has run. Thread safe. */
     void stop();
 
-    /** @brief Starts draining: each connection is closed after its current response; an idle one, after its next response. Thread safe. */
-    void beginDrain();
+    /** @brief Sets the times of a shutdown. Thread safe. @param plan Times; replace those of an earlier call. */
+    void setShutdownPlan(const ShutdownPlan &plan) noexcept;
 
-    /** @brief Refuses all further requests; follows beginDrain() in a shutdown. Thread safe. */
-    void refuseNewRequests() noexcept
-    {
-        refusing_ = true;
-    }
+    /** @brief Returns whether each connection is closed after its current response; an idle one, after its next response. Thread safe. */
+    [[nodiscard]] bool isDraining() const noexcept;
 
     /** @brief Returns whether new requests are refused. Thread safe. */
-    [[nodiscard]] bool isRefusingRequests() const noexcept
-    {
-        return refusing_;
-    }
+    [[nodiscard]] bool isRefusingRequests() const noexcept;
 
     /** @brief Closes the caller connections without a request in progress. Thread safe; they are closed later on the worker's thread. */
     void closeIdleSessions();
@@ -50,19 +55,28 @@
     /** @brief Ends all requests in progress because the process is about to exit. Thread safe; they end later on the worker's thread. */
     void endRequests();
 
-    /** @brief Returns the number of registered sessions, one for each caller connection. Thread safe. */
+    /** @brief Returns the number of caller connections, from their accept to their end. Thread safe. */
     [[nodiscard]] std::size_t sessionCount() const noexcept
     {
         return sessionCount_;
     }
 
-    /** @brief Registers or unregisters a session; called by its constructor and destructor. @param isRegistered False to unregister. */
-    void setSessionRegistered(CallerSession &session, bool isRegistered);
+    /** @brief Counts a new session; called by its constructor, on any thread. */
+    void countSession() noexcept
+    {
+        ++sessionCount_;
+    }
+
+    /** @brief Adds a session to those that closeIdleSessions() and endRequests() reach. */
+    void addSession(CallerSession &session);
+
+    /** @brief Removes a session; called by its destructor. */
+    void removeSession(CallerSession &session);
 
-    /** @brief Returns whether connections are closed after their current or next response. Thread safe. */
-    [[nodiscard]] bool isDraining() const noexcept
+    /** @brief Returns how the requests of this worker ended. Thread safe. */
+    [[nodiscard]] RequestTally &tally() noexcept
     {
-        return draining_;
+        return tally_;
     }
 
     /** @brief Returns the event loop's context; other threads may post to it. */
@@ -90,14 +104,16 @@
     }
 
 private:
+    [[nodiscard]] static bool hasPassed(const std::atomic<core::MonotonicTime> &time) noexcept;
     void forEachSession(void (CallerSession::*action)());
 
     Dispatcher &dispatcher_;
     core::RandomSource random_;
-    std::set<CallerSession *> sessions_;
+    std::set<CallerSession *> sessions_; /* started ones */
     std::atomic<std::size_t> sessionCount_{0};
-    std::atomic<bool> draining_{false};
-    std::atomic<bool> refusing_{false};
+    std::atomic<core::MonotonicTime> drainFrom_{core::MonotonicTime::max()};
+    std::atomic<core::MonotonicTime> refuseFrom_{core::MonotonicTime::max()};
+    RequestTally tally_;
     boost::asio::io_context context_{1}; /* its destructor ends the sessions that are still open, which unregister from sessions_ */
     BackendConnectionPool connectionPool_; /* its sockets belong to context_ */
 };
