The store of the test harness returns from a copy; tests of gateways across a restore

Cause: the users say that the store may come back from a copy some seconds old, with its revisions given out again and Store-Era one higher. No fake could do that. Change: FakeStore::copy() and restore(); the header Store-Era in all answers; 410 for a watch from a revision that the store does not have; a watch that waits is cut. Process tests with three gateways in one zone and in three.

--- a/test/harness/platformfakes.cpp
+++ b/test/harness/platformfakes.cpp
@@ -201,6 +201,39 @@
     itemsChanged_.notify_all();
 }
 
+FakeStore::Copy FakeStore::copy()
+{
+    const std::lock_guard lock(mutex_);
+    Copy copy;
+    copy.items_ = items_;
+    copy.history_ = history_;
+    copy.revision_ = revision_;
+    copy.oldestRevision_ = oldestRevision_;
+    return copy;
+}
+
+void FakeStore::restore(const Copy &copy)
+{
+    const std::lock_guard lock(mutex_);
+    items_ = copy.items_;
+    history_ = copy.history_;
+    revision_ = copy.revision_;
+    oldestRevision_ = copy.oldestRevision_;
+    ++era_;
+    itemsChanged_.notify_all();
+}
+
+void FakeStore::setSendingEra(bool isSending)
+{
+    isSendingEra_ = isSending;
+}
+
+std::uint64_t FakeStore::revision()
+{
+    const std::lock_guard lock(mutex_);
+    return revision_;
+}
+
 void FakeStore::setLosingSecondResponses(bool isLosing)
 {
     isLosingSecondResponses_ = isLosing;
@@ -222,7 +255,7 @@
     return callCounts_[prefix];
 }
 
-std::string FakeStore::range(const std::string &prefix, const std::string &after)
+FakeStore::Answer FakeStore::range(const std::string &prefix, const std::string &after)
 {
     const std::lock_guard lock(mutex_);
     json::array items;
@@ -237,14 +270,15 @@
         }
         items.push_back(json::object{{"key", key}, {"value", encodeBase64(item.value)}, {"revision", item.revision}});
     }
-    return json::serialize(json::object{{"items", std::move(items)}, {"more_pages", hasMore}, {"store_revision", revision_}});
+    return {200, json::serialize(json::object{{"items", std::move(items)}, {"more_pages", hasMore}, {"store_revision", revision_}}), era_};
 }
 
-std::string FakeStore::watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds timeout, const std::atomic<int> &forcedStatus)
+FakeStore::Answer FakeStore::watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds timeout, const std::atomic<int> &forcedStatus)
 {
     std::unique_lock lock(mutex_);
-    if (after < oldestRevision_) {
-        return "";
+    const auto era = era_;
+    if (after < oldestRevision_ || after > revision_) {
+        return {410, "", era};
     }
     json::array events;
     // A waiting watch that has not received a change before it is dropped ends as well: the store loses none.
@@ -252,6 +286,9 @@
         return after < oldestRevision_;
     };
     const auto collect = [&] {
+        if (era_ != era) {
+            return true;
+        }
         for (const auto &change : history_) {
             if (change.revision <= after || !hasPrefix(change.key, prefix)) {
                 continue;
@@ -267,13 +304,16 @@
         return !events.empty() || forcedStatus != 200 || isCompacted();
     };
     itemsChanged_.wait_for(lock, std::min(timeout, maxWatchTime_.load()), collect);
+    if (era_ != era) {
+        return {0, "", era, true};
+    }
     if (events.empty() && isCompacted()) {
-        return "";
+        return {410, "", era};
     }
-    return json::serialize(json::object{{"events", std::move(events)}, {"store_revision", revision_}});
+    return {200, json::serialize(json::object{{"events", std::move(events)}, {"store_revision", revision_}}), era};
 }
 
-std::string FakeStore::formatResponse(const PlainRequest &request, const std::atomic<int> &forcedStatus)
+FakeStore::Answer FakeStore::answer(const PlainRequest &request, const std::atomic<int> &forcedStatus)
 {
     const std::string target(request.target());
     const auto prefix = queryValue(target, "prefix");
@@ -281,17 +321,24 @@
     const auto wait = queryValue(target, "wait_ms");
     const bool isRange = target.find("/-/kv-range") == 0;
     const bool isWatch = target.find("/-/kv-watch") == 0 && isNumber(after) && isNumber(wait);
-    if (!isRange && !isWatch) {
-        return "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n";
-    }
     {
         const std::lock_guard lock(mutex_);
+        if (!isRange && !isWatch) {
+            return {404, "", era_};
+        }
         ++callCounts_[prefix];
     }
-    const auto body = isRange ? range(prefix, after) : watch(prefix, std::stoull(after), std::chrono::milliseconds(std::stol(wait)), forcedStatus);
-    const int status = forcedStatus != 200 ? forcedStatus.load() : (body.empty() ? 410 : 200);
-    const auto head = "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: ";
-    return head + std::to_string(body.size()) + "\r\n\r\n" + body;
+    auto answer = isRange ? range(prefix, after) : watch(prefix, std::stoull(after), std::chrono::milliseconds(std::stol(wait)), forcedStatus);
+    const int forced = forcedStatus;
+    answer.status = forced != 200 ? forced : answer.status;
+    return answer;
+}
+
+std::string FakeStore::format(const Answer &answer) const
+{
+    const auto era = isSendingEra_ ? "\r\nStore-Era: " + std::to_string(answer.era) : std::string();
+    const auto head = "HTTP/1.1 " + std::to_string(answer.status) + " X" + era + "\r\nContent-Type: application/json\r\nContent-Length: ";
+    return head + std::to_string(answer.body.size()) + "\r\n\r\n" + answer.body;
 }
 
 bool FakeStore::respondUnlessLost(const PlainRequest &request,
@@ -308,9 +355,9 @@
             return true;
         }
     }
-    const auto response = formatResponse(request, forcedStatus);
+    const auto response = answer(request, forcedStatus);
     if (!isLosingResponses && !isSilent_) {
-        return writeAll(socket, response);
+        return !response.isCut && writeAll(socket, format(response));
     }
     const std::lock_guard lock(mutex_);
     silentConnections_.insert(&socket);
--- a/test/harness/platformfakes.h
+++ b/test/harness/platformfakes.h
@@ -101,6 +101,26 @@
     /** @brief Drops the history of changes: watches from earlier revisions are answered with 410. */
     void compact();
 
+    /** @brief Contents of the store at one moment: items, revision and history. */
+    class Copy;
+
+    /** @brief Returns a copy of the present contents. */
+    [[nodiscard]] Copy copy();
+
+    /**
+     * @brief Replaces the contents by a copy and raises the era by one; the revisions after the copy are given out again.
+     *
+     * A watch from a revision that the store does not have is answered with 410. A watch that waits meanwhile is cut.
+     * @param copy Copy that copy() has returned.
+     */
+    void restore(const Copy &copy);
+
+    /** @brief Sets whether all answers carry the header Store-Era; true by default. */
+    void setSendingEra(bool isSending);
+
+    /** @brief Returns the revision of the last change. */
+    [[nodiscard]] std::uint64_t revision();
+
     /** @brief Returns the IP address and port of the first address. */
     [[nodiscard]] const std::string &address() const noexcept
     {
@@ -121,10 +141,18 @@
         bool isDeleted = false;
     };
 
-    [[nodiscard]] std::string formatResponse(const PlainRequest &request, const std::atomic<int> &forcedStatus);
+    struct Answer {
+        int status = 0;
+        std::string body;
+        std::uint64_t era = 0; /* that it was formed in */
+        bool isCut = false; /* no answer: the store was restored meanwhile */
+    };
+
+    [[nodiscard]] Answer answer(const PlainRequest &request, const std::atomic<int> &forcedStatus);
+    [[nodiscard]] std::string format(const Answer &answer) const;
     bool respondUnlessLost(const PlainRequest &request, PlainSocket &socket, const std::atomic<int> &forcedStatus, const std::atomic<bool> &isLosingResponses);
-    [[nodiscard]] std::string range(const std::string &prefix, const std::string &after);
-    [[nodiscard]] std::string watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds timeout, const std::atomic<int> &forcedStatus);
+    [[nodiscard]] Answer range(const std::string &prefix, const std::string &after);
+    [[nodiscard]] Answer watch(const std::string &prefix, std::uint64_t after, std::chrono::milliseconds timeout, const std::atomic<int> &forcedStatus);
     void record(const Change &change);
 
     std::mutex mutex_;
@@ -134,6 +162,8 @@
     std::vector<Change> history_;
     std::uint64_t revision_ = 1;
     std::uint64_t oldestRevision_ = 0;
+    std::uint64_t era_ = 1;
+    std::atomic<bool> isSendingEra_{true};
     std::atomic<int> status_{200};
     std::atomic<int> secondStatus_{200};
     std::atomic<bool> isLosingSecondResponses_{false};
@@ -144,6 +174,17 @@
     ThreadedServer secondServer_;
 };
 
+class FakeStore::Copy
+{
+private:
+    friend class FakeStore;
+
+    std::map<std::string, Change> items_;
+    std::vector<Change> history_;
+    std::uint64_t revision_ = 0;
+    std::uint64_t oldestRevision_ = 0;
+};
+
 /** @brief Fake backend server with a handler set by the test; it counts its runs by request id and answers 421 to requests whose header
  * Cyclamenspool-Expect-Instance does not name its id. */
 class FakeBackendServer
--- /dev/null
+++ b/test/process/storerestore.cpp
@@ -0,0 +1,454 @@
+#include <catch2/catch.hpp>
+
+#include <harness/gatewayfleet.h>
+#include <harness/localfleet.h>
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using harness::FakeBackendServer;
+using harness::FakeStore;
+using harness::GatewayFleet;
+using harness::LocalFleet;
+
+namespace {
+
+constexpr auto changeBound = 2000ms; /* default of configuration_ms and leave_ms */
+constexpr auto rewriteDelay = 1500ms; /* runners and operator write again within two seconds of the store's return */
+constexpr auto settleTime = 1500ms; /* every gateway watches both sections */
+constexpr auto absenceTime = 1000ms;
+constexpr int lostWrites = 20;
+
+/** @brief How the store is away before it returns from a copy. */
+enum class Absence { Refusing, Silent };
+
+/** @brief Returns whether a gateway accepts requests with an API key. */
+bool isKeyAccepted(const GatewayFleet &fleet, const std::string &key, std::size_t gateway)
+{
+    auto call = fleet.makeRequest("probe", "/again/x", gateway);
+    call.headers[3].second = "Bearer " + key;
+    return sendRequest(call).status == 200;
+}
+
+/** @brief Waits until all gateways accept an API key or all refuse it. @return False if some do not within 2 s. */
+bool waitForKeyEverywhere(const GatewayFleet &fleet, const std::string &key, bool isExpected = true)
+{
+    const auto isKeyAsExpected = [&] {
+        for (std::size_t i = 0; i < fleet.gateways.size(); ++i) {
+            if (isKeyAccepted(fleet, key, i) != isExpected) {
+                return false;
+            }
+        }
+        return true;
+    };
+    return LocalFleet::waitUntil(isKeyAsExpected, changeBound);
+}
+
+/** @brief Sends a request every 20 ms to each gateway until it is destroyed, and counts the statuses. */
+class Prober
+{
+public:
+    /** @brief Starts one thread for each gateway. @param name Part of the request ids. @param key API key. */
+    Prober(const GatewayFleet &fleet, const std::string &name, const std::string &key)
+    {
+        for (std::size_t i = 0; i < fleet.gateways.size(); ++i) {
+            threads_.emplace_back([this, &fleet, name, key, i] {
+                for (int number = 0; !isOver_; ++number) {
+                    auto call = fleet.makeRequest(name + "-" + std::to_string(i) + "-" + std::to_string(number), "/once/x", i);
+                    call.headers[3].second = "Bearer " + key;
+                    const int status = sendRequest(call).status;
+                    ++(status == 200 ? accepted_ : failed_);
+                    std::this_thread::sleep_for(20ms);
+                }
+            });
+        }
+    }
+
+    ~Prober()
+    {
+        isOver_ = true;
+        for (auto &thread : threads_) {
+            thread.join();
+        }
+    }
+
+    Prober(const Prober &) = delete;
+    Prober &operator=(const Prober &) = delete;
+
+    /** @brief Returns the number of requests that were answered with 200. */
+    [[nodiscard]] int accepted() const noexcept
+    {
+        return accepted_;
+    }
+
+    /** @brief Returns the number of requests with any other outcome. */
+    [[nodiscard]] int failed() const noexcept
+    {
+        return failed_;
+    }
+
+private:
+    std::atomic<bool> isOver_{false};
+    std::atomic<int> accepted_{0};
+    std::atomic<int> failed_{0};
+    std::vector<std::thread> threads_;
+};
+
+/** @brief Returns a server's entry. @param sequence Number of orders that it has accepted. @param born Unix millisecond of its start. */
+std::string entryOf(const FakeBackendServer &server, int sequence, const std::string &state = "ready", const std::string &zone = "az-a", int born = 1000)
+{
+    auto entry = boost::json::parse(server.listEntry("pool", state)).as_object();
+    entry["zone"] = zone;
+    entry["sequence"] = sequence;
+    entry["born"] = born;
+    return boost::json::serialize(entry);
+}
+
+/** @brief Changes the entry of a server of another service, so that the store's revision rises. */
+void writeOthers(FakeStore &store, int count = lostWrites)
+{
+    for (int i = 0; i < count; ++i) {
+        const auto other = R"({"service":"other","address":"127.0.0.1:9","zone":"az-a","slots":8,"state":"ready","cold_remaining_ms":)";
+        store.put("servers/other", other + std::to_string(i) + R"(,"sequence":)" + std::to_string(i) + "}");
+    }
+}
+
+/**
+ * @brief Takes the store's first address away and brings it back from a copy.
+ * @param copy Copy that the store returns from; it is restored as often as @p times says.
+ * @param writes Writes that the store acknowledges before any gateway has called it again.
+ */
+void restore(
+    FakeStore &store,
+    const FakeStore::Copy &copy,
+    Absence absence,
+    int times = 1,
+    const std::function<void()> &writes = [] {})
+{
+    const auto setAway = [&](bool isAway) {
+        if (absence == Absence::Silent) {
+            store.setSilent(isAway);
+        } else {
+            store.setStatus(isAway ? 503 : 200);
+        }
+    };
+    setAway(true);
+    std::this_thread::sleep_for(absenceTime);
+    for (int i = 0; i < times; ++i) {
+        store.restore(copy);
+    }
+    writes();
+    setAway(false);
+}
+
+/** @brief Number of zones and kind of absence under which a case is played. */
+std::pair<int, Absence> generateCase()
+{
+    return GENERATE(std::pair(1, Absence::Silent), std::pair(3, Absence::Refusing));
+}
+
+/** @brief Publishes version 2 with key-old, copies the store and publishes version 3, which revokes the key and is lost with the later writes.
+ * @return Copy without version 3; all gateways refuse the key by now. */
+FakeStore::Copy loseRevocation(GatewayFleet &fleet)
+{
+    std::this_thread::sleep_for(settleTime);
+    fleet.publishRouting(2, "pool", {"key-1", "key-old"});
+    REQUIRE(waitForKeyEverywhere(fleet, "key-old"));
+    auto copy = fleet.store.copy();
+    fleet.publishRouting(3, "pool", {"key-1"});
+    writeOthers(fleet.store);
+    REQUIRE(waitForKeyEverywhere(fleet, "key-old", false));
+    return copy;
+}
+
+/** @brief Returns the number of requests that reach a server during a time. */
+int countRuns(GatewayFleet &fleet, std::size_t server, std::chrono::milliseconds time)
+{
+    const int before = fleet.backendServers[server]->totalRunCount();
+    std::this_thread::sleep_for(time);
+    return fleet.backendServers[server]->totalRunCount() - before;
+}
+
+} // namespace
+
+// Guards against a version that is dropped because its revision is below one of the lost history.
+TEST_CASE("a store restored from an older copy: the next version is in force everywhere within two seconds", "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    const auto delay = GENERATE(0ms, 1500ms);
+    CAPTURE(zones, delay.count());
+    GatewayFleet fleet(3, 1, zones);
+    const auto copy = loseRevocation(fleet);
+    const Prober valid(fleet, "valid", "key-1");
+    restore(fleet.store, copy, absence);
+    std::this_thread::sleep_for(delay);
+    fleet.publishRouting(3, "pool", {"key-1"});
+    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    CHECK(waitForKeyEverywhere(fleet, "key-4"));
+    CHECK(valid.failed() == 0);
+}
+
+// Guards against the restored version 2, which allows a key that version 3 has revoked: at the restore, and once the revisions have passed the lost ones.
+TEST_CASE("a store restored from an older copy: no request is handled by an earlier version than one in force before", "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 1, zones);
+    const auto copy = loseRevocation(fleet);
+    const Prober revoked(fleet, "revoked", "key-old");
+    restore(fleet.store, copy, absence);
+    std::this_thread::sleep_for(500ms);
+    writeOthers(fleet.store, 2 * lostWrites);
+    std::this_thread::sleep_for(rewriteDelay);
+    fleet.publishRouting(3, "pool", {"key-1"});
+    std::this_thread::sleep_for(500ms);
+    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    CHECK(waitForKeyEverywhere(fleet, "key-4"));
+    CHECK(revoked.accepted() == 0);
+}
+
+// Guards against a watch that goes on from a revision of the lost history, which the store has given out again for another change.
+TEST_CASE("a store restored from an older copy that has passed the gateways' revision again: a version written before is in force within two seconds",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 1, zones);
+    const auto copy = loseRevocation(fleet);
+    const Prober revoked(fleet, "revoked", "key-old");
+    restore(fleet.store, copy, absence, 1, [&fleet] {
+        fleet.publishRouting(3, "pool", {"key-1"});
+        fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+        writeOthers(fleet.store, 2 * lostWrites);
+    });
+    CHECK(waitForKeyEverywhere(fleet, "key-4"));
+    CHECK(revoked.accepted() == 0);
+}
+
+// As above, for the list of servers.
+TEST_CASE("a store restored from an older copy that has passed the gateways' revision again: a server that leaves before gets nothing two seconds later",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 2, zones);
+    std::this_thread::sleep_for(settleTime);
+    const auto copy = fleet.store.copy();
+    writeOthers(fleet.store);
+    std::this_thread::sleep_for(changeBound);
+    const Prober valid(fleet, "valid", "key-1");
+    restore(fleet.store, copy, absence, 1, [&fleet] {
+        fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2, "draining"));
+        writeOthers(fleet.store, 2 * lostWrites);
+    });
+    std::this_thread::sleep_for(changeBound);
+    CHECK(countRuns(fleet, 0, 500ms) == 0);
+    CHECK(valid.failed() == 0);
+}
+
+// Guards against a server that gets requests again because the copy still lists it: as ready before it drained, or at all before it was removed.
+TEST_CASE("a store restored from an older copy: a server that left or was removed in the lost seconds gets nothing until that is written again",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    const bool isRemoved = GENERATE(false, true);
+    CAPTURE(zones, isRemoved);
+    GatewayFleet fleet(3, 2, zones);
+    const auto leave = [&] {
+        if (isRemoved) {
+            fleet.store.remove("servers/i-0");
+        } else {
+            fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
+        }
+    };
+    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
+    std::this_thread::sleep_for(settleTime);
+    const auto copy = fleet.store.copy();
+    leave();
+    writeOthers(fleet.store);
+    const Prober valid(fleet, "valid", "key-1");
+    std::this_thread::sleep_for(changeBound);
+    const int before = fleet.backendServers[0]->totalRunCount();
+    restore(fleet.store, copy, absence);
+    std::this_thread::sleep_for(rewriteDelay / 2);
+    writeOthers(fleet.store, 2 * lostWrites);
+    std::this_thread::sleep_for(rewriteDelay / 2);
+    leave();
+    std::this_thread::sleep_for(changeBound);
+    CHECK(fleet.backendServers[0]->totalRunCount() == before);
+    CHECK(valid.failed() == 0);
+}
+
+// Guards against a server that stays unused for what the lost history said of its earlier start.
+TEST_CASE("a store restored from an older copy: a server that left in the lost seconds and has started again since is used within two seconds",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    const bool isRemoved = GENERATE(false, true);
+    CAPTURE(zones, isRemoved);
+    GatewayFleet fleet(3, 2, zones);
+    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
+    std::this_thread::sleep_for(settleTime);
+    const auto copy = fleet.store.copy();
+    if (isRemoved) {
+        fleet.store.remove("servers/i-0");
+    } else {
+        fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
+    }
+    writeOthers(fleet.store);
+    std::this_thread::sleep_for(changeBound);
+    restore(fleet.store, copy, absence);
+    std::this_thread::sleep_for(rewriteDelay);
+    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 1, "ready", "az-a", 2000));
+    fleet.store.put("servers/i-1", entryOf(*fleet.backendServers[1], 2, "draining"));
+    std::this_thread::sleep_for(changeBound);
+    const Prober valid(fleet, "valid", "key-1");
+    CHECK(countRuns(fleet, 0, 500ms) > 0);
+    CHECK(valid.failed() == 0);
+}
+
+// Guards against servers that are dropped because the copy is older than their registration.
+TEST_CASE("a store restored from an older copy: servers registered in the lost seconds stay in use until they are written again", "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 2, zones);
+    for (const auto &server : fleet.backendServers) {
+        fleet.store.remove("servers/" + server->id());
+    }
+    std::this_thread::sleep_for(settleTime);
+    const auto copy = fleet.store.copy();
+    const auto writeServers = [&fleet](int sequence) {
+        for (const auto &server : fleet.backendServers) {
+            fleet.store.put("servers/" + server->id(), entryOf(*server, sequence));
+        }
+    };
+    writeServers(1);
+    writeOthers(fleet.store);
+    REQUIRE(waitForKeyEverywhere(fleet, "key-1"));
+    const Prober valid(fleet, "valid", "key-1");
+    restore(fleet.store, copy, absence);
+    std::this_thread::sleep_for(rewriteDelay / 2);
+    writeOthers(fleet.store, 2 * lostWrites);
+    std::this_thread::sleep_for(rewriteDelay / 2);
+    writeServers(2);
+    std::this_thread::sleep_for(changeBound);
+    CHECK(valid.failed() == 0);
+    CHECK(valid.accepted() > 0);
+}
+
+// Guards against a second era that is taken for the first one.
+TEST_CASE("a store restored from an older copy twice: the next version is in force everywhere within two seconds", "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    const bool isDuringOneAbsence = GENERATE(false, true);
+    CAPTURE(zones, isDuringOneAbsence);
+    GatewayFleet fleet(3, 1, zones);
+    const auto copy = loseRevocation(fleet);
+    const Prober revoked(fleet, "revoked", "key-old");
+    restore(fleet.store, copy, absence, isDuringOneAbsence ? 2 : 1);
+    if (!isDuringOneAbsence) {
+        fleet.publishRouting(3, "pool", {"key-1"});
+        writeOthers(fleet.store, 2 * lostWrites);
+        std::this_thread::sleep_for(500ms);
+        restore(fleet.store, copy, absence);
+    }
+    std::this_thread::sleep_for(500ms);
+    fleet.publishRouting(3, "pool", {"key-1"});
+    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    CHECK(waitForKeyEverywhere(fleet, "key-4"));
+    CHECK(revoked.accepted() == 0);
+}
+
+// Guards against a peer that speaks of the lost history with higher revisions, and against one that it keeps from the new era.
+TEST_CASE("a store restored from an older copy that turns one gateway away: that gateway learns the next version from its peers within two seconds",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 2, zones);
+    fleet.useSecondStoreAddress(2);
+    const auto copy = loseRevocation(fleet);
+    const Prober revoked(fleet, "revoked", "key-old");
+    if (absence == Absence::Silent) {
+        fleet.store.setLosingSecondResponses(true);
+    } else {
+        fleet.store.setSecondStatus(503);
+    }
+    restore(fleet.store, copy, absence);
+    std::this_thread::sleep_for(500ms);
+    fleet.publishRouting(3, "pool", {"key-1"});
+    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2, "draining"));
+    CHECK(waitForKeyEverywhere(fleet, "key-4"));
+    std::this_thread::sleep_for(changeBound);
+    {
+        const Prober valid(fleet, "valid", "key-1");
+        CHECK(countRuns(fleet, 0, 500ms) == 0);
+    }
+    fleet.store.setLosingSecondResponses(false);
+    fleet.store.setSecondStatus(200);
+    std::this_thread::sleep_for(changeBound);
+    CHECK(waitForKeyEverywhere(fleet, "key-4"));
+    CHECK(revoked.accepted() == 0);
+}
+
+// Guards against a gateway that starts with the copy's version 2 while its peers have version 3 in force.
+TEST_CASE("a store restored from an older copy: a gateway that starts right after handles no request by a version that its peers have left behind",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 1, zones);
+    const auto copy = loseRevocation(fleet);
+    const Prober revoked(fleet, "revoked", "key-old");
+    restore(fleet.store, copy, absence);
+    fleet.gateways[2].process.kill();
+    fleet.start(fleet.gateways[2]);
+    REQUIRE(LocalFleet::waitUntil([&fleet] {
+        return GatewayFleet::isReady(fleet.gateways[2]);
+    }));
+    std::this_thread::sleep_for(rewriteDelay);
+    fleet.publishRouting(3, "pool", {"key-1"});
+    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    CHECK(waitForKeyEverywhere(fleet, "key-4"));
+    CHECK(revoked.accepted() == 0);
+}
+
+// Guards against an evacuation that ends because the copy lacks it, and against one that does not end any more.
+TEST_CASE("a store restored from an older copy: an evacuation begun in the lost seconds stays in force and ends when it is removed",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 2, zones);
+    fleet.store.put("servers/i-1", entryOf(*fleet.backendServers[1], 2, "ready", "az-b"));
+    std::this_thread::sleep_for(settleTime);
+    const auto copy = fleet.store.copy();
+    fleet.store.put("op/evacuate/az-a", "{}");
+    writeOthers(fleet.store);
+    std::this_thread::sleep_for(changeBound);
+    const Prober valid(fleet, "valid", "key-1");
+    const int before = fleet.backendServers[0]->totalRunCount();
+    restore(fleet.store, copy, absence);
+    std::this_thread::sleep_for(rewriteDelay / 2);
+    writeOthers(fleet.store, 2 * lostWrites);
+    std::this_thread::sleep_for(rewriteDelay / 2);
+    fleet.store.put("op/evacuate/az-a", "{}");
+    std::this_thread::sleep_for(changeBound);
+    CHECK(fleet.backendServers[0]->totalRunCount() == before);
+    fleet.store.remove("op/evacuate/az-a");
+    std::this_thread::sleep_for(changeBound);
+    CHECK(countRuns(fleet, 0, 500ms) > 0);
+    CHECK(valid.failed() == 0);
+}
