Soak: the store is restored from an older copy

As a calm check: a key is revoked and a server leaves in the lost seconds; the key is refused until that is written again, then a new key is in force and the server gets nothing, within 2 s.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <future>
 #include <iostream>
+#include <optional>
 #include <thread>
 
 using namespace cyclamenspool;
@@ -54,6 +55,7 @@
         checkConfiguration();
         checkPoison();
         checkStoreReturn();
+        checkStoreRestored();
         checkPlannedStop();
         isOver_ = true;
         for (auto &thread : threads) {
@@ -215,10 +217,39 @@
         }
     }
 
+    /** @brief Takes the store away and lets it return from a copy; the servers write their entries again later, within two seconds of its return. */
+    void beginStoreRestore(harness::FakeStore::Copy copy, core::RandomSource &random)
+    {
+        auto &store = fleet_.fleet.store;
+        const std::chrono::milliseconds time(200 + random.index(1500));
+        log("store restored from an older copy", 0, time);
+        store.setSilent(true);
+        const auto back = Clock::now() + time;
+        ends_.push_back({back, [&store, copy = std::move(copy)] {
+                             store.restore(copy);
+                             store.setSilent(false);
+                         }});
+        ends_.push_back({back + std::chrono::milliseconds(random.index(1900)), [this] {
+                             fleet_.listServersAgain();
+                         }});
+    }
+
     void playMixedFaults()
     {
         auto nextFault = Clock::now();
+        core::RandomSource restoreRandom(seed_ + 2); /* of its own, as in checkStoreReturn() */
+        const auto copyAt = start_ + std::chrono::milliseconds(restoreRandom.index(2000));
+        const auto restoreAt = copyAt + std::chrono::milliseconds(500 + restoreRandom.index(3000));
+        std::optional<harness::FakeStore::Copy> copy;
+        bool isRestored = false;
         while (Clock::now() - start_ < mixedPhase) {
+            if (!copy && Clock::now() >= copyAt) {
+                copy = fleet_.fleet.store.copy();
+            }
+            if (!isRestored && Clock::now() >= restoreAt) {
+                isRestored = true;
+                beginStoreRestore(*copy, restoreRandom);
+            }
             if (Clock::now() >= nextFault) {
                 beginRandomFault();
                 nextFault = Clock::now() + std::chrono::milliseconds(100 + random_.index(600));
@@ -305,6 +336,39 @@
         fleet_.publishKeys({});
     }
 
+    void checkStoreRestored()
+    {
+        core::RandomSource random(seed_ + 1); /* of its own, as in checkStoreReturn() */
+        const auto absence = std::chrono::milliseconds(200 + random.index(2000));
+        const auto delay = std::chrono::milliseconds(random.index(1500));
+        const auto server = random.index(fleet_.serverProxies.size());
+        auto &store = fleet_.fleet.store;
+        fleet_.publishKeys({"key-lost"});
+        std::this_thread::sleep_for(configurationBound);
+        log("check: store restored from an older copy, then a server leaves and a key is added", server, absence);
+        const auto copy = store.copy();
+        fleet_.publishKeys({});
+        fleet_.listServer(server, "draining");
+        std::this_thread::sleep_for(std::max(configurationBound, leaveBound));
+        store.setSilent(true);
+        std::this_thread::sleep_for(absence);
+        store.restore(copy);
+        store.setSilent(false);
+        const auto back = Clock::now();
+        while (Clock::now() - back < delay) {
+            expectKey("key-lost", false, "no version returns with the store's older copy");
+            std::this_thread::sleep_for(20ms);
+        }
+        fleet_.listServer(server, "draining");
+        fleet_.publishKeys({"key-restored"});
+        std::this_thread::sleep_for(std::max(configurationBound, leaveBound));
+        expectKey("key-restored", true, "configuration in force in time after a restore");
+        expectKey("key-lost", false, "no version returns with the store's older copy");
+        expectNoNewWork(server);
+        fleet_.listServer(server, "ready");
+        fleet_.publishKeys({});
+    }
+
     void checkConfiguration()
     {
         log("check: a key is added and revoked", 0, configurationBound);
--- a/test/soak/soakfleet.cpp
+++ b/test/soak/soakfleet.cpp
@@ -192,9 +192,17 @@
 void SoakFleet::listServer(std::size_t server, const std::string &state)
 {
     const auto &backend = *fleet.backendServers[server];
+    servers_[server]->listedState = state;
     fleet.store.put("servers/" + backend.id(), backend.listEntry("pool", state, serverProxies[server]->address()));
 }
 
+void SoakFleet::listServersAgain()
+{
+    for (std::size_t i = 0; i < servers_.size(); ++i) {
+        listServer(i, std::string(servers_[i]->listedState));
+    }
+}
+
 void SoakFleet::restart(std::size_t gateway)
 {
     auto &each = fleet.gateways[gateway];
--- a/test/soak/soakfleet.h
+++ b/test/soak/soakfleet.h
@@ -63,6 +63,9 @@
     /** @brief Lists a backend server under its proxy's address. @param server Index. @param state State in the entry. */
     void listServer(std::size_t server, const std::string &state);
 
+    /** @brief Lists each backend server again with its last state. */
+    void listServersAgain();
+
     /** @brief Sets how a backend server answers. */
     void setBehaviour(std::size_t server, Behaviour behaviour)
     {
@@ -91,6 +94,7 @@
 private:
     struct ServerState {
         std::atomic<Behaviour> behaviour{Behaviour::Sound};
+        std::string listedState;
         std::atomic<std::chrono::steady_clock::time_point> downUntil{};
     };
 
