Read the sequence of a backend server's entry

Cause: a store that comes back from an older copy lists older entries, and nothing in a decoded entry told them from newer ones of the same process. The comparison behind short reports leaves it out. Before (stand-in without the decoding): 'the sequence of a backend server entry is decoded ...' failed; after: passes. Short reports: 'hundreds of gateways: one report of each server is a few bytes ...', whose entries carry a sequence, passes.

--- a/src/cyclamenspool/gateway/listdelta.cpp
+++ b/src/cyclamenspool/gateway/listdelta.cpp
@@ -13,7 +13,7 @@
 
 namespace internal {
 
-/** @brief Decodes a backend server's entry. @return Entry without its revision; empty if the item is deleted, unreadable or none. */
+/** @brief Decodes a backend server's entry. @return Entry without its revision and sequence; empty if the item is deleted, unreadable or none. */
 std::optional<world::BackendServer> serverOf(const member::StoreItem *item)
 {
     if (item == nullptr) {
@@ -27,6 +27,7 @@
         }
         auto server = *listed;
         server.revision = 0;
+        server.sequence.reset();
         return server;
     } catch (const platform::MalformedValue &) {
         return std::nullopt; // Reported by the receivers, which get the item as it is.
--- a/src/cyclamenspool/platform/documents.cpp
+++ b/src/cyclamenspool/platform/documents.cpp
@@ -260,6 +260,9 @@
     // Remaining duration of the cold start, not the time since the start.
     server.coldRemaining = readMillisecondsOr(object, "cold_remaining_ms", std::chrono::milliseconds(0));
     server.startedUnixMs = static_cast<std::uint64_t>(readNumberOr(object, "born", 0));
+    if (find(object, "sequence") != nullptr) {
+        server.sequence = static_cast<std::uint64_t>(readNumber(object, "sequence"));
+    }
     server.revision = item.revision;
     return server;
 }
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -25,10 +25,24 @@
     CHECK(server.service == "pool");
     CHECK(server.coldRemaining == 1500ms);
     CHECK(server.startedUnixMs == 1700000000000ULL);
+    CHECK_FALSE(server.sequence);
     CHECK_FALSE(server.leaving);
     CHECK(server.revision == 7);
 }
 
+// Guards against older entries that cannot be told from newer ones after the store was restored.
+TEST_CASE("the sequence of a backend server entry is decoded; it is empty if it is missing, and an entry with an invalid one is rejected", "[platform]")
+{
+    const auto withSequence = [](const std::string &sequence) {
+        return itemOf("servers/i-1", validServer.substr(0, validServer.size() - 1) + R"(,"sequence":)" + sequence + "}");
+    };
+    CHECK(std::get<world::BackendServer>(decode(withSequence("0"))).sequence == 0U);
+    CHECK(std::get<world::BackendServer>(decode(withSequence("8201"))).sequence == 8201U);
+    CHECK_FALSE(std::get<world::BackendServer>(decode(withSequence("null"))).sequence);
+    CHECK_THROWS_AS(decode(withSequence("-1")), platform::MalformedValue);
+    CHECK_THROWS_AS(decode(withSequence("\"9\"")), platform::MalformedValue);
+}
+
 TEST_CASE("a backend server entry with a missing, mistyped or out-of-range field, an unknown state or invalid JSON is rejected", "[platform]")
 {
     const auto value = GENERATE(as<std::string>{},
