A restore of the store begins a new uptime, as after an outage

Cause: a store may come back from an older copy without a gap of 1.5 s in its answers; entries that the copy lacks would be dropped at once though their servers live and write again within about two seconds. A peer that has not noticed the restore reports an uptime from before it: it is cut at the restore, else it would end the renewal time at once. Before (onRestored without effect): the three new tests of [store] failed; after: pass.

--- a/src/cyclamenspool/gateway/storeavailability.cpp
+++ b/src/cyclamenspool/gateway/storeavailability.cpp
@@ -25,8 +25,26 @@
     uptime_->until = std::max(uptime_->until, at);
 }
 
-void StoreAvailability::onReported(const StoreUptime &reported)
+void StoreAvailability::onRestored(core::MonotonicTime at) noexcept
 {
+    restoredAt_ = at;
+    uptime_ = {at, std::max(at, uptime_ ? uptime_->until : at)};
+    isAfterOutage_ = true;
+}
+
+bool StoreAvailability::isRestoring(core::MonotonicTime now) const noexcept
+{
+    return restoredAt_ && now < *restoredAt_ + internal::renewalTime;
+}
+
+void StoreAvailability::onReported(const StoreUptime &peerUptime)
+{
+    if (restoredAt_ && peerUptime.until < *restoredAt_) {
+        return;
+    }
+    // A peer that has not noticed the restore reports an uptime that began before it.
+    auto reported = peerUptime;
+    reported.since = std::max(reported.since, restoredAt_.value_or(reported.since));
     const bool isLater = !uptime_ || reported.since > uptime_->until + internal::maxAnswerGap;
     if (isLater) {
         uptime_ = reported;
--- a/src/cyclamenspool/gateway/storeavailability.h
+++ b/src/cyclamenspool/gateway/storeavailability.h
@@ -17,7 +17,7 @@
  * safe.
  *
  * That a store does not answer this gateway is no outage while it answers others: gateways tell each other their latest uptime. Answers at most 1.5 s apart
- * belong to one uptime.
+ * belong to one uptime. A store that is restored from an older copy begins a new one.
  */
 class StoreAvailability
 {
@@ -25,14 +25,17 @@
     /** @brief Records an answer of the store to this gateway. @param at Time of the answer. */
     void onAnswered(core::MonotonicTime at);
 
+    /** @brief Records that the store was restored from an older copy: a new uptime begins, as after an outage. @param at Time at which it was noticed. */
+    void onRestored(core::MonotonicTime at) noexcept;
+
     /** @brief Records a failed call of this gateway. */
     void onCallFailed() noexcept
     {
         hasFailed_ = true;
     }
 
-    /** @brief Merges another gateway's uptime; of two that a gap separates, the later one is kept. @param reported Its uptime. */
-    void onReported(const StoreUptime &reported);
+    /** @brief Merges another gateway's uptime; of two that a gap separates, the later one is kept. @param peerUptime Its uptime. */
+    void onReported(const StoreUptime &peerUptime);
 
     /** @brief Returns the latest uptime, for other gateways; empty if it is not known yet whether an outage preceded it. */
     [[nodiscard]] std::optional<StoreUptime> uptime() const noexcept;
@@ -41,8 +44,12 @@
      * their entries. */
     [[nodiscard]] bool mayEntryHaveExpired(core::MonotonicTime now) const noexcept;
 
+    /** @brief Returns whether a document that a restored store lacks may not have been written again yet: until 2.2 s after the restore. */
+    [[nodiscard]] bool isRestoring(core::MonotonicTime now) const noexcept;
+
 private:
     std::optional<StoreUptime> uptime_;
+    std::optional<core::MonotonicTime> restoredAt_;
     bool isAfterOutage_ = false; /* the uptime follows an outage; false: not known to */
     bool hasFailed_ = false;
 };
--- a/test/gateway/storeavailability.cpp
+++ b/test/gateway/storeavailability.cpp
@@ -80,6 +80,49 @@
     CHECK_FALSE(store.mayEntryHaveExpired(start + 100ms));
 }
 
+// Guards against living servers that are dropped at once: a store may come back from an older copy without a long gap in its answers.
+TEST_CASE("a store that was restored without a long gap in its answers: entries may have expired until servers had time to renew them", "[gateway][store]")
+{
+    StoreAvailability store;
+    answerUntil(store, start, start + 10s);
+    store.onRestored(start + 10s);
+    CHECK(store.mayEntryHaveExpired(start + 10s));
+    answerUntil(store, start + 10s, start + 12s);
+    CHECK(store.mayEntryHaveExpired(start + 12100ms));
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 12200ms));
+    REQUIRE(store.uptime());
+    CHECK(store.uptime()->since == start + 10s);
+}
+
+// Guards against a renewal time that ends early or late by the uptime of a gateway that has not noticed the restore.
+TEST_CASE("the uptime of a peer that does not know yet of a restore neither ends nor prolongs the renewal time", "[gateway][store]")
+{
+    StoreAvailability store;
+    answerUntil(store, start, start + 10s);
+    store.onRestored(start + 10s);
+    store.onReported({start - 5s, start + 11s});
+    CHECK(store.mayEntryHaveExpired(start + 11s));
+    store.onReported({start - 5s, start + 9s});
+    CHECK(store.mayEntryHaveExpired(start + 12100ms));
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 12200ms));
+    store.onReported({start - 5s, start + 20s});
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 20s));
+    REQUIRE(store.uptime());
+    CHECK(store.uptime()->since == start + 10s);
+}
+
+// Guards against a restore that hides a later outage, or that counts for a gateway which had no answer before.
+TEST_CASE("a restore is followed by an outage like any other time, and counts without an earlier answer", "[gateway][store]")
+{
+    StoreAvailability store;
+    store.onRestored(start);
+    CHECK(store.mayEntryHaveExpired(start + 2s));
+    CHECK_FALSE(store.mayEntryHaveExpired(start + 3s));
+    store.onAnswered(start + 9s);
+    CHECK(store.mayEntryHaveExpired(start + 11s));
+    CHECK_FALSE(store.isRestoring(start + 11s));
+}
+
 // Guards against gateways that ignore each other's reports once they have run for long.
 TEST_CASE("an uptime of any length reaches another gateway", "[gateway][store]")
 {
