Documents of a restored store do not revert what a gateway knows

Cause: the list of a store that was restored holds older entries until their servers write again, and lacks what was written in the lost seconds. A server known to leave became usable, a removed one was used again, an evacuation of the lost seconds ended at once. Change: StaleEntries withholds an entry that is older by its process and sequence, or that takes back a leaving or a removal without being known to be later, until the server writes once more. Followers get reports without their sequence, so the sequence known of a removed server can be from long before and does not decide. A lower start time counts as older for five minutes after a restore only, as clocks are set back. The end of an evacuation is put off for the renewal time of 2.2 s; onZoneEvacuation() takes the time (existing tests: the argument only). Tried and dropped: removing expired entries before each answer as well: 'an entry that a late response lists again keeps its server' failed.

--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -56,10 +56,11 @@
 
     void operator()(const platform::ZoneEvacuation &evacuation) const
     {
-        dispatcher_.withFleet([&evacuation](Fleet &fleet, core::MonotonicTime) {
-            fleet.onZoneEvacuation(evacuation.zone, evacuation.isActive);
+        bool isEvacuated = false;
+        dispatcher_.withFleet([&](Fleet &fleet, core::MonotonicTime now) {
+            isEvacuated = fleet.onZoneEvacuation(evacuation.zone, evacuation.isActive, now);
         });
-        log("zone", {{"zone", evacuation.zone}, {"leaving", evacuation.isActive}});
+        log("zone", {{"zone", evacuation.zone}, {"leaving", evacuation.isActive}, {"kept", isEvacuated && !evacuation.isActive}});
     }
 
     void operator()(const platform::IgnoredItem &) const
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -3,6 +3,7 @@
 #include <cyclamenspool/core/hash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenspool::gateway {
 
@@ -49,8 +50,29 @@
     }
 }
 
+std::optional<KnownProcess> Fleet::knownProcess(const std::string &id, core::MonotonicTime now) const
+{
+    const auto server = find(id);
+    if (server == nullptr) {
+        return staleEntries_.removedProcess(id, now);
+    }
+    const auto &entry = server->entry;
+    return KnownProcess{entry.startedUnixMs, entry.sequence, entry.leaving, server->statements.isLeaving(), false};
+}
+
 bool Fleet::onServerListed(const world::BackendServer &entry, core::MonotonicTime now)
 {
+    const auto known = knownProcess(entry.id, now);
+    if (known && staleEntries_.withhold(entry, *known, now)) {
+        return false;
+    }
+    return applyEntry(entry, known, now);
+}
+
+bool Fleet::applyEntry(const world::BackendServer &entry, const std::optional<KnownProcess> &known, core::MonotonicTime now)
+{
+    const bool isSameProcess = known && entry.startedUnixMs != 0 && known->startedUnixMs == entry.startedUnixMs;
+    staleEntries_.onListed(entry.id);
     auto &server = servers_[entry.id];
     const bool isNew = server == nullptr || server->entry.startedUnixMs != entry.startedUnixMs;
     if (isNew) {
@@ -65,6 +87,9 @@
         const bool wasListedBefore = now < *firstListedAt_ + internal::initialListTime && entry.coldRemaining.count() == 0;
         server->joinedAt = wasListedBefore ? core::MonotonicTime::min() : now;
         byService_[entry.service].push_back(server);
+        if (isSameProcess && known->saysLeaving) {
+            server->statements.onReportedLeaving();
+        }
     }
     const bool isChange = isNew || server->entry.leaving != entry.leaving || server->isColdUntilReport || server->entryExpiredAt;
     if (server->entry.service != entry.service) {
@@ -79,8 +104,30 @@
     return isChange;
 }
 
+bool Fleet::applyWithheldEntry(std::uint32_t hash, core::MonotonicTime now)
+{
+    const auto *withheld = staleEntries_.withheldEntry(hash);
+    if (withheld == nullptr) {
+        return false;
+    }
+    auto entry = *withheld;
+    const auto known = knownProcess(entry.id, now);
+    if (known && known->startedUnixMs == entry.startedUnixMs) {
+        if (known->isLeaving && !entry.leaving) {
+            return false;
+        }
+        entry.sequence = known->sequence;
+    }
+    applyEntry(entry, known, now);
+    return true;
+}
+
 void Fleet::onServerReported(std::uint32_t hash, core::MonotonicTime now)
 {
+    // The server has written the withheld entry again, as all but its sequence is unchanged.
+    if (applyWithheldEntry(hash, now)) {
+        return;
+    }
     const auto server = find(idOf(hash));
     if (server == nullptr) {
         return;
@@ -93,6 +140,7 @@
 
 bool Fleet::onServerRemoved(const std::string &id, core::MonotonicTime now)
 {
+    staleEntries_.dropWithheld(id);
     const auto found = servers_.find(id);
     if (found == servers_.end()) {
         return false;
@@ -101,19 +149,38 @@
         found->second->entryExpiredAt = now;
         return true;
     }
-    found->second->isRemoved = true;
-    removeFromService(found->second);
-    idsByHash_.erase(serverHash(id));
-    servers_.erase(found);
+    removeServer(found, now);
     return false;
 }
 
-void Fleet::onZoneEvacuation(const std::string &zone, bool isEvacuated)
+void Fleet::removeServer(std::map<std::string, ServerPtr>::iterator known, core::MonotonicTime now)
+{
+    const auto &[id, server] = *known;
+    const auto &entry = server->entry;
+    staleEntries_.onRemoved(id, {entry.startedUnixMs, entry.sequence, entry.leaving, server->statements.isLeaving(), true}, now);
+    server->isRemoved = true;
+    removeFromService(server);
+    idsByHash_.erase(serverHash(id));
+    servers_.erase(known);
+}
+
+bool Fleet::onZoneEvacuation(const std::string &zone, bool isEvacuated, core::MonotonicTime now)
 {
+    endingEvacuations_.erase(zone);
     if (isEvacuated) {
         evacuatedZones_.insert(zone);
-        return;
+        return true;
+    }
+    if (evacuatedZones_.count(zone) > 0 && store_.isRestoring(now)) {
+        endingEvacuations_.insert(zone);
+        return true;
     }
+    endEvacuation(zone);
+    return false;
+}
+
+void Fleet::endEvacuation(const std::string &zone)
+{
     if (evacuatedZones_.erase(zone) == 0) {
         return;
     }
@@ -132,6 +199,14 @@
     store_.onAnswered(now);
 }
 
+void Fleet::onStoreRestored(core::MonotonicTime now)
+{
+    // An entry whose renewal time is over must not get another one.
+    removeExpired(now);
+    store_.onRestored(now);
+    staleEntries_.onStoreRestored(now);
+}
+
 void Fleet::onStoreUptimeReported(const StoreUptime &uptime)
 {
     store_.onReported(uptime);
@@ -139,18 +214,19 @@
 
 void Fleet::removeExpired(core::MonotonicTime now)
 {
+    if (!store_.isRestoring(now)) {
+        for (const auto &zone : std::exchange(endingEvacuations_, {})) {
+            endEvacuation(zone);
+        }
+    }
     if (store_.mayEntryHaveExpired(now)) {
         return;
     }
-    for (auto known = servers_.begin(); known != servers_.end();) {
-        if (!known->second->entryExpiredAt) {
-            ++known;
-            continue;
+    for (auto next = servers_.begin(); next != servers_.end();) {
+        const auto known = next++;
+        if (known->second->entryExpiredAt) {
+            removeServer(known, now);
         }
-        known->second->isRemoved = true;
-        removeFromService(known->second);
-        idsByHash_.erase(serverHash(known->first));
-        known = servers_.erase(known);
     }
 }
 
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -3,6 +3,7 @@
 #include <cyclamenspool/gateway/limitsplitter.h>
 #include <cyclamenspool/gateway/peerloads.h>
 #include <cyclamenspool/gateway/serverstate.h>
+#include <cyclamenspool/gateway/staleentries.h>
 #include <cyclamenspool/gateway/storeavailability.h>
 
 #include <cstdint>
@@ -57,7 +58,7 @@
 {
 public:
     /**
-     * @brief Adds or updates a backend server.
+     * @brief Adds or updates a backend server; an entry that is older than what is known of the server, as StaleEntries finds, changes nothing.
      * @param entry Its entry in the store.
      * @param now Current time.
      * @return True if it is new or restarted, starts or stops leaving, had an expired entry, or was treated as cold until its next report.
@@ -78,8 +79,15 @@
     /** @brief Handles a further report of a backend server, whose entry is otherwise unchanged and not cold. @param hash serverHash() of its id. */
     void onServerReported(std::uint32_t hash, core::MonotonicTime now);
 
-    /** @brief Begins or ends the evacuation of a zone. @param zone Availability zone. @param isEvacuated True if the zone gets no new requests from now on. */
-    void onZoneEvacuation(const std::string &zone, bool isEvacuated);
+    /**
+     * @brief Begins or ends the evacuation of a zone. While operators may still have to write documents again that a restored store has lost, an end is put off
+     * until StoreAvailability::isRestoring() ends, and dropped if the evacuation begins again by then.
+     * @param zone Availability zone.
+     * @param isEvacuated True if the zone gets no new requests from now on.
+     * @param now Current time.
+     * @return True if the zone gets no new requests for now.
+     */
+    bool onZoneEvacuation(const std::string &zone, bool isEvacuated, core::MonotonicTime now);
 
     /** @brief Handles a failed call of this gateway to the store. */
     void onStoreUnavailable();
@@ -90,7 +98,16 @@
     /** @brief Handles another gateway's report of the store's uptime; call it before the rest of the message is applied. */
     void onStoreUptimeReported(const StoreUptime &uptime);
 
-    /** @brief Removes the expired entries once the servers had time to renew them. */
+    /**
+     * @brief Handles a restore of the store from an older copy; call it before the difference to the restored documents is applied.
+     *
+     * What the copy lacks is kept until it had time to be written again: servers are removed and evacuations end 2.2 s later. What the copy holds in an older
+     * form than is known changes nothing, see StaleEntries.
+     * @param now Current time, or the earlier time at which a gateway noticed the restore.
+     */
+    void onStoreRestored(core::MonotonicTime now);
+
+    /** @brief Removes the expired entries, and ends the evacuations whose end was put off, once there was time to write them again. */
     void removeExpired(core::MonotonicTime now);
 
     /** @brief Returns StoreAvailability::uptime(). */
@@ -186,6 +203,11 @@
     [[nodiscard]] std::string idOf(std::uint32_t hash) const;
 
 private:
+    [[nodiscard]] std::optional<KnownProcess> knownProcess(const std::string &id, core::MonotonicTime now) const;
+    bool applyEntry(const world::BackendServer &entry, const std::optional<KnownProcess> &known, core::MonotonicTime now);
+    [[nodiscard]] bool applyWithheldEntry(std::uint32_t hash, core::MonotonicTime now);
+    void removeServer(std::map<std::string, ServerPtr>::iterator known, core::MonotonicTime now);
+    void endEvacuation(const std::string &zone);
     void removeFromService(const ServerPtr &server);
     void updatePeerLoads(const std::vector<std::string> &servers);
     [[nodiscard]] int reportedLoadOf(const std::string &id) const;
@@ -198,8 +220,10 @@
     PeerLoads zoneLoads_; /* of the gateways of other zones, by zone */
     std::unordered_map<std::uint32_t, std::string> idsByHash_;
     std::set<std::string> evacuatedZones_;
+    std::set<std::string> endingEvacuations_; /* zones whose evacuation ends unless it is written again */
     std::optional<core::MonotonicTime> firstListedAt_;
     StoreAvailability store_;
+    StaleEntries staleEntries_;
 };
 
 } // namespace cyclamenspool::gateway
--- /dev/null
+++ b/src/cyclamenspool/gateway/staleentries.cpp
@@ -0,0 +1,92 @@
+#include <cyclamenspool/gateway/staleentries.h>
+
+#include <cyclamenspool/gateway/fleet.h>
+
+#include <algorithm>
+
+namespace cyclamenspool::gateway {
+
+namespace internal {
+
+constexpr std::chrono::minutes staleTime{5}; /* far longer than the age of a copy and the time in which the entry of a silent server expires */
+constexpr std::size_t maxRemoved = 1024; /* about 100 bytes each */
+
+bool isWithin(const std::optional<core::MonotonicTime> &begin, core::MonotonicTime now)
+{
+    return begin && now < *begin + staleTime;
+}
+
+} // namespace internal
+
+void StaleEntries::onRemoved(const std::string &id, const KnownProcess &process, core::MonotonicTime now)
+{
+    std::erase_if(removed_, [now](const auto &each) {
+        return !internal::isWithin(each.second.removedAt, now);
+    });
+    removed_[id] = {process, now};
+    removed_[id].process.isRemoved = true;
+    if (removed_.size() > internal::maxRemoved) {
+        removed_.erase(std::min_element(removed_.begin(), removed_.end(), [](const auto &left, const auto &right) {
+            return left.second.removedAt < right.second.removedAt;
+        }));
+    }
+}
+
+std::optional<KnownProcess> StaleEntries::removedProcess(const std::string &id, core::MonotonicTime now) const
+{
+    const auto found = removed_.find(id);
+    const bool isKnown = found != removed_.end() && internal::isWithin(found->second.removedAt, now);
+    return isKnown ? std::optional(found->second.process) : std::nullopt;
+}
+
+bool StaleEntries::isWrittenAgain(const world::BackendServer &entry) const
+{
+    const auto found = withheld_.find(serverHash(entry.id));
+    return found != withheld_.end() && found->second.id == entry.id && entry.revision > found->second.revision;
+}
+
+bool StaleEntries::isStale(const world::BackendServer &entry, const KnownProcess &known, core::MonotonicTime now) const
+{
+    const bool mayBeRestored = internal::isWithin(restoredAt_, now) && !isWrittenAgain(entry);
+    if (entry.startedUnixMs != known.startedUnixMs) {
+        // Without a restore, the clock of the server was set back.
+        return mayBeRestored && entry.startedUnixMs != 0 && entry.startedUnixMs < known.startedUnixMs;
+    }
+    const bool isComparable = entry.startedUnixMs != 0 && entry.sequence && known.sequence;
+    if (isComparable && *entry.sequence < *known.sequence) {
+        return true;
+    }
+    const bool isLater = isComparable && *entry.sequence > *known.sequence && !known.isRemoved;
+    const bool takesBack = known.isRemoved || (known.isLeaving && !entry.leaving);
+    return mayBeRestored && takesBack && !isLater;
+}
+
+bool StaleEntries::withhold(const world::BackendServer &entry, const KnownProcess &known, core::MonotonicTime now)
+{
+    const bool isWithheld = isStale(entry, known, now);
+    if (isWithheld) {
+        withheld_[serverHash(entry.id)] = entry;
+    }
+    return isWithheld;
+}
+
+const world::BackendServer *StaleEntries::withheldEntry(std::uint32_t hash) const
+{
+    const auto found = withheld_.find(hash);
+    return found == withheld_.end() ? nullptr : &found->second;
+}
+
+void StaleEntries::dropWithheld(const std::string &id)
+{
+    if (!withheld_.empty()) {
+        withheld_.erase(serverHash(id));
+    }
+}
+
+void StaleEntries::onListed(const std::string &id)
+{
+    dropWithheld(id);
+    removed_.erase(id);
+}
+
+} // namespace cyclamenspool::gateway
--- a/test/gateway/fleet.cpp
+++ b/test/gateway/fleet.cpp
@@ -103,15 +103,15 @@
     leaving.leaving = true;
     fleet.onServerListed(leaving, start);
     CHECK(fleet.availabilityOf(fleet.server(0), start) == Availability::Leaving);
-    fleet.onZoneEvacuation("az-a", true);
+    fleet.onZoneEvacuation("az-a", true, start);
     CHECK(fleet.availabilityOf(fleet.server(1), start) == Availability::Evacuated);
 }
 
 TEST_CASE("a zone whose evacuation ends is cold until its backend servers report", "[gateway][fleet]")
 {
     FilledFleet fleet(1);
-    fleet.onZoneEvacuation("az-a", true);
-    fleet.onZoneEvacuation("az-a", false);
+    fleet.onZoneEvacuation("az-a", true, start);
+    fleet.onZoneEvacuation("az-a", false, start);
     CHECK(fleet.availabilityOf(fleet.server(0), start) == Availability::Cold);
     fleet.onServerListed(entryOf("s0", 5), start + 1s);
     CHECK(fleet.availabilityOf(fleet.server(0), start + 1s) == Availability::Usable);
--- /dev/null
+++ b/test/gateway/fleetrestore.cpp
@@ -0,0 +1,380 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/gateway/catalog.h>
+#include <cyclamenspool/gateway/fleet.h>
+
+#include <string>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using gateway::Availability;
+using gateway::Fleet;
+
+namespace {
+
+const core::MonotonicTime start = core::MonotonicTime() + 1h;
+const core::MonotonicTime restored = start + 60s;
+constexpr std::uint64_t born = 1700000000000;
+
+/** @brief An entry of s0; each write of one process has the next sequence, and the store gives it a revision. */
+world::BackendServer entryOf(std::uint64_t sequence, std::uint64_t revision, bool isLeaving = false)
+{
+    world::BackendServer entry;
+    entry.id = "s0";
+    entry.service = "pool";
+    entry.address = "10.0.0.1:80";
+    entry.zone = "az-a";
+    entry.slots = 8;
+    entry.leaving = isLeaving;
+    entry.startedUnixMs = born;
+    entry.sequence = sequence;
+    entry.revision = revision;
+    return entry;
+}
+
+/** @brief A fleet whose store has answered without a gap until it was restored. */
+struct RestoredFleet : Fleet {
+    void restore(core::MonotonicTime at = restored)
+    {
+        for (auto answer = start; answer <= at; answer += 1s) {
+            onStoreAvailable(answer);
+        }
+        onStoreRestored(at);
+    }
+
+    [[nodiscard]] Availability availability(core::MonotonicTime now) const
+    {
+        const auto server = find("s0");
+        return server == nullptr ? Availability::Count : availabilityOf(*server, now);
+    }
+
+    [[nodiscard]] bool isUsed(core::MonotonicTime now) const
+    {
+        const auto is = availability(now);
+        return is == Availability::Usable || is == Availability::Cold;
+    }
+};
+
+} // namespace
+
+// Guards against requests to a server that was known to leave, at an address or for a service that it had before.
+TEST_CASE("store restored: an entry with a lower sequence of the same process changes nothing", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(9, 90, true), start);
+    fleet.restore();
+    auto older = entryOf(8, 80);
+    older.address = "10.0.0.7:80";
+    older.service = "other";
+    CHECK_FALSE(fleet.onServerListed(older, restored));
+    CHECK(fleet.availability(restored) == Availability::Leaving);
+    CHECK(fleet.find("s0")->entry == entryOf(9, 90, true));
+    CHECK(fleet.find("s0")->reportedAt == start);
+    CHECK(fleet.serversOf("other").empty());
+    older.revision = 95;
+    CHECK_FALSE(fleet.onServerListed(older, restored + 1s));
+    CHECK(fleet.availability(restored + 1s) == Availability::Leaving);
+}
+
+// Guards against a living server that stays at what it said before the restore.
+TEST_CASE("store restored: the next entry of a living server is applied", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(9, 90), start);
+    fleet.restore();
+    fleet.onServerListed(entryOf(8, 80), restored);
+    CHECK(fleet.isUsed(restored));
+    fleet.onServerListed(entryOf(10, 85, true), restored + 1s);
+    CHECK(fleet.availability(restored + 1s) == Availability::Leaving);
+    CHECK(fleet.find("s0")->reportedAt == restored + 1s);
+}
+
+// Guards against the entry of an earlier process in place of the one that runs.
+TEST_CASE("store restored: an entry of an earlier process of the server changes nothing, one of a later process is applied", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(2, 90), start);
+    const auto running = fleet.find("s0");
+    fleet.restore();
+    auto earlier = entryOf(500, 80);
+    earlier.startedUnixMs = born - 5000;
+    CHECK_FALSE(fleet.onServerListed(earlier, restored));
+    CHECK(fleet.find("s0") == running);
+    auto later = entryOf(1, 81);
+    later.startedUnixMs = born + 5000;
+    CHECK(fleet.onServerListed(later, restored + 1s));
+    CHECK(fleet.find("s0") != running);
+}
+
+// Guards against a restarted server that is ignored because its clock was set back.
+TEST_CASE("an entry of a process with an earlier start is applied if the store was not restored, and after a restore once it is written again",
+          "[gateway][restore]")
+{
+    auto setBack = entryOf(1, 95);
+    setBack.startedUnixMs = born - 5000;
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(9, 90), start);
+    SECTION("not restored")
+    {
+        CHECK(fleet.onServerListed(setBack, start + 1s));
+    }
+    SECTION("restored")
+    {
+        fleet.restore();
+        CHECK_FALSE(fleet.onServerListed(setBack, restored));
+        setBack.sequence = 2;
+        setBack.revision = 96;
+        CHECK(fleet.onServerListed(setBack, restored + 1s));
+    }
+    CHECK(fleet.find("s0")->entry.startedUnixMs == setBack.startedUnixMs);
+}
+
+// Guards against requests to a server that has left; a gateway that gets reports in short form knows a sequence from long before.
+TEST_CASE("store restored: a removed server whose entry comes back is used only once it writes again", "[gateway][restore]")
+{
+    const auto isListWatcher = GENERATE(true, false);
+    CAPTURE(isListWatcher);
+    RestoredFleet fleet;
+    fleet.onStoreAvailable(start);
+    fleet.onServerListed(entryOf(isListWatcher ? 99 : 1, 10), start);
+    CHECK_FALSE(fleet.onServerRemoved("s0", restored - 5s));
+    fleet.restore();
+    CHECK_FALSE(fleet.onServerListed(entryOf(97, 970), restored));
+    CHECK_FALSE(fleet.isUsed(restored));
+    CHECK(fleet.serversOf("pool").empty());
+    SECTION("its entry is listed again as it is")
+    {
+        fleet.restore(restored + 10s);
+        CHECK_FALSE(fleet.onServerListed(entryOf(97, 970), restored + 10s));
+        CHECK_FALSE(fleet.isUsed(restored + 10s));
+    }
+    SECTION("its entry is written again")
+    {
+        CHECK(fleet.onServerListed(entryOf(100, 980), restored + 1s));
+        CHECK(fleet.isUsed(restored + 1s));
+    }
+    SECTION("a further report arrives in short form")
+    {
+        fleet.onServerReported(gateway::serverHash("s0"), restored + 1s);
+        CHECK(fleet.isUsed(restored + 1s));
+        CHECK(fleet.serversOf("pool").size() == 1);
+    }
+    SECTION("its entry is removed again")
+    {
+        CHECK_FALSE(fleet.onServerRemoved("s0", restored + 1s));
+        fleet.onServerReported(gateway::serverHash("s0"), restored + 1s);
+        CHECK_FALSE(fleet.isUsed(restored + 1s));
+    }
+    SECTION("a new process is listed under its id")
+    {
+        auto next = entryOf(1, 981);
+        next.startedUnixMs = born + 1;
+        CHECK(fleet.onServerListed(next, restored + 1s));
+        CHECK(fleet.isUsed(restored + 1s));
+    }
+}
+
+// Guards against the return of a server that had said that it leaves before its entry was removed.
+TEST_CASE("store restored: a process that was draining before its entry was removed is not used on a report in short form", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onStoreAvailable(start);
+    fleet.onServerListed(entryOf(9, 90, true), start);
+    fleet.onServerRemoved("s0", restored - 5s);
+    fleet.restore();
+    fleet.onServerListed(entryOf(8, 80), restored);
+    fleet.onServerReported(gateway::serverHash("s0"), restored + 1s);
+    CHECK_FALSE(fleet.isUsed(restored + 1s));
+}
+
+// Guards against a server that told a gateway in its responses that it leaves, and whose entry is removed and comes back.
+TEST_CASE("a process that has said that it leaves is still leaving if its entry is listed again", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onStoreAvailable(start);
+    fleet.onServerListed(entryOf(9, 90), start);
+    fleet.onPeerStatement({"s0", born, true, {}});
+    fleet.onServerRemoved("s0", start + 1s);
+    fleet.onServerListed(entryOf(10, 91), start + 2s);
+    CHECK(fleet.availability(start + 2s) == Availability::Leaving);
+    auto next = entryOf(1, 92);
+    next.startedUnixMs = born + 1;
+    fleet.onServerListed(next, start + 3s);
+    CHECK(fleet.isUsed(start + 3s));
+}
+
+// Guards against short reports that end the leaving of a server, as the restored copy from before it holds the same as its next report.
+TEST_CASE("store restored: a report in short form of a leaving process does not end its leaving", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(9, 90, true), start);
+    fleet.restore();
+    fleet.onServerListed(entryOf(8, 80), restored);
+    fleet.onServerReported(gateway::serverHash("s0"), restored + 1s);
+    CHECK(fleet.availability(restored + 1s) == Availability::Leaving);
+}
+
+// Guards against requests to a leaving server whose entries have no version.
+TEST_CASE("entries without a version: after a restore a leaving server is used only once it is written again; otherwise at once", "[gateway][restore]")
+{
+    const auto unversioned = [](std::uint64_t revision, bool isLeaving) {
+        auto entry = entryOf(1, revision, isLeaving);
+        entry.startedUnixMs = 0;
+        entry.sequence.reset();
+        return entry;
+    };
+    RestoredFleet fleet;
+    fleet.onServerListed(unversioned(90, true), start);
+    SECTION("restored")
+    {
+        fleet.restore();
+        CHECK_FALSE(fleet.onServerListed(unversioned(80, false), restored));
+        CHECK(fleet.availability(restored) == Availability::Leaving);
+        CHECK(fleet.onServerListed(unversioned(81, false), restored + 1s));
+    }
+    SECTION("not restored")
+    {
+        CHECK(fleet.onServerListed(unversioned(91, false), restored + 1s));
+    }
+    CHECK(fleet.isUsed(restored + 1s));
+}
+
+// Guards against living servers that are dropped because the copy is older than their registration.
+TEST_CASE("store restored: a server that the restored list lacks is used for the renewal time, and then dropped without a further store call",
+          "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(9, 90), start);
+    fleet.restore();
+    CHECK(fleet.onServerRemoved("s0", restored));
+    CHECK(fleet.isUsed(restored + 2100ms));
+    CHECK_FALSE(fleet.isUsed(restored + 2300ms));
+    SECTION("the store is restored once more before its entry was dropped")
+    {
+        fleet.restore(restored + 5s);
+        CHECK_FALSE(fleet.isUsed(restored + 5100ms));
+    }
+    SECTION("it wrote its entry in time")
+    {
+        fleet.onServerListed(entryOf(10, 81), restored + 2s);
+        CHECK(fleet.isUsed(restored + 2300ms));
+    }
+}
+
+// Guards against requests to a leaving server during the renewal time and after it.
+TEST_CASE("store restored: a leaving server that the restored list lacks stays leaving, also if an older entry follows", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(9, 90, true), start);
+    fleet.restore();
+    fleet.onServerRemoved("s0", restored);
+    CHECK(fleet.availability(restored + 1s) == Availability::Leaving);
+    fleet.restore(restored + 1s);
+    fleet.onServerListed(entryOf(8, 80), restored + 1s);
+    CHECK_FALSE(fleet.isUsed(restored + 1s));
+    fleet.removeExpired(restored + 4s);
+    fleet.restore(restored + 9s);
+    fleet.onServerListed(entryOf(8, 80), restored + 9s);
+    CHECK_FALSE(fleet.isUsed(restored + 9s));
+}
+
+// Guards against requests to a zone whose evacuation was begun in the seconds that the store has lost.
+TEST_CASE("store restored: an evacuation that the restored documents lack stays in force for the renewal time", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(9, 90), start);
+    fleet.onZoneEvacuation("az-a", true, start);
+    fleet.restore();
+    fleet.onZoneEvacuation("az-a", false, restored);
+    fleet.removeExpired(restored + 2100ms);
+    CHECK(fleet.availability(restored + 2100ms) == Availability::Evacuated);
+    SECTION("it is not written again: it ends, and the zone is cold until its servers report")
+    {
+        fleet.removeExpired(restored + 2300ms);
+        CHECK(fleet.availability(restored + 2300ms) == Availability::Cold);
+    }
+    SECTION("it is written again: it stays in force until it is taken back")
+    {
+        fleet.onZoneEvacuation("az-a", true, restored + 2s);
+        fleet.removeExpired(restored + 9s);
+        CHECK(fleet.availability(restored + 9s) == Availability::Evacuated);
+        fleet.onZoneEvacuation("az-a", false, restored + 9s);
+        CHECK(fleet.availability(restored + 9s) == Availability::Cold);
+    }
+    SECTION("the store is restored once more meanwhile: the renewal time begins anew")
+    {
+        fleet.restore(restored + 2150ms);
+        fleet.removeExpired(restored + 4s);
+        CHECK(fleet.availability(restored + 4s) == Availability::Evacuated);
+    }
+}
+
+// Guards against an evacuation that is ignored because it had been taken back in the seconds that the store has lost.
+TEST_CASE("store restored: an evacuation that comes back with the restored documents is in force", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(9, 90), start);
+    fleet.onZoneEvacuation("az-a", true, start);
+    fleet.onZoneEvacuation("az-a", false, start + 1s);
+    fleet.restore();
+    fleet.onZoneEvacuation("az-a", true, restored);
+    CHECK(fleet.availability(restored + 9s) == Availability::Evacuated);
+}
+
+// Guards against unbounded memory for servers that have left.
+TEST_CASE("removed servers are remembered for five minutes, at most 1024 of them, the latest first", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onStoreAvailable(start);
+    const auto idOf = [](int number) {
+        return "n" + std::to_string(number);
+    };
+    for (int i = 0; i < 1030; ++i) {
+        auto entry = entryOf(9, 90);
+        entry.id = idOf(i);
+        fleet.onServerListed(entry, start);
+        fleet.onServerRemoved(entry.id, start + std::chrono::milliseconds(i));
+    }
+    const auto isUsedAfterRestore = [&](int number, core::MonotonicTime at) {
+        auto entry = entryOf(8, 80);
+        entry.id = idOf(number);
+        fleet.onServerListed(entry, at);
+        return fleet.find(entry.id) != nullptr;
+    };
+    fleet.restore();
+    CHECK(isUsedAfterRestore(0, restored));
+    CHECK_FALSE(isUsedAfterRestore(100, restored));
+    CHECK_FALSE(isUsedAfterRestore(1029, restored));
+    fleet.restore(start + 301s + 1s);
+    CHECK(isUsedAfterRestore(200, start + 302s));
+}
+
+// Guards against documents whose version or time does not reach the decision.
+TEST_CASE("store restored: documents that the catalog reads revert neither a leaving server nor an evacuation", "[gateway][restore]")
+{
+    using gateway::Catalog;
+    gateway::Dispatcher dispatcher{config::GatewaySettings()};
+    Catalog catalog(dispatcher);
+    const auto textOf = [](int sequence, const std::string &state) {
+        return R"({"service":"pool","address":"10.0.0.1:80","zone":"az-b","slots":8,"state":")" + state + R"(","born":1700000000000,"sequence":)"
+            + std::to_string(sequence) + "}";
+    };
+    const auto availability = [&dispatcher](const std::string &id) {
+        auto result = Availability::Count;
+        dispatcher.withFleet([&](Fleet &fleet, core::MonotonicTime now) {
+            result = fleet.availabilityOf(*fleet.find(id), now);
+        });
+        return result;
+    };
+    catalog.onStoreList(Catalog::Section::OperatorConfig, {{{"op/evacuate/az-b", "{}", 5, false}}, 10});
+    catalog.onStoreList(Catalog::Section::Servers, {{{"servers/s0", textOf(9, "draining"), 8, false}, {"servers/s1", textOf(9, "ready"), 9, false}}, 10});
+    dispatcher.withFleet([](Fleet &fleet, core::MonotonicTime now) {
+        fleet.onStoreRestored(now);
+    });
+    catalog.onStoreChanges(Catalog::Section::OperatorConfig, {{"op/evacuate/az-b", {}, 11, true}}, 11);
+    catalog.onStoreChanges(Catalog::Section::Servers, {{"servers/s0", textOf(8, "ready"), 12, false}}, 12);
+    CHECK(availability("s0") == Availability::Leaving);
+    CHECK(availability("s1") == Availability::Evacuated);
+    catalog.onStoreChanges(Catalog::Section::Servers, {{"servers/s0", textOf(10, "ready"), 13, false}}, 13);
+    CHECK(availability("s0") == Availability::Evacuated);
+}
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -276,7 +276,7 @@
 TEST_CASE("evacuation: the mean load behind the load bound includes evacuated backend servers", "[gateway][placement]")
 {
     Pool pool;
-    pool.fleet.onZoneEvacuation("az-1", true);
+    pool.fleet.onZoneEvacuation("az-1", true, start);
     for (int i = 0; i < 240; ++i) {
         pool.choose(i % 2 == 0 ? static_cast<std::uint64_t>(i + 100) : 7);
     }
