--- a/test/gateway/routetable.cpp
+++ b/test/gateway/routetable.cpp
@@ -3,7 +3,10 @@
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/routetable.h>
 
+#include <algorithm>
+#include <atomic>
 #include <thread>
+#include <vector>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
@@ -80,6 +83,38 @@
     CHECK_THROWS_AS(dispatcher.admit(head, "/a/x"), core::Error);
 }
 
+// Guards against a routing version that goes back for a worker while the control thread applies the documents of a restored store.
+TEST_CASE("store restored: workers never see a lower routing version than before, whatever order the documents come in", "[gateway]")
+{
+    gateway::Dispatcher dispatcher{config::GatewaySettings()};
+    CHECK(dispatcher.onRouting(routingOf(1)));
+    std::atomic<bool> isDone{false};
+    std::atomic<int> regressions{0};
+    const auto readVersions = [&] {
+        std::uint64_t latest = 0;
+        while (!isDone) {
+            const auto version = dispatcher.routes()->routing().version;
+            regressions += version < latest ? 1 : 0;
+            latest = std::max(latest, version);
+        }
+    };
+    std::vector<std::thread> workers;
+    for (int i = 0; i < 3; ++i) {
+        workers.emplace_back(readVersions);
+    }
+    for (std::uint64_t version = 10; version < 500; version += 10) {
+        CHECK(dispatcher.onRouting(routingOf(version)));
+        CHECK_FALSE(dispatcher.onRouting(routingOf(version - 3)));
+        CHECK_FALSE(dispatcher.onRouting(routingOf(version)));
+    }
+    isDone = true;
+    for (auto &worker : workers) {
+        worker.join();
+    }
+    CHECK(regressions == 0);
+    CHECK(dispatcher.routes()->routing().version == 490);
+}
+
 TEST_CASE("retry abuse: retries stay within this gateway's share of the fleet-wide budget", "[gateway]")
 {
     config::GatewaySettings settings;
