--- a/test/gateway/fleetrestore.cpp
+++ b/test/gateway/fleetrestore.cpp
@@ -4,6 +4,8 @@
 #include <cyclamenspool/gateway/fleet.h>
 
 #include <string>
+#include <utility>
+#include <vector>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
@@ -378,3 +380,173 @@
     catalog.onStoreChanges(Catalog::Section::Servers, {{"servers/s0", textOf(10, "ready"), 13, false}}, 13);
     CHECK(availability("s0") == Availability::Evacuated);
 }
+
+namespace {
+
+/** @brief What the store holds of s0 after one of its writes. */
+struct Document {
+    world::BackendServer entry;
+    bool isPresent = true;
+
+    [[nodiscard]] bool isUsable() const
+    {
+        return isPresent && !entry.leaving;
+    }
+};
+
+using History = std::vector<Document>;
+
+/** @brief Returns all continuations of a document by one write: a report, the start of leaving, a removal, a return, and a restart under the same id. */
+std::vector<Document> successorsOf(const Document &document)
+{
+    std::vector<Document> successors;
+    auto next = document;
+    ++*next.entry.sequence;
+    next.isPresent = true;
+    if (document.isPresent || !document.entry.leaving) {
+        successors.push_back(next);
+    }
+    next.entry.leaving = true;
+    if (document.isUsable()) {
+        successors.push_back(next);
+    }
+    if (document.isPresent) {
+        successors.push_back({document.entry, false});
+    }
+    next.entry.startedUnixMs += 1000;
+    next.entry.sequence = 1;
+    next.entry.leaving = false;
+    successors.push_back(next);
+    return successors;
+}
+
+std::vector<History> historiesOf(std::size_t length)
+{
+    std::vector<History> histories{{{entryOf(1, 0)}}};
+    for (std::size_t i = 1; i < length; ++i) {
+        std::vector<History> longer;
+        for (const auto &history : histories) {
+            for (const auto &next : successorsOf(history.back())) {
+                longer.push_back(history);
+                longer.back().push_back(next);
+            }
+        }
+        histories = std::move(longer);
+    }
+    return histories;
+}
+
+/** @brief A store with the entry of s0, and a gateway that reads each write in full, or in short form as a gateway that another one tells of it. */
+class StoreAndGateway
+{
+public:
+    StoreAndGateway(bool isListWatcher, bool hasSequence)
+        : isListWatcher_(isListWatcher)
+        , hasSequence_(hasSequence)
+    {
+        fleet_.onStoreAvailable(start);
+        fleet_.onStoreAvailable(start + 1s);
+    }
+
+    void write(Document document, core::MonotonicTime at)
+    {
+        document.entry.revision = ++revision_;
+        dropSequence(document);
+        auto unchanged = stored_.entry;
+        unchanged.sequence = document.entry.sequence;
+        unchanged.revision = document.entry.revision;
+        const bool isShort = !isListWatcher_ && stored_.isPresent && document.isPresent && unchanged == document.entry;
+        const bool wasPresent = std::exchange(stored_, document).isPresent;
+        if (isShort) {
+            fleet_.onServerReported(gateway::serverHash("s0"), at);
+        } else if (document.isPresent) {
+            fleet_.onServerListed(document.entry, at);
+        } else if (wasPresent) {
+            fleet_.onServerRemoved("s0", at);
+        }
+        fleet_.removeExpired(at);
+    }
+
+    /** @brief Plays a restore. @param copy What the copy holds. @param revision Revision of the copy. */
+    void restore(Document copy, std::uint64_t revision, core::MonotonicTime at)
+    {
+        revision_ = revision;
+        copy.entry.revision = revision;
+        dropSequence(copy);
+        const bool wasPresent = std::exchange(stored_, copy).isPresent;
+        fleet_.onStoreRestored(at);
+        if (copy.isPresent) {
+            fleet_.onServerListed(copy.entry, at);
+        } else if (wasPresent) {
+            fleet_.onServerRemoved("s0", at);
+        }
+        fleet_.removeExpired(at);
+    }
+
+    [[nodiscard]] std::uint64_t usedProcess(core::MonotonicTime now) const
+    {
+        return fleet_.isUsed(now) ? fleet_.find("s0")->entry.startedUnixMs : 0;
+    }
+
+private:
+    void dropSequence(Document &document) const
+    {
+        if (!hasSequence_) {
+            document.entry.sequence.reset();
+        }
+    }
+
+    RestoredFleet fleet_;
+    Document stored_{{}, false};
+    std::uint64_t revision_ = 0;
+    bool isListWatcher_;
+    bool hasSequence_;
+};
+
+} // namespace
+
+// Guards against orders of writes and restores that nobody has thought of.
+TEST_CASE("store restored: after any five writes and any two restores, only the latest process is used, never one that has left, and a living one again "
+          "after two writes",
+          "[gateway][restore]")
+{
+    const auto isListWatcher = GENERATE(true, false);
+    const auto hasSequence = GENERATE(true, false);
+    CAPTURE(isListWatcher, hasSequence);
+    int reverted = 0;
+    int unused = 0;
+    int cases = 0;
+    for (const auto &history : historiesOf(5)) {
+        const auto &latest = history.back();
+        const auto expected = latest.isUsable() ? latest.entry.startedUnixMs : 0;
+        for (std::size_t first = 0; first < history.size(); ++first) {
+            for (std::size_t second = 0; second <= first; ++second) {
+                ++cases;
+                StoreAndGateway play(isListWatcher, hasSequence);
+                for (std::size_t i = 0; i < history.size(); ++i) {
+                    play.write(history[i], start + 2s + std::chrono::milliseconds(i));
+                }
+                unused += play.usedProcess(start + 3s) == expected ? 0 : 1;
+                play.restore(history[first], first + 1, restored);
+                reverted += play.usedProcess(restored) == expected ? 0 : 1;
+                play.restore(history[second], second + 1, restored + 1s);
+                reverted += play.usedProcess(restored + 1s) == expected ? 0 : 1;
+                auto next = latest;
+                for (const auto at : {restored + 2s, restored + 3s}) {
+                    if (latest.isPresent) {
+                        ++*next.entry.sequence;
+                        play.write(next, at);
+                    }
+                }
+                if (!latest.isPresent) {
+                    play.write(latest, restored + 4s);
+                }
+                unused += play.usedProcess(restored + 4s) == expected ? 0 : 1;
+            }
+        }
+    }
+    CAPTURE(cases);
+    CHECK(cases > 1000);
+    CHECK(reverted == 0);
+    CHECK(unused == 0);
+}
