--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -15,9 +15,9 @@
 class DocumentVisitor
 {
 public:
-    DocumentVisitor(Dispatcher &dispatcher, std::uint64_t revision, const char *source)
+    DocumentVisitor(Dispatcher &dispatcher, const member::StorePosition &position, const char *source)
         : dispatcher_(dispatcher)
-        , revision_(revision)
+        , position_(position)
         , source_(source)
     {
     }
@@ -69,13 +69,14 @@
 private:
     void log(const char *event, boost::json::object line) const
     {
-        line["revision"] = revision_;
+        line["revision"] = position_.revision;
+        line["era"] = position_.era;
         line["source"] = source_;
         telemetry::logRateLimited(event, std::move(line));
     }
 
     Dispatcher &dispatcher_;
-    std::uint64_t revision_;
+    member::StorePosition position_;
     const char *source_;
 };
 
@@ -111,21 +112,54 @@
     return std::nullopt;
 }
 
+bool Catalog::onStoreEra(std::uint64_t era, const char *source)
+{
+    const auto before = era_.value();
+    const auto now = std::chrono::steady_clock::now();
+    if (!era_.onReported(era, now)) {
+        return !era_.hasEnded(era);
+    }
+    const bool isRestored = std::any_of(states_.begin(), states_.end(), [](const SectionState &each) {
+        return !each.replica.position().isEmpty();
+    });
+    if (isRestored) {
+        const auto &configuration = position(Section::OperatorConfig);
+        const auto &servers = position(Section::Servers);
+        telemetry::logRateLimited("store_restored",
+                                  {{"era_before", before},
+                                   {"era", era},
+                                   {"operator_revision_before", configuration.revision},
+                                   {"server_revision_before", servers.revision},
+                                   {"source", source}});
+        dispatcher_.withFleet([](Fleet &fleet, core::MonotonicTime time) {
+            fleet.onStoreRestored(time);
+        });
+    }
+    return true;
+}
+
 void Catalog::onStoreList(Section section, const member::StoreSnapshot &list)
 {
+    if (!onStoreEra(list.position.era, "store")) {
+        return;
+    }
     onStoreAnswered(section);
-    apply(section, stateOf(section).replica.replace(list), "store");
+    replace(section, list, "store");
     onStoreSuccess(section, std::chrono::steady_clock::now());
 }
 
-void Catalog::onStoreChanges(Section section, const std::vector<member::StoreItem> &changes, std::uint64_t revision, core::MonotonicTime asOf)
+void Catalog::onStoreChanges(Section section, const std::vector<member::StoreItem> &changes, const member::StorePosition &position, core::MonotonicTime asOf)
 {
-    onStoreAnswered(section);
     auto &state = stateOf(section);
+    const bool isOtherEra = !state.replica.position().isEmpty() && position.era != state.replica.position().era;
+    if (!onStoreEra(position.era, "store") || isOtherEra) {
+        return;
+    }
+    onStoreAnswered(section);
     if (!changes.empty()) {
         state.lastChange = std::chrono::steady_clock::now();
     }
-    apply(section, state.replica.merge(changes, revision), "store");
+    apply(section, state.replica.merge(changes, position), "store");
     onStoreSuccess(section, asOf);
 }
 
@@ -143,7 +177,10 @@
     auto &state = stateOf(section);
     if (state.isUnavailable) {
         telemetry::logRateLimited("store_regained",
-                                  {{"section", std::string(prefixOf(section))}, {"revision", state.replica.revision()}, {"failed_calls", state.failedCalls}});
+                                  {{"section", std::string(prefixOf(section))},
+                                   {"revision", state.replica.position().revision},
+                                   {"era", state.replica.position().era},
+                                   {"failed_calls", state.failedCalls}});
     }
     state.isUnavailable = false;
     state.failedCalls = 0;
@@ -154,7 +191,7 @@
 void Catalog::refreshComplete()
 {
     complete_ = std::all_of(states_.begin(), states_.end(), [](const SectionState &each) {
-        return each.replica.revision() > 0;
+        return !each.replica.position().isEmpty();
     });
 }
 
@@ -163,7 +200,11 @@
     auto &state = stateOf(section);
     ++state.failedCalls;
     if (state.failedCalls == 1) {
-        telemetry::logRateLimited("store_lost", {{"section", std::string(prefixOf(section))}, {"reason", reason}, {"revision", state.replica.revision()}});
+        telemetry::logRateLimited("store_lost",
+                                  {{"section", std::string(prefixOf(section))},
+                                   {"reason", reason},
+                                   {"revision", state.replica.position().revision},
+                                   {"era", state.replica.position().era}});
     }
     state.isUnavailable = true;
     if (section == Section::Servers) {
@@ -175,18 +216,21 @@
 
 void Catalog::onPeerSnapshot(Section section, const member::StoreSnapshot &peerSnapshot, const std::optional<StoreUptime> &uptime)
 {
+    if (!onStoreEra(peerSnapshot.position.era, "peer")) {
+        return;
+    }
     if (uptime) {
         dispatcher_.withFleet([&uptime](Fleet &fleet, core::MonotonicTime) {
             fleet.onStoreUptimeReported(*uptime);
         });
     }
-    apply(section, stateOf(section).replica.replace(peerSnapshot), "peer");
+    replace(section, peerSnapshot, "peer");
     refreshComplete();
 }
 
-ListDelta Catalog::reduceServerChanges(const std::vector<member::StoreItem> &changes, std::uint64_t revision)
+ListDelta Catalog::reduceServerChanges(const std::vector<member::StoreItem> &changes, const member::StorePosition &position)
 {
-    auto delta = reduceListChanges(stateOf(Section::Servers).replica, changes, revision);
+    auto delta = reduceListChanges(stateOf(Section::Servers).replica, changes, position);
     dispatcher_.withFleet([&delta](Fleet &fleet, core::MonotonicTime now) {
         fleet.onStoreAvailable(now);
         delta.storeUptime = fleet.storeUptime();
@@ -197,8 +241,8 @@
 bool Catalog::onPeerListDelta(const ListDelta &delta)
 {
     auto &state = stateOf(Section::Servers);
-    const auto ownRevision = state.replica.revision();
-    if (ownRevision == 0 || ownRevision < delta.baseRevision || ownRevision > delta.revision) {
+    const auto &own = state.replica.position();
+    if (own.isEmpty() || era_.hasEnded(own.era) || !delta.base.isContinuedBy(own) || !own.isContinuedBy(delta.position)) {
         return false;
     }
     dispatcher_.withFleet([&delta](Fleet &fleet, core::MonotonicTime now) {
@@ -208,7 +252,7 @@
             fleet.onStoreAvailable(now);
         }
     });
-    apply(Section::Servers, state.replica.merge(delta.items, delta.revision), "peer");
+    apply(Section::Servers, state.replica.merge(delta.items, delta.position), "peer");
     const auto reported = reportedServers(delta, state.replica);
     dispatcher_.withFleet([&reported](Fleet &fleet, core::MonotonicTime now) {
         for (const auto hash : reported) {
@@ -219,11 +263,36 @@
     return true;
 }
 
+void Catalog::replace(Section section, const member::StoreSnapshot &list, const char *source)
+{
+    auto &state = stateOf(section);
+    const auto before = state.replica.position();
+    const auto changes = state.replica.replace(list);
+    if (list.position.era > before.era) {
+        // Peers learn of the new era by the position of the latest change, even if the list holds none.
+        state.changePosition = {list.position.era, 0};
+        for (const auto &item : list.items) {
+            state.changePosition = std::max(state.changePosition, item.position);
+        }
+    }
+    if (list.position.era > before.era && !before.isEmpty()) {
+        telemetry::logRateLimited("store_copy_replaced",
+                                  {{"section", std::string(prefixOf(section))},
+                                   {"revision_before", before.revision},
+                                   {"era_before", before.era},
+                                   {"revision", list.position.revision},
+                                   {"era", list.position.era},
+                                   {"changes", changes.size()},
+                                   {"source", source}});
+    }
+    apply(section, changes, source);
+}
+
 void Catalog::apply(Section section, const std::vector<member::StoreItem> &changes, const char *source)
 {
-    auto &latest = stateOf(section).changeRevision;
+    auto &latest = stateOf(section).changePosition;
     for (const auto &item : changes) {
-        latest = std::max(latest, item.revision);
+        latest = std::max(latest, item.position);
         applyOne(item, source);
     }
     if (section == Section::Servers) {
@@ -236,9 +305,10 @@
 void Catalog::applyOne(const member::StoreItem &item, const char *source)
 {
     try {
-        std::visit(internal::DocumentVisitor(dispatcher_, item.revision, source), platform::decode(item));
+        std::visit(internal::DocumentVisitor(dispatcher_, item.position, source), platform::decode(item));
     } catch (const std::exception &error) {
-        telemetry::logRateLimited("item_passed_over", {{"key", item.key}, {"revision", item.revision}, {"reason", error.what()}});
+        telemetry::logRateLimited("item_passed_over",
+                                  {{"key", item.key}, {"revision", item.position.revision}, {"era", item.position.era}, {"reason", error.what()}});
     }
 }
 
@@ -247,14 +317,27 @@
     return stateOf(section).replica.toSnapshot();
 }
 
-std::uint64_t Catalog::revision(Section section) const
+const member::StorePosition &Catalog::position(Section section) const
+{
+    return stateOf(section).replica.position();
+}
+
+member::StorePosition Catalog::watchPosition(Section section) const
+{
+    const auto &own = position(section);
+    return era_.hasEnded(own.era) ? member::StorePosition(era_.value(), 0) : own;
+}
+
+const member::StorePosition &Catalog::changePosition(Section section) const
 {
-    return stateOf(section).replica.revision();
+    return stateOf(section).changePosition;
 }
 
-std::uint64_t Catalog::changeRevision(Section section) const
+std::optional<core::Milliseconds> Catalog::timeWithoutEra(Section section) const
 {
-    return stateOf(section).changeRevision;
+    const auto &own = position(section);
+    const bool hasEnded = !own.isEmpty() && era_.hasEnded(own.era);
+    return hasEnded ? std::optional(era_.age(std::chrono::steady_clock::now())) : std::nullopt;
 }
 
 core::Milliseconds Catalog::age(Section section) const
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -3,6 +3,7 @@
 #include <cyclamenspool/core/now.h>
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/listdelta.h>
+#include <cyclamenspool/gateway/storeera.h>
 #include <cyclamenspool/member/storereplica.h>
 
 #include <array>
@@ -18,49 +19,69 @@
 class Catalog
 {
 public:
-    /** @brief Parts of the store; each has its own key prefix, watch and revision. */
+    /** @brief Parts of the store; each has its own key prefix, watch and position. */
     enum class Section : int { OperatorConfig, Servers, Count };
 
     /** @brief Creates an empty catalog. @param dispatcher Receiver of the changes; must outlive the catalog. */
     explicit Catalog(Dispatcher &dispatcher);
 
-    /** @brief Applies a full list from the store. @param list All items of the section. */
+    /**
+     * @brief Handles the era of any response of the store, or of a peer's copy; call it before the content is used.
+     * @param era Era.
+     * @param source "store" or "peer", for the log.
+     * @return False if the era has ended: the content must not be used.
+     */
+    bool onStoreEra(std::uint64_t era, const char *source);
+
+    /** @brief Applies a full list from the store. @param list All items of the section; ignored if its era has ended. */
     void onStoreList(Section section, const member::StoreSnapshot &list);
 
-    /** @brief Applies changes from the store. @param revision Revision up to which the changes are complete. @param asOf Time up to which they
-     * are complete. */
+    /** @brief Applies changes from the store; ignored if they are of another era than the copy. @param position Position up to which the changes are complete.
+     * @param asOf Time up to which they are complete. */
     void onStoreChanges(Section section,
                         const std::vector<member::StoreItem> &changes,
-                        std::uint64_t revision,
+                        const member::StorePosition &position,
                         core::MonotonicTime asOf = std::chrono::steady_clock::now());
 
     /** @brief Reduces changes of the list of backend servers that are not applied yet, for the other gateways of the zone. @param changes As for
-     * onStoreChanges(). @param revision As for onStoreChanges(). */
-    [[nodiscard]] ListDelta reduceServerChanges(const std::vector<member::StoreItem> &changes, std::uint64_t revision);
+     * onStoreChanges(). @param position As for onStoreChanges(). */
+    [[nodiscard]] ListDelta reduceServerChanges(const std::vector<member::StoreItem> &changes, const member::StorePosition &position);
 
     /** @brief Handles a failed store call: the section counts as unavailable until the next successful one. @param reason Cause, for the log. */
     void onStoreFailure(Section section, const std::string &reason);
 
-    /** @brief Applies a peer's snapshot of a section. @param peerSnapshot Snapshot; ignored if it is older than the cached copy. Callers ask for
-     * one only while the store is unavailable or its answer is missing; this is not checked here. @param uptime The store's uptime as the peer knows it; empty:
-     * not reported. */
+    /** @brief Applies a peer's snapshot of a section. @param peerSnapshot Snapshot; ignored if it is earlier than the cached copy or its era has ended.
+     * Callers ask for one only while the store is unavailable, its answer is missing or the peer has a later era; this is not checked here. @param uptime The
+     * store's uptime as the peer knows it; empty: not reported. */
     void onPeerSnapshot(Section section, const member::StoreSnapshot &peerSnapshot, const std::optional<StoreUptime> &uptime);
 
     /**
      * @brief Applies changes of the list of backend servers that a peer has read from the store.
-     * @param delta Changes; ignored if this copy lacks earlier ones.
+     * @param delta Changes; ignored if this copy lacks earlier ones or is of another era.
      * @return True if the copy is as new as the peer's now.
      */
     bool onPeerListDelta(const ListDelta &delta);
 
-    /** @brief Returns the cached items of a section with their revision. */
+    /** @brief Returns the cached items of a section with their position. */
     [[nodiscard]] member::StoreSnapshot snapshot(Section section) const;
 
-    /** @brief Returns the revision of a section's cached copy; 0 if there is no data yet. */
-    [[nodiscard]] std::uint64_t revision(Section section) const;
+    /** @brief Returns the position of a section's cached copy; empty if there is no data yet. */
+    [[nodiscard]] const member::StorePosition &position(Section section) const;
+
+    /** @brief Returns the position after which changes of a section can be asked for: that of the copy, or an empty one if its era has ended. */
+    [[nodiscard]] member::StorePosition watchPosition(Section section) const;
+
+    /** @brief Returns the position of the latest known change of a section; of the copy's era, and empty if that is not known to have one. */
+    [[nodiscard]] const member::StorePosition &changePosition(Section section) const;
+
+    /** @brief Returns the latest known era of the store, which the copies may lack still. */
+    [[nodiscard]] std::uint64_t era() const noexcept
+    {
+        return era_.value();
+    }
 
-    /** @brief Returns the revision of the latest known change of a section; 0 if there is no data yet. */
-    [[nodiscard]] std::uint64_t changeRevision(Section section) const;
+    /** @brief Returns for how long a section has had a copy of an ended era only; empty if its copy is of the latest known era, or there is none. */
+    [[nodiscard]] std::optional<core::Milliseconds> timeWithoutEra(Section section) const;
 
     /** @brief Returns the time since a section's copy was last brought up to date, by a store call or a peer's changes; undefined before the first one. */
     [[nodiscard]] core::Milliseconds age(Section section) const;
@@ -88,7 +109,7 @@
         member::StoreReplica replica;
         core::MonotonicTime lastRefresh{};
         core::MonotonicTime lastChange{}; /* read by a watch */
-        std::uint64_t changeRevision = 0;
+        member::StorePosition changePosition;
         bool isUnavailable = true;
         std::uint64_t failedCalls = 0; /* since the last successful one */
     };
@@ -96,6 +117,7 @@
     void onStoreSuccess(Section section, core::MonotonicTime asOf);
     void onStoreAnswered(Section section);
     void refreshComplete();
+    void replace(Section section, const member::StoreSnapshot &list, const char *source);
     void apply(Section section, const std::vector<member::StoreItem> &changes, const char *source);
     void applyOne(const member::StoreItem &item, const char *source);
     [[nodiscard]] SectionState &stateOf(Section section);
@@ -103,6 +125,7 @@
 
     Dispatcher &dispatcher_;
     std::array<SectionState, static_cast<std::size_t>(Section::Count)> states_;
+    StoreEra era_;
     std::atomic<bool> complete_{false};
 };
 
--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -132,6 +132,11 @@
     store_.onAnswered(now);
 }
 
+void Fleet::onStoreRestored(core::MonotonicTime now)
+{
+    store_.onRestored(now);
+}
+
 void Fleet::onStoreUptimeReported(const StoreUptime &uptime)
 {
     store_.onReported(uptime);
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -87,6 +87,9 @@
     /** @brief Handles a successful call to the store; call it before the response is applied. */
     void onStoreAvailable(core::MonotonicTime now);
 
+    /** @brief Handles a store that was restored from an older copy; call it before the copy's entries are applied. @param now Current time. */
+    void onStoreRestored(core::MonotonicTime now);
+
     /** @brief Handles another gateway's report of the store's uptime; call it before the rest of the message is applied. */
     void onStoreUptimeReported(const StoreUptime &uptime);
 
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -181,8 +181,11 @@
     callbacks.onList = [this, section](const member::StoreSnapshot &list) {
         catalog_.onStoreList(section, list);
     };
-    callbacks.onChanges = [this, section](const std::vector<member::StoreItem> &changes, std::uint64_t revision) {
-        onStoreChanges(section, {changes, revision, std::chrono::steady_clock::now()});
+    callbacks.onChanges = [this, section](const std::vector<member::StoreItem> &changes, const member::StorePosition &position) {
+        onStoreChanges(section, {changes, position, std::chrono::steady_clock::now()});
+    };
+    callbacks.onEra = [this, section](std::uint64_t era) {
+        return onStoreEra(era, "store", section);
     };
     callbacks.onFailure = [this, section](const std::string &reason) {
         catalog_.onStoreFailure(section, reason);
@@ -190,8 +193,11 @@
     callbacks.onMalformed = [](const std::string &key, const std::string &reason) {
         telemetry::logRateLimited("item_passed_over", {{"key", key}, {"reason", reason}});
     };
-    callbacks.revision = [this, section] {
-        return catalog_.revision(section);
+    callbacks.position = [this, section] {
+        return catalog_.watchPosition(section);
+    };
+    callbacks.listDelay = [this, section] {
+        return listDelay(section);
     };
     callbacks.pauseLeft = [this, section] {
         return watchPause(section);
@@ -217,11 +223,16 @@
     };
     calls.replace = [this](Catalog::Section section) {
         auto &client = storeClient(section);
-        telemetry::logRateLimited(
-            "store_call_replaced",
-            {{"section", std::string(Catalog::prefixOf(section))}, {"revision", catalog_.revision(section)}, {"waited_ms", client.waitingTime().count()}});
+        telemetry::logRateLimited("store_call_replaced",
+                                  {{"section", std::string(Catalog::prefixOf(section))},
+                                   {"revision", catalog_.position(section).revision},
+                                   {"era", catalog_.position(section).era},
+                                   {"waited_ms", client.waitingTime().count()}});
         client.replaceCall();
     };
+    calls.onEra = [this](std::uint64_t era) {
+        onStoreEra(era, "peer");
+    };
     return calls;
 }
 
@@ -243,16 +254,34 @@
     callbacks.relist = [this](Catalog::Section section) {
         storeClient(section).relist();
     };
+    callbacks.onEra = [this](std::uint64_t era) {
+        return onStoreEra(era, "store");
+    };
     return callbacks;
 }
 
+bool GatewayNode::onStoreEra(std::uint64_t era, const char *source, std::optional<Catalog::Section> caller)
+{
+    const bool isLater = era > catalog_.era();
+    const bool isValid = catalog_.onStoreEra(era, source);
+    if (isLater) {
+        // Calls in progress began in an ended era: what they return cannot be applied.
+        for (const auto section : {Catalog::Section::OperatorConfig, Catalog::Section::Servers}) {
+            if (section != caller && catalog_.timeWithoutEra(section)) {
+                storeClient(section).restart();
+            }
+        }
+    }
+    return isValid;
+}
+
 void GatewayNode::onStoreChanges(Catalog::Section section, const platform::StoreChanges &changes)
 {
     // A watch can return after a check that has read more.
-    const bool isLatest = changes.revision >= catalog_.revision(section);
+    const bool isLatest = catalog_.position(section).isContinuedBy(changes.position);
     const bool isPublished = section == Catalog::Section::Servers && isLatest && gossip_.isListWatcher();
-    const auto delta = isPublished ? catalog_.reduceServerChanges(changes.items, changes.revision) : ListDelta();
-    catalog_.onStoreChanges(section, changes.items, changes.revision, changes.asOf);
+    const auto delta = isPublished ? catalog_.reduceServerChanges(changes.items, changes.position) : ListDelta();
+    catalog_.onStoreChanges(section, changes.items, changes.position, changes.asOf);
     if (isPublished) {
         gossip_.publishListDelta(delta);
     }
@@ -265,7 +294,7 @@
 
 core::Milliseconds GatewayNode::watchPause(Catalog::Section section) const
 {
-    if (catalog_.revision(section) == 0) {
+    if (catalog_.watchPosition(section).isEmpty()) {
         return core::Milliseconds(0);
     }
     const auto bounds = watchBounds();
@@ -273,6 +302,12 @@
                                                 : configurationPause(bounds, catalog_.timeSinceChange(section));
 }
 
+core::Milliseconds GatewayNode::listDelay(Catalog::Section section) const
+{
+    const auto sinceRestore = catalog_.timeWithoutEra(section);
+    return sinceRestore ? restoredListDelay(watchBounds(), gossip_.isStoreChecker(), *sinceRestore) : core::Milliseconds(0);
+}
+
 void GatewayNode::waitForSignal()
 {
     signals_.async_wait([this](const boost::system::error_code &error, int signal) {
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -16,8 +16,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace cyclamenspool::gateway {
@@ -47,8 +49,10 @@
     [[nodiscard]] StoreCalls storeCalls();
     [[nodiscard]] StoreCheckCallbacks storeCheckCallbacks();
     void onStoreChanges(Catalog::Section section, const platform::StoreChanges &changes);
+    bool onStoreEra(std::uint64_t era, const char *source, std::optional<Catalog::Section> caller = {});
     [[nodiscard]] WatchBounds watchBounds() const;
     [[nodiscard]] core::Milliseconds watchPause(Catalog::Section section) const;
+    [[nodiscard]] core::Milliseconds listDelay(Catalog::Section section) const;
     void waitForSignal();
     void onSignal(int signal);
     void reload();
--- a/src/cyclamenspool/gateway/listdelta.cpp
+++ b/src/cyclamenspool/gateway/listdelta.cpp
@@ -33,11 +33,11 @@
     }
 }
 
-/** @brief Finds an item that every copy of the replica's revision has. Items of later pages of a list can be newer. @return Item; null if there is none. */
+/** @brief Finds an item that every copy of the replica's position has. Items of later pages of a list can be newer. @return Item; null if there is none. */
 const member::StoreItem *findComplete(const member::StoreReplica &replica, const std::string &key)
 {
     const auto *item = replica.find(key);
-    return item != nullptr && item->revision <= replica.revision() ? item : nullptr;
+    return item != nullptr && item->position <= replica.position() ? item : nullptr;
 }
 
 std::uint32_t hashOfKey(const std::string &key)
@@ -66,11 +66,11 @@
 
 } // namespace internal
 
-ListDelta reduceListChanges(const member::StoreReplica &replica, const std::vector<member::StoreItem> &changes, std::uint64_t revision)
+ListDelta reduceListChanges(const member::StoreReplica &replica, const std::vector<member::StoreItem> &changes, const member::StorePosition &position)
 {
     ListDelta delta;
-    delta.baseRevision = replica.revision();
-    delta.revision = revision;
+    delta.base = replica.position();
+    delta.position = position;
     std::map<std::string, const member::StoreItem *> latest;
     for (const auto &change : changes) {
         const auto earlier = latest.find(change.key);
--- a/src/cyclamenspool/gateway/listdelta.h
+++ b/src/cyclamenspool/gateway/listdelta.h
@@ -12,8 +12,8 @@
 
 /** @brief Changes of the list of backend servers, reduced to what a gateway with an earlier copy needs. */
 struct ListDelta {
-    std::uint64_t baseRevision = 0; /**< Revision that the earlier copy must have at least. */
-    std::uint64_t revision = 0; /**< Revision up to which the changes are complete. */
+    member::StorePosition base; /**< Position that the earlier copy must have at least. */
+    member::StorePosition position; /**< Position up to which the changes are complete; of the era of the base. */
     std::vector<member::StoreItem> items; /**< Changed by more than a further report, removed, or not readable. */
     std::vector<std::uint32_t> reported; /**< Servers with a further report only, by serverHash(). */
     bool isReportedAllBut = false; /**< The servers in reported are those without a further report only; all other listed ones have one. */
@@ -27,10 +27,12 @@
  * Backend servers write their entries about once a second, mostly without a change that matters. A cold server's entry always matters, as it holds the
  * remaining time. If most servers have a further report, those without one are named instead.
  * @param replica Copy without the changes.
- * @param changes Changes after the replica's revision, in their order.
- * @param revision Revision up to which they are complete.
+ * @param changes Changes after the replica's position, in their order.
+ * @param position Position up to which they are complete; it continues the replica's.
  */
-[[nodiscard]] ListDelta reduceListChanges(const member::StoreReplica &replica, const std::vector<member::StoreItem> &changes, std::uint64_t revision);
+[[nodiscard]] ListDelta reduceListChanges(const member::StoreReplica &replica,
+                                          const std::vector<member::StoreItem> &changes,
+                                          const member::StorePosition &position);
 
 /** @brief Returns the servers with a further report, by serverHash(). @param delta Changes. @param replica Copy with the changes. */
 [[nodiscard]] std::vector<std::uint32_t> reportedServers(const ListDelta &delta, const member::StoreReplica &replica);
--- a/src/cyclamenspool/gateway/missedchange.cpp
+++ b/src/cyclamenspool/gateway/missedchange.cpp
@@ -2,16 +2,19 @@
 
 namespace cyclamenspool::gateway {
 
-bool MissedChange::onPeerRevision(std::uint64_t peerRevision, std::uint64_t ownRevision, core::Milliseconds overdueTime, core::MonotonicTime now) noexcept
+bool MissedChange::onPeerPosition(const member::StorePosition &peer,
+                                  const member::StorePosition &own,
+                                  core::Milliseconds overdueTime,
+                                  core::MonotonicTime now) noexcept
 {
-    if (since_ && revision_ <= ownRevision) {
+    if (since_ && position_ <= own) {
         since_.reset();
     }
-    if (!since_ && peerRevision > ownRevision) {
-        revision_ = peerRevision;
+    if (!since_ && peer > own) {
+        position_ = peer;
         since_ = now;
     }
-    return since_ && peerRevision > ownRevision && now - *since_ >= overdueTime;
+    return since_ && peer > own && now - *since_ >= overdueTime;
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/missedchange.h
+++ b/src/cyclamenspool/gateway/missedchange.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include <cyclamenspool/core/now.h>
+#include <cyclamenspool/member/storeposition.h>
 
-#include <cstdint>
 #include <optional>
 
 namespace cyclamenspool::gateway {
 
 /**
- * @brief Detects from the revisions that peers report that this gateway has missed a change of the store.
+ * @brief Detects from the positions that peers report that this gateway has missed a change of the store.
  *
  * A watch whose answer was lost, or whose connection no longer carries data, ends only after its timeout; the peers' watches were answered.
  */
@@ -17,13 +17,16 @@
 public:
     /**
      * @brief Handles a peer's report of the latest change that it knows.
-     * @param peerRevision Revision of that change.
-     * @param ownRevision Revision up to which this gateway knows all changes.
+     * @param peer Position of that change.
+     * @param own Position up to which this gateway knows all changes.
      * @param overdueTime Time that the gateway's own watch may take to return the change.
      * @param now Current time.
      * @return True if a change has been missing for that long.
      */
-    [[nodiscard]] bool onPeerRevision(std::uint64_t peerRevision, std::uint64_t ownRevision, core::Milliseconds overdueTime, core::MonotonicTime now) noexcept;
+    [[nodiscard]] bool onPeerPosition(const member::StorePosition &peer,
+                                      const member::StorePosition &own,
+                                      core::Milliseconds overdueTime,
+                                      core::MonotonicTime now) noexcept;
 
     /** @brief Returns the time since the first report of a change that is missing; zero if none is. @param now Current time. */
     [[nodiscard]] core::MonotonicTime::duration missingTime(core::MonotonicTime now) const noexcept
@@ -32,7 +35,7 @@
     }
 
 private:
-    std::uint64_t revision_ = 0; /* of the earliest reported change that is missing */
+    member::StorePosition position_; /* of the earliest reported change that is missing */
     std::optional<core::MonotonicTime> since_;
 };
 
--- a/src/cyclamenspool/gateway/operatorpage.cpp
+++ b/src/cyclamenspool/gateway/operatorpage.cpp
@@ -111,8 +111,9 @@
 boost::json::object storeObject(const Catalog &catalog, Catalog::Section section)
 {
     boost::json::object object;
-    object["revision"] = catalog.revision(section);
-    object["age_ms"] = catalog.revision(section) == 0 ? boost::json::value(nullptr) : boost::json::value(catalog.age(section).count());
+    object["revision"] = catalog.position(section).revision;
+    object["era"] = catalog.position(section).era;
+    object["age_ms"] = catalog.position(section).isEmpty() ? boost::json::value(nullptr) : boost::json::value(catalog.age(section).count());
     object["answers"] = !catalog.isStoreUnavailable(section);
     return object;
 }
@@ -128,9 +129,10 @@
     out << "cyclamenspool_routing_version " << (routes == nullptr ? 0 : routes->routing().version) << '\n';
     for (const auto section : internal::sections) {
         const auto labels = internal::singleLabel("section", Catalog::prefixOf(section));
-        out << "cyclamenspool_store_revision" << labels << ' ' << input.catalog.revision(section) << '\n';
+        out << "cyclamenspool_store_revision" << labels << ' ' << input.catalog.position(section).revision << '\n';
+        out << "cyclamenspool_store_era" << labels << ' ' << input.catalog.position(section).era << '\n';
         out << "cyclamenspool_store_answers" << labels << ' ' << (input.catalog.isStoreUnavailable(section) ? 0 : 1) << '\n';
-        if (input.catalog.revision(section) > 0) {
+        if (!input.catalog.position(section).isEmpty()) {
             out << "cyclamenspool_store_age_seconds" << labels << ' ' << internal::Seconds(input.catalog.age(section)).count() << '\n';
         }
     }
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -272,9 +272,7 @@
         entry->set_history(placement.historyKey);
         entry->set_backend_server(placement.server);
     }
-    // The copies' revisions also rise without a change in their section, so peers could not tell from them that they lack one.
-    update.set_operator_revision(catalog_.changeRevision(Catalog::Section::OperatorConfig));
-    update.set_server_revision(catalog_.changeRevision(Catalog::Section::Servers));
+    setPositions(update, catalog_.changePosition(Catalog::Section::OperatorConfig), catalog_.changePosition(Catalog::Section::Servers));
     update.set_store_unavailable(catalog_.isStoreUnavailable(Catalog::Section::Servers));
     setStoreUptime(update, storeUptime());
     // Concatenated protobuf messages parse as one merged message.
@@ -341,8 +339,8 @@
     for (const auto &known : update.peers()) {
         onKnownPeer(known, now);
     }
-    pullIfOutdated(update.address(), Catalog::Section::OperatorConfig, update.operator_revision());
-    pullIfOutdated(update.address(), Catalog::Section::Servers, update.server_revision());
+    pullIfOutdated(update.address(), Catalog::Section::OperatorConfig, operatorPositionIn(update));
+    pullIfOutdated(update.address(), Catalog::Section::Servers, serverPositionIn(update));
     return true;
 }
 
@@ -389,14 +387,14 @@
     }
 }
 
-bool PeerGossip::isOverdue(Catalog::Section section, std::uint64_t revision, core::MonotonicTime now)
+bool PeerGossip::isOverdue(Catalog::Section section, const member::StorePosition &position, core::MonotonicTime now)
 {
     const WatchBounds bounds{settings_.maxLeaveDelay, settings_.maxConfigurationDelay};
-    const auto ownRevision = catalog_.revision(section);
+    const auto &own = catalog_.position(section);
     const bool isConfiguration = section == Catalog::Section::OperatorConfig;
     const auto overdueTime = isConfiguration ? configurationOverdueTime(bounds) : unansweredTime(bounds);
     auto &missed = missedChanges_[section];
-    const bool isTimeOver = missed.onPeerRevision(revision, ownRevision, overdueTime, now);
+    const bool isTimeOver = missed.onPeerPosition(position, own, overdueTime, now);
     // A copy can also be late because this process is: a response that is being read must not be given up.
     const auto waitingTime = storeCalls_.waitingTime ? storeCalls_.waitingTime(section) : core::Milliseconds(0);
     if (waitingTime < unansweredTime(bounds)) {
@@ -404,21 +402,28 @@
     }
     // A call that was waiting when a peer already had the change should have returned at once.
     const bool isCallLost = missed.missingTime(now) >= unansweredTime(bounds) && waitingTime >= missed.missingTime(now);
-    const bool isMissed = isTimeOver || (isCallLost && revision > ownRevision);
+    const bool isMissed = isTimeOver || (isCallLost && position > own);
     return isMissed && (isConfiguration || catalog_.age(section) >= listOverdueAge(bounds));
 }
 
-void PeerGossip::pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision)
+void PeerGossip::pullIfOutdated(const std::string &address, Catalog::Section section, const member::StorePosition &position)
 {
     const auto now = std::chrono::steady_clock::now();
+    const auto &own = catalog_.position(section);
+    // No call of this gateway can return changes that lead to a later era, so there is nothing to wait for.
+    const bool isLaterEra = position.era > own.era;
+    if (isLaterEra && storeCalls_.onEra) {
+        storeCalls_.onEra(position.era);
+    }
     const bool isUnavailable = catalog_.isStoreUnavailable(section);
-    const bool isOutdated = isUnavailable ? revision > catalog_.revision(section) : isOverdue(section, revision, now);
-    const auto minInterval = isUnavailable ? internal::minPullInterval : internal::minOverduePullInterval;
-    if (!isOutdated || internal::elapsed(lastPulls_[section], now) < minInterval) {
+    const bool isOutdated = isLaterEra || (isUnavailable ? position > own : isOverdue(section, position, now));
+    const auto minInterval = isUnavailable || isLaterEra ? internal::minPullInterval : internal::minOverduePullInterval;
+    auto &last = lastPulls_[section];
+    if (!isOutdated || (position.era == last.era && internal::elapsed(last.at, now) < minInterval)) {
         return;
     }
-    lastPulls_[section] = now;
-    if (!isUnavailable) {
+    last = {now, position.era};
+    if (!isUnavailable && !isLaterEra) {
         storeCalls_.replace(section);
     }
     wire::ItemPull pull;
@@ -426,6 +431,9 @@
     wire::StreamCallbacks callbacks;
     callbacks.onMessage = [this, section](const std::string &message) {
         const auto snapshot = internal::logIfUnreadable(decodeSnapshot(message), internal::itemsPath, message.size());
+        if (snapshot && storeCalls_.onEra) {
+            storeCalls_.onEra(snapshot->snapshot.position.era);
+        }
         if (snapshot) {
             catalog_.onPeerSnapshot(section, snapshot->snapshot, snapshot->storeUptime);
         }
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -42,10 +42,11 @@
 struct StoreCalls {
     std::function<core::Milliseconds(Catalog::Section)> waitingTime; /**< Returns how long a section's call has waited for its response headers. */
     std::function<void(Catalog::Section)> replace; /**< Replaces a section's call by a new one. */
+    std::function<void(std::uint64_t)> onEra; /**< Handles the era of a peer's copy; called before the copy is asked for, and before it is applied. */
 };
 
 /**
- * @brief Gossips with the other gateways: sends and receives updates with loads, suspicions, history placements and store revisions, and discovers peers from
+ * @brief Gossips with the other gateways: sends and receives updates with loads, suspicions, history placements and store positions, and discovers peers from
  * seed addresses.
  *
  * Gateways of one zone exchange updates in pairs. Of each other zone, one gateway requests the zone's totals from one gateway there, and shares them with the
@@ -147,8 +148,8 @@
     [[nodiscard]] bool isLiveInOwnZone(const Peer &peer, core::MonotonicTime now) const;
     [[nodiscard]] std::size_t exchangePeerCount() const;
     [[nodiscard]] core::MonotonicTime lastSign(const Peer &peer) const;
-    void pullIfOutdated(const std::string &address, Catalog::Section section, std::uint64_t revision);
-    [[nodiscard]] bool isOverdue(Catalog::Section section, std::uint64_t revision, core::MonotonicTime now);
+    void pullIfOutdated(const std::string &address, Catalog::Section section, const member::StorePosition &position);
+    [[nodiscard]] bool isOverdue(Catalog::Section section, const member::StorePosition &position, core::MonotonicTime now);
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message);
     void expirePeers(core::MonotonicTime now);
     void advertisePeers(Peer &recipient, wire::GatewayNews &update, core::MonotonicTime now) const;
@@ -172,7 +173,11 @@
     core::MonotonicTime startTime_;
     std::string lastAdvertisedToZones_; /* address of the peer of the own zone advertised last; the rotation continues after it */
     std::uint64_t fanOutSeed_ = 0; /* of the latest message for the whole zone */
-    std::map<Catalog::Section, core::MonotonicTime> lastPulls_;
+    struct Pull {
+        core::MonotonicTime at{};
+        std::uint64_t era = 0; /* of the peer's copy */
+    };
+    std::map<Catalog::Section, Pull> lastPulls_;
     std::map<Catalog::Section, MissedChange> missedChanges_;
     StoreCalls storeCalls_;
     std::uint64_t lastUpdateId_ = 0;
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -135,8 +135,8 @@
     if (!applyZoneTotals(totals, bytes)) {
         return;
     }
-    pullIfOutdated(totals.address(), Catalog::Section::OperatorConfig, totals.operator_revision());
-    pullIfOutdated(totals.address(), Catalog::Section::Servers, totals.server_revision());
+    pullIfOutdated(totals.address(), Catalog::Section::OperatorConfig, operatorPositionIn(totals));
+    pullIfOutdated(totals.address(), Catalog::Section::Servers, serverPositionIn(totals));
     if (isOnDuty(totals.zone(), settings_.peerAddress, liveMembers())) {
         shareZoneTotals(totals);
     }
@@ -221,8 +221,7 @@
     addQuarantined(totals, quarantinedParts());
     setStoreUptime(totals, storeUptime());
     advertiseZonePeers(totals, now);
-    totals.set_operator_revision(catalog_.changeRevision(Catalog::Section::OperatorConfig));
-    totals.set_server_revision(catalog_.changeRevision(Catalog::Section::Servers));
+    setPositions(totals, catalog_.changePosition(Catalog::Section::OperatorConfig), catalog_.changePosition(Catalog::Section::Servers));
     return totals.SerializeAsString();
 }
 
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -15,7 +15,7 @@
 {
     entry.set_key(item.key);
     entry.set_value(item.value);
-    entry.set_revision(item.revision);
+    entry.set_revision(item.position.revision);
     entry.set_deleted(item.isDeleted);
 }
 
@@ -149,10 +149,10 @@
         return std::nullopt;
     }
     ListDelta delta;
-    delta.baseRevision = message.base_revision();
-    delta.revision = message.revision();
+    delta.base = {message.era(), message.base_revision()};
+    delta.position = {message.era(), message.revision()};
     for (const auto &item : message.items()) {
-        delta.items.push_back({item.key(), item.value(), item.revision(), item.deleted()});
+        delta.items.push_back({item.key(), item.value(), {message.era(), item.revision()}, item.deleted()});
     }
     delta.reported.assign(message.reported().begin(), message.reported().end());
     delta.isReportedAllBut = message.reported_all_but();
@@ -164,8 +164,9 @@
 std::string encodeListDelta(const ListDelta &delta)
 {
     wire::ListUpdate message;
-    message.set_base_revision(delta.baseRevision);
-    message.set_revision(delta.revision);
+    message.set_era(delta.position.era);
+    message.set_base_revision(delta.base.revision);
+    message.set_revision(delta.position.revision);
     for (const auto &item : delta.items) {
         internal::setItem(*message.add_items(), item);
     }
@@ -185,9 +186,9 @@
         return std::nullopt;
     }
     PeerSnapshot result;
-    result.snapshot.revision = copy.revision();
+    result.snapshot.position = {copy.era(), copy.revision()};
     for (const auto &item : copy.items()) {
-        result.snapshot.items.push_back({item.key(), item.value(), item.revision(), false});
+        result.snapshot.items.push_back({item.key(), item.value(), {copy.era(), item.revision()}, false});
     }
     result.storeUptime = storeUptimeIn(copy);
     return result;
@@ -196,7 +197,8 @@
 std::string encodeSnapshot(const PeerSnapshot &copy)
 {
     wire::ItemCopy message;
-    message.set_revision(copy.snapshot.revision);
+    message.set_era(copy.snapshot.position.era);
+    message.set_revision(copy.snapshot.position.revision);
     for (const auto &item : copy.snapshot.items) {
         internal::setItem(*message.add_items(), item);
     }
--- a/src/cyclamenspool/gateway/peermessages.h
+++ b/src/cyclamenspool/gateway/peermessages.h
@@ -149,6 +149,31 @@
     message.mutable_store_uptime()->set_since_ms(internal::reportedAge(uptime->since, now));
 }
 
+/** @brief Returns the position of the latest change of the operator's documents in a message; of era 0 if its sender names none. */
+template<typename Message>
+[[nodiscard]] member::StorePosition operatorPositionIn(const Message &message)
+{
+    return {message.operator_era(), message.operator_revision()};
+}
+
+/** @brief Returns the position of the latest change of the list of backend servers in a message; of era 0 if its sender names none. */
+template<typename Message>
+[[nodiscard]] member::StorePosition serverPositionIn(const Message &message)
+{
+    return {message.server_era(), message.server_revision()};
+}
+
+/** @brief Writes the positions of the latest changes to a message: those of the copies also rise without a change in their section, so that peers could not
+ * tell from them that they lack one. */
+template<typename Message>
+void setPositions(Message &message, const member::StorePosition &operatorPosition, const member::StorePosition &serverPosition)
+{
+    message.set_operator_era(operatorPosition.era);
+    message.set_operator_revision(operatorPosition.revision);
+    message.set_server_era(serverPosition.era);
+    message.set_server_revision(serverPosition.revision);
+}
+
 /** @brief Decodes a peer's request for items. @param bytes Serialized message. @return Prefix of the requested keys; empty if malformed. */
 [[nodiscard]] std::string decodePullPrefix(const std::string &bytes);
 
--- a/src/cyclamenspool/gateway/storeavailability.cpp
+++ b/src/cyclamenspool/gateway/storeavailability.cpp
@@ -25,6 +25,12 @@
     uptime_->until = std::max(uptime_->until, at);
 }
 
+void StoreAvailability::onRestored(core::MonotonicTime at)
+{
+    uptime_ = {at, at};
+    isAfterOutage_ = true;
+}
+
 void StoreAvailability::onReported(const StoreUptime &reported)
 {
     const bool isLater = !uptime_ || reported.since > uptime_->until + internal::maxAnswerGap;
--- a/src/cyclamenspool/gateway/storeavailability.h
+++ b/src/cyclamenspool/gateway/storeavailability.h
@@ -31,6 +31,9 @@
         hasFailed_ = true;
     }
 
+    /** @brief Begins a new uptime after an outage, as the store was restored from an older copy. @param at Current time. */
+    void onRestored(core::MonotonicTime at);
+
     /** @brief Merges another gateway's uptime; of two that a gap separates, the later one is kept. @param reported Its uptime. */
     void onReported(const StoreUptime &reported);
 
--- a/src/cyclamenspool/gateway/storechecks.cpp
+++ b/src/cyclamenspool/gateway/storechecks.cpp
@@ -54,6 +54,10 @@
 
 void StoreChecks::poll(Catalog::Section section)
 {
+    const auto position = catalog_.watchPosition(section);
+    if (position.isEmpty()) {
+        return;
+    }
     platform::StorePollCallbacks callbacks;
     callbacks.onChanges = [this, section](const platform::StoreChanges &changes) {
         onChanges(section, changes);
@@ -67,13 +71,14 @@
     callbacks.onMalformed = [](const std::string &key, const std::string &reason) {
         telemetry::logRateLimited("item_passed_over", {{"key", key}, {"reason", reason}});
     };
-    poller_.poll(std::string(Catalog::prefixOf(section)), catalog_.revision(section), std::move(callbacks));
+    callbacks.onEra = callbacks_.onEra;
+    poller_.poll(std::string(Catalog::prefixOf(section)), position, std::move(callbacks));
 }
 
 void StoreChecks::onChanges(Catalog::Section section, const platform::StoreChanges &changes)
 {
     onAvailable();
-    const bool isWatchLate = changes.revision > catalog_.revision(section) && !changes.items.empty();
+    const bool isWatchLate = changes.position > catalog_.position(section) && !changes.items.empty();
     callbacks_.onChanges(section, changes);
     if (isWatchLate) {
         callbacks_.replaceCall(section);
@@ -85,11 +90,11 @@
 
 void StoreChecks::pollConfigurationIfBehind(const platform::StoreChanges &changes)
 {
-    const auto isBehind = [this, storeRevision = changes.revision] {
-        return catalog_.revision(Catalog::Section::OperatorConfig) < storeRevision;
+    const auto isBehind = [this, storePosition = changes.position] {
+        return catalog_.position(Catalog::Section::OperatorConfig) < storePosition;
     };
     if (!isBehind()) {
-        catalog_.onStoreChanges(Catalog::Section::OperatorConfig, {}, changes.revision, changes.asOf);
+        catalog_.onStoreChanges(Catalog::Section::OperatorConfig, {}, changes.position, changes.asOf);
         return;
     }
     configurationTimer_.expires_after(internal::watchHeadStart);
@@ -113,7 +118,7 @@
         if (catalog_.isStoreUnavailable(section)) {
             // The section's own watch may wait on a connection that carries nothing further.
             callbacks_.replaceCall(section);
-            catalog_.onStoreChanges(section, {}, catalog_.revision(section), {});
+            catalog_.onStoreChanges(section, {}, catalog_.position(section), {});
         }
     }
 }
--- a/src/cyclamenspool/gateway/storechecks.h
+++ b/src/cyclamenspool/gateway/storechecks.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -20,13 +21,15 @@
     std::function<void(Catalog::Section, const platform::StoreChanges &)> onChanges; /**< Applies changes, none included. */
     std::function<void(Catalog::Section)> replaceCall; /**< Replaces the call in progress of the section's own watch, if any. */
     std::function<void(Catalog::Section)> relist; /**< Lists the section again. */
+    std::function<bool(std::uint64_t)> onEra; /**< As platform::StorePollCallbacks::onEra. */
 };
 
 /**
  * @brief Asks the store at short intervals what has changed, so that a watch that it never answers delays no change.
  *
  * Peers cannot show such a loss if it hits the watches of all gateways. The store has one revision counter: a check reads the changes of the list of backend
- * servers, and those of the operator's documents only if the store's revision is later than the one up to which they are known. Control thread only.
+ * servers, and those of the operator's documents only if the store's position is later than the one up to which they are known. While a copy of the latest
+ * era is missing there is nothing to check: the section is being listed. Control thread only.
  */
 class StoreChecks
 {
--- a/src/cyclamenspool/gateway/watchpolicy.cpp
+++ b/src/cyclamenspool/gateway/watchpolicy.cpp
@@ -17,6 +17,7 @@
 constexpr int unansweredDivisor = 8; /* of the smaller bound */
 constexpr int checkDivisor = 4; /* of the smaller bound; the rest is for an unanswered check, messages to the zone and requests on their way */
 constexpr core::Milliseconds maxCheckPeriod{500};
+constexpr double restoredListShare = 0.375; /* of the smaller bound; longer than a check and an update */
 
 core::Milliseconds scale(core::Milliseconds time, double factor) noexcept
 {
@@ -61,6 +62,12 @@
     return std::min(std::min(bounds.leaving, bounds.configuration) / internal::checkDivisor, internal::maxCheckPeriod);
 }
 
+core::Milliseconds restoredListDelay(const WatchBounds &bounds, bool isChecker, core::Milliseconds sinceRestore) noexcept
+{
+    const auto delay = internal::scale(std::min(bounds.leaving, bounds.configuration), internal::restoredListShare);
+    return isChecker ? core::Milliseconds(0) : delay - sinceRestore;
+}
+
 core::Milliseconds configurationWatchTime() noexcept
 {
     return internal::longWatchTime;
--- a/src/cyclamenspool/gateway/watchpolicy.h
+++ b/src/cyclamenspool/gateway/watchpolicy.h
@@ -65,6 +65,17 @@
  */
 [[nodiscard]] core::Milliseconds storeCheckPeriod(const WatchBounds &bounds) noexcept;
 
+/**
+ * @brief Returns the time until a gateway lists a section of a restored store itself.
+ *
+ * The gateway that checks the store lists at once; the others of its zone take its copy, so that not all list together.
+ * @param bounds Bounds.
+ * @param isChecker True if this gateway checks the store for its zone.
+ * @param sinceRestore Time since this gateway knows of the store's new era.
+ * @return Zero or less: now.
+ */
+[[nodiscard]] core::Milliseconds restoredListDelay(const WatchBounds &bounds, bool isChecker, core::Milliseconds sinceRestore) noexcept;
+
 /** @brief Returns how long the store may hold a watch of the routing configuration without a change. */
 [[nodiscard]] core::Milliseconds configurationWatchTime() noexcept;
 
--- a/src/cyclamenspool/member/storereplica.cpp
+++ b/src/cyclamenspool/member/storereplica.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace cyclamenspool::member {
 
@@ -9,7 +10,7 @@
 {
     const auto found = items_.find(item.key);
     const bool isKnown = found != items_.end();
-    const bool isOutdated = isKnown ? item.revision <= found->second.revision : item.isDeleted;
+    const bool isOutdated = isKnown ? item.position <= found->second.position : item.isDeleted;
     if (isOutdated) {
         return false;
     }
@@ -21,23 +22,29 @@
     return true;
 }
 
-std::vector<StoreItem> StoreReplica::merge(const std::vector<StoreItem> &changes, std::uint64_t revision)
+std::vector<StoreItem> StoreReplica::merge(const std::vector<StoreItem> &changes, const StorePosition &position)
 {
+    if (!position_.isEmpty() && position.era != position_.era) {
+        return {};
+    }
     std::vector<StoreItem> applied;
     for (const auto &change : changes) {
-        if (change.revision > revision_ && apply(change)) {
+        if (change.position > position_ && apply(change)) {
             applied.push_back(change);
         }
     }
-    revision_ = std::max(revision_, revision);
+    position_ = std::max(position_, position);
     return applied;
 }
 
 std::vector<StoreItem> StoreReplica::replace(const StoreSnapshot &snapshot)
 {
-    if (snapshot.revision < revision_) {
+    if (snapshot.position < position_) {
         return {};
     }
+    if (snapshot.position.era > position_.era) {
+        return replaceEra(snapshot);
+    }
     std::vector<StoreItem> applied;
     std::set<std::string> listed;
     for (const auto &item : snapshot.items) {
@@ -47,13 +54,33 @@
         }
     }
     for (auto known = items_.begin(); known != items_.end();) {
-        const bool isMissing = listed.count(known->first) == 0 && known->second.revision <= snapshot.revision;
+        const bool isMissing = listed.count(known->first) == 0 && known->second.position <= snapshot.position;
         if (isMissing) {
-            applied.push_back({known->first, {}, snapshot.revision, true});
+            applied.push_back({known->first, {}, snapshot.position, true});
         }
         known = isMissing ? items_.erase(known) : std::next(known);
     }
-    revision_ = snapshot.revision;
+    position_ = snapshot.position;
+    return applied;
+}
+
+std::vector<StoreItem> StoreReplica::replaceEra(const StoreSnapshot &snapshot)
+{
+    std::vector<StoreItem> applied;
+    auto earlier = std::exchange(items_, {});
+    for (const auto &item : snapshot.items) {
+        const auto known = earlier.find(item.key);
+        const bool isEqual = known != earlier.end() && known->second.value == item.value;
+        if (apply(item) && !isEqual) {
+            applied.push_back(item);
+        }
+    }
+    for (const auto &[key, item] : earlier) {
+        if (items_.count(key) == 0) {
+            applied.push_back({key, {}, snapshot.position, true});
+        }
+    }
+    position_ = snapshot.position;
     return applied;
 }
 
@@ -66,7 +93,7 @@
 StoreSnapshot StoreReplica::toSnapshot() const
 {
     StoreSnapshot snapshot;
-    snapshot.revision = revision_;
+    snapshot.position = position_;
     for (const auto &[key, item] : items_) {
         snapshot.items.push_back(item);
     }
--- a/src/cyclamenspool/member/storereplica.h
+++ b/src/cyclamenspool/member/storereplica.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <cstdint>
+#include <cyclamenspool/member/storeposition.h>
+
 #include <map>
 #include <string>
 #include <vector>
@@ -11,36 +12,38 @@
 struct StoreItem {
     std::string key;
     std::string value; /**< Decoded bytes. */
-    std::uint64_t revision = 0; /**< Revision of the store at which it last changed. */
+    StorePosition position; /**< Position of the store at which it last changed; in the era in which it was read. */
     bool isDeleted = false;
 };
 
-/** @brief Items of the store at one revision. */
+/** @brief Items of the store at one position. */
 struct StoreSnapshot {
     std::vector<StoreItem> items;
-    std::uint64_t revision = 0; /**< Revision up to which every change is included. */
+    StorePosition position; /**< Position up to which every change is included. */
 };
 
 /**
  * @brief Local replica of the items under one prefix of the platform's store. Not thread safe.
  *
- * Updates come from the store or from peers in any order; an older revision of an item never replaces a newer one. Deleted items leave
- * no tombstone: changes up to the revision of the replica are ignored, and that is never below a deletion that the replica has applied.
+ * Updates come from the store or from peers in any order; an earlier position of an item never replaces a later one. Deleted items leave
+ * no tombstone: changes up to the position of the replica are ignored, and that is never before a deletion that the replica has applied.
+ * A snapshot of a later era replaces all items; changes never lead from one era to another.
  */
 class StoreReplica
 {
 public:
     /**
      * @brief Applies changes.
-     * @param changes Changes in any order; those at or below the revision of the replica, or of the item that it holds, are ignored.
-     * @param revision Revision up to which the changes are complete.
-     * @return Changes that were applied.
+     * @param changes Changes in any order; those at or before the position of the replica, or of the item that it holds, are ignored.
+     * @param position Position up to which the changes are complete.
+     * @return Changes that were applied; empty if they are of another era than the replica.
      */
-    [[nodiscard]] std::vector<StoreItem> merge(const std::vector<StoreItem> &changes, std::uint64_t revision);
+    [[nodiscard]] std::vector<StoreItem> merge(const std::vector<StoreItem> &changes, const StorePosition &position);
 
     /**
-     * @brief Applies a full snapshot; items that the snapshot lacks are deleted unless they are newer than the snapshot.
-     * @return Changes that were applied, deletions included; empty if the snapshot is older than the replica.
+     * @brief Applies a full snapshot; items that the snapshot lacks are deleted unless they are later than the snapshot.
+     * @return Changes that were applied, deletions included; empty if the snapshot is earlier than the replica. Of a snapshot of a later era, items whose
+     * values the replica holds already are left out.
      */
     [[nodiscard]] std::vector<StoreItem> replace(const StoreSnapshot &snapshot);
 
@@ -56,17 +59,18 @@
     /** @brief Returns a snapshot of the replica, without deleted items. */
     [[nodiscard]] StoreSnapshot toSnapshot() const;
 
-    /** @brief Returns the revision up to which the replica is complete; 0 before the first update. */
-    [[nodiscard]] std::uint64_t revision() const noexcept
+    /** @brief Returns the position up to which the replica is complete; empty before the first update. */
+    [[nodiscard]] const StorePosition &position() const noexcept
     {
-        return revision_;
+        return position_;
     }
 
 private:
     bool apply(const StoreItem &item);
+    [[nodiscard]] std::vector<StoreItem> replaceEra(const StoreSnapshot &snapshot);
 
     std::map<std::string, StoreItem> items_;
-    std::uint64_t revision_ = 0;
+    StorePosition position_;
 };
 
 } // namespace cyclamenspool::member
--- a/src/cyclamenspool/platform/documents.cpp
+++ b/src/cyclamenspool/platform/documents.cpp
@@ -260,7 +260,7 @@
     // Remaining duration of the cold start, not the time since the start.
     server.coldRemaining = readMillisecondsOr(object, "cold_remaining_ms", std::chrono::milliseconds(0));
     server.startedUnixMs = static_cast<std::uint64_t>(readNumberOr(object, "born", 0));
-    server.revision = item.revision;
+    server.revision = item.position.revision;
     return server;
 }
 
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::milliseconds callTimeout{2500}; /* of a list; for a watch, added to the time that it waits for a change */
 constexpr std::chrono::milliseconds minRetryPause{200};
 constexpr std::chrono::milliseconds maxRetryPause{800}; /* while there is a copy to work with */
+constexpr std::chrono::milliseconds copyCheckPeriod{50}; /* between two looks for a copy from elsewhere that makes a list unnecessary */
 constexpr std::chrono::milliseconds waitAfterFailure{50}; /* longest wait of the first watch after a failure, so that the recovery is noticed at once */
 
 /** @brief Percent-encodes a key; keys of other writers may hold any bytes. */
@@ -74,13 +75,18 @@
     }
 }
 
-void StoreClient::relist()
+void StoreClient::restart()
 {
-    needsList_ = true;
     replaceCall();
     timer_.cancel();
 }
 
+void StoreClient::relist()
+{
+    needsList_ = true;
+    restart();
+}
+
 asio::awaitable<void> StoreClient::run()
 {
     while (!stopping_) {
@@ -118,7 +124,7 @@
 
 std::chrono::milliseconds StoreClient::retryPause() const
 {
-    if (callbacks_.revision() == 0) {
+    if (callbacks_.position().isEmpty()) {
         return internal::minRetryPause;
     }
     constexpr int maxDoublings = 2;
@@ -134,9 +140,17 @@
     }
 }
 
+asio::awaitable<void> StoreClient::pauseBeforeList()
+{
+    while (callbacks_.position().isEmpty() && callbacks_.listDelay().count() > 0 && !stopping_ && !needsList_) {
+        co_await pause(std::min(callbacks_.listDelay(), internal::copyCheckPeriod));
+    }
+}
+
 asio::awaitable<void> StoreClient::listOrWatch()
 {
-    if (needsList_ || callbacks_.revision() == 0) {
+    co_await pauseBeforeList();
+    if (needsList_ || callbacks_.position().isEmpty()) {
         co_await list();
         needsList_ = false;
     } else {
@@ -154,10 +168,17 @@
         if (!after.empty()) {
             target += "&after=" + internal::encodeQueryValue(after);
         }
-        auto page = readListPage(co_await call(target, internal::callTimeout), callbacks_.onMalformed);
-        // The pages are not one snapshot, so the watch continues from the first page's revision.
-        if (all.revision == 0) {
-            all.revision = page.revision;
+        const auto response = co_await call(target, internal::callTimeout);
+        auto page = readListPage(response.content(), response.era, callbacks_.onMalformed);
+        const bool isFirst = all.position.isEmpty();
+        if (!isFirst && page.position.era != all.position.era) {
+            all = {};
+            after.clear();
+            continue;
+        }
+        // The pages are not one snapshot, so the watch continues from the first page's position.
+        if (isFirst) {
+            all.position = page.position;
         }
         std::move(page.items.begin(), page.items.end(), std::back_inserter(all.items));
         after = page.lastKey;
@@ -169,17 +190,29 @@
 asio::awaitable<void> StoreClient::watch()
 {
     const auto wait = hasFailed_ ? internal::waitAfterFailure : callbacks_.watchTime();
-    const auto target = watchTarget(prefix_, callbacks_.revision(), wait);
-    const auto page = readWatchPage(co_await call(target, wait + internal::callTimeout), callbacks_.onMalformed);
-    hasFailed_ = false;
-    failuresInRow_ = 0;
-    callbacks_.onChanges(page.items, page.revision);
+    const auto position = callbacks_.position();
+    const auto target = watchTarget(prefix_, position, wait);
+    const auto response = co_await call(target, wait + internal::callTimeout);
+    const bool isOtherEra = response.era != position.era;
+    if (isOtherEra && response.isCompacted()) {
+        co_return;
+    }
+    const auto page = readWatchPage(response.content(), response.era, callbacks_.onMalformed);
+    if (!isOtherEra) {
+        hasFailed_ = false;
+        failuresInRow_ = 0;
+        callbacks_.onChanges(page.items, page.position);
+    }
 }
 
-asio::awaitable<std::string> StoreClient::call(std::string target, std::chrono::milliseconds timeout)
+asio::awaitable<StoreResponse> StoreClient::call(std::string target, std::chrono::milliseconds timeout)
 {
     isCalling_ = true;
-    co_return co_await connection_.get(std::move(target), timeout);
+    auto response = co_await connection_.get(std::move(target), timeout);
+    if (!callbacks_.onEra(response.era)) {
+        throw EraEnded();
+    }
+    co_return response;
 }
 
 asio::awaitable<void> StoreClient::pause(std::chrono::milliseconds time)
--- a/src/cyclamenspool/platform/storeclient.h
+++ b/src/cyclamenspool/platform/storeclient.h
@@ -18,15 +18,24 @@
 /** @brief Callbacks of a store client; all are called on the context's thread. */
 struct StoreCallbacks {
     std::function<void(const member::StoreSnapshot &)> onList; /**< All items of the prefix were listed. */
-    std::function<void(const std::vector<member::StoreItem> &, std::uint64_t)> onChanges; /**< Arguments: changes, revision up to which they are complete. */
+    std::function<void(const std::vector<member::StoreItem> &, const member::StorePosition &)>
+        onChanges; /**< Arguments: changes, position up to which they are complete; it continues the one of the call. */
+    std::function<bool(std::uint64_t)>
+        onEra; /**< Handles the era of any response before its content. Returns false if the era has ended: the call then fails. */
     std::function<void(const std::string &)> onFailure; /**< A call failed. Argument: reason. */
     std::function<void(const std::string &, const std::string &)> onMalformed; /**< An item was skipped. Arguments: key, reason. */
-    std::function<std::uint64_t()> revision; /**< Returns the revision after which the watch continues; 0: list first. */
+    std::function<member::StorePosition()> position; /**< Returns the position after which the watch continues; empty: list first. */
+    std::function<std::chrono::milliseconds()> listDelay; /**< Returns the time until a list is needed while the position is empty; 0: now. */
     std::function<std::chrono::milliseconds()> pauseLeft; /**< Returns the time until the next watch is needed; 0: now. Asked again after that time. */
     std::function<std::chrono::milliseconds()> watchTime; /**< Returns the longest time that the store may hold the next watch without a change. */
 };
 
-/** @brief Client of the platform's store for one key prefix: lists it, then watches it for changes, on one connection. Retries until stopped. */
+/**
+ * @brief Client of the platform's store for one key prefix: lists it, then watches it for changes, on one connection. Retries until stopped.
+ *
+ * The response to a watch from one era may come from a later one, whose changes do not follow on the copy: it is not used, and the prefix is listed. A list
+ * whose pages are of several eras is started anew.
+ */
 class StoreClient
 {
 public:
@@ -51,7 +60,10 @@
     /** @brief Replaces the call in progress, if any, by a new one on a new connection; does not count as a failure. */
     void replaceCall();
 
-    /** @brief Lists again at once, as the store has compacted the changes after the revision; replaces the call in progress. */
+    /** @brief Begins anew after the position became empty: replaces the call in progress, if any, and ends a pause. */
+    void restart();
+
+    /** @brief Lists again at once, as the store has compacted the changes after the position; replaces the call in progress. */
     void relist();
 
     /** @brief Cancels the call in progress and ends the watch for good. Call on the context's thread. */
@@ -62,9 +74,10 @@
     boost::asio::awaitable<void> listOrWatch();
     boost::asio::awaitable<void> list();
     boost::asio::awaitable<void> watch();
-    boost::asio::awaitable<std::string> call(std::string target, std::chrono::milliseconds timeout);
+    boost::asio::awaitable<StoreResponse> call(std::string target, std::chrono::milliseconds timeout);
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     boost::asio::awaitable<void> pauseWhileUpToDate();
+    boost::asio::awaitable<void> pauseBeforeList();
     [[nodiscard]] std::chrono::milliseconds retryPause() const;
 
     boost::asio::io_context &context_;
@@ -74,7 +87,7 @@
     StoreConnection connection_;
     bool isCalling_ = false;
     bool isCallReplaced_ = false;
-    bool needsList_ = false; /* the store has compacted the changes after the revision */
+    bool needsList_ = false; /* the store has compacted the changes after the position */
     int failuresInRow_ = 0; /* failed calls, and lists after a compaction, since the last successful watch */
     bool hasFailed_ = false; /* a call has failed since the last successful watch; shortens the wait of the next watch */
     std::atomic<bool> stopping_{false};
--- a/src/cyclamenspool/platform/storeconnection.cpp
+++ b/src/cyclamenspool/platform/storeconnection.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/platform/storeconnection.h>
 
+#include <cyclamenspool/platform/storeera.h>
 #include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/tcpkeepalive.h>
 
@@ -25,6 +26,22 @@
 
 } // namespace internal
 
+bool StoreResponse::isCompacted() const noexcept
+{
+    return status == static_cast<unsigned>(bhttp::status::gone);
+}
+
+const std::string &StoreResponse::content() const
+{
+    if (isCompacted()) {
+        throw RevisionCompacted();
+    }
+    if (status != static_cast<unsigned>(bhttp::status::ok)) {
+        throw std::runtime_error("the store responded with status " + std::to_string(status));
+    }
+    return body;
+}
+
 StoreConnection::StoreConnection(asio::io_context &context, std::string address)
     : context_(context)
     , address_(std::move(address))
@@ -40,7 +57,7 @@
     wire::setTcpKeepAlive(stream_->socket(), internal::storeKeepAlive);
 }
 
-asio::awaitable<std::string> StoreConnection::get(std::string target, std::chrono::milliseconds timeout)
+asio::awaitable<StoreResponse> StoreConnection::get(std::string target, std::chrono::milliseconds timeout)
 {
     try {
         co_return co_await exchange(std::move(target), timeout);
@@ -49,7 +66,7 @@
     }
 }
 
-asio::awaitable<std::string> StoreConnection::exchange(std::string target, std::chrono::milliseconds timeout)
+asio::awaitable<StoreResponse> StoreConnection::exchange(std::string target, std::chrono::milliseconds timeout)
 {
     waitingSince_ = std::chrono::steady_clock::now();
     if (stream_ == nullptr) {
@@ -68,13 +85,11 @@
     if (!response.keep_alive()) {
         stream_.reset();
     }
-    if (response.result() == bhttp::status::gone) {
-        throw RevisionCompacted();
-    }
-    if (response.result() != bhttp::status::ok) {
-        throw std::runtime_error("the store responded with status " + std::to_string(response.result_int()));
-    }
-    co_return std::move(response.body());
+    StoreResponse result;
+    result.status = response.result_int();
+    result.era = readStoreEra(response);
+    result.body = std::move(response.body());
+    co_return result;
 }
 
 std::chrono::milliseconds StoreConnection::waitingTime() const
--- a/src/cyclamenspool/platform/storeconnection.h
+++ b/src/cyclamenspool/platform/storeconnection.h
@@ -6,6 +6,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -13,6 +14,23 @@
 
 namespace cyclamenspool::platform {
 
+/** @brief Response of the store with any status. */
+struct StoreResponse {
+    /**
+     * @brief Returns the body of a successful response.
+     * @throws RevisionCompacted If the status is 410.
+     * @throws std::runtime_error If the status is neither 200 nor 410.
+     */
+    [[nodiscard]] const std::string &content() const;
+
+    /** @brief Returns whether the store has compacted the changes after the requested position. */
+    [[nodiscard]] bool isCompacted() const noexcept;
+
+    unsigned status = 0; /**< HTTP status. */
+    std::uint64_t era = 0; /**< Era of the store that has responded; 0 if it names none. */
+    std::string body;
+};
+
 /** @brief Thrown if the store has compacted the changes after the requested revision; a new list is needed. */
 class RevisionCompacted : public std::runtime_error
 {
@@ -23,6 +41,16 @@
     }
 };
 
+/** @brief Thrown if a response is of an earlier era than the latest known one: it belongs to a history that has ended. */
+class EraEnded : public std::runtime_error
+{
+public:
+    EraEnded()
+        : std::runtime_error("the store responded from an era that has ended")
+    {
+    }
+};
+
 /** @brief Connection to the platform's store; opened by the first call, and again after a failure. One call at a time. */
 class StoreConnection
 {
@@ -34,11 +62,10 @@
      * @brief Sends a GET request.
      * @param target Path and query.
      * @param timeout Longest time from the open connection to the end of the response.
-     * @return Body of the response.
-     * @throws RevisionCompacted If the status is 410.
-     * @throws std::exception If the call fails or another status than 200 is returned.
+     * @return Response with any status.
+     * @throws std::exception If the call fails or the response has no readable era.
      */
-    [[nodiscard]] boost::asio::awaitable<std::string> get(std::string target, std::chrono::milliseconds timeout);
+    [[nodiscard]] boost::asio::awaitable<StoreResponse> get(std::string target, std::chrono::milliseconds timeout);
 
     /** @brief Returns the time for which the call in progress has waited for its response headers; zero if none waits. */
     [[nodiscard]] std::chrono::milliseconds waitingTime() const;
@@ -51,7 +78,7 @@
 
 private:
     boost::asio::awaitable<void> connect();
-    boost::asio::awaitable<std::string> exchange(std::string target, std::chrono::milliseconds timeout);
+    boost::asio::awaitable<StoreResponse> exchange(std::string target, std::chrono::milliseconds timeout);
 
     boost::asio::io_context &context_;
     std::string address_;
--- a/src/cyclamenspool/platform/storepage.cpp
+++ b/src/cyclamenspool/platform/storepage.cpp
@@ -25,12 +25,12 @@
     return bytes;
 }
 
-member::StoreItem itemOf(const json::object &object)
+member::StoreItem itemOf(const json::object &object, std::uint64_t era)
 {
     member::StoreItem item;
     item.key = std::string(object.at("key").as_string());
     // Revision of the item's last change, not the store's revision.
-    item.revision = object.at("revision").to_number<std::uint64_t>();
+    item.position = {era, object.at("revision").to_number<std::uint64_t>()};
     const auto *deleted = object.if_contains("deleted");
     item.isDeleted = deleted != nullptr && deleted->is_bool() && deleted->as_bool();
     return item;
@@ -44,12 +44,12 @@
 }
 
 /** @brief Decodes the items of a response. Items that cannot be decoded are skipped and passed to the handler. */
-std::vector<member::StoreItem> itemsOf(const json::value &list, const MalformedItemHandler &onMalformed)
+std::vector<member::StoreItem> itemsOf(const json::value &list, std::uint64_t era, const MalformedItemHandler &onMalformed)
 {
     std::vector<member::StoreItem> items;
     for (const auto &entry : list.as_array()) {
         try {
-            auto item = itemOf(entry.as_object());
+            auto item = itemOf(entry.as_object(), era);
             if (!item.isDeleted) {
                 item.value = decodeBase64(entry.as_object().at("value").as_string());
             }
@@ -63,19 +63,19 @@
 
 } // namespace internal
 
-std::string watchTarget(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait)
+std::string watchTarget(const std::string &prefix, const member::StorePosition &position, std::chrono::milliseconds wait)
 {
-    return "/-/kv-watch?prefix=" + prefix + "&after=" + std::to_string(revision) + "&wait_ms=" + std::to_string(wait.count());
+    return "/-/kv-watch?prefix=" + prefix + "&after=" + std::to_string(position.revision) + "&wait_ms=" + std::to_string(wait.count());
 }
 
-StorePage readListPage(const std::string &body, const MalformedItemHandler &onMalformed)
+StorePage readListPage(const std::string &body, std::uint64_t era, const MalformedItemHandler &onMalformed)
 {
     const auto response = json::parse(body);
     const auto &object = response.as_object();
     const auto &entries = object.at("items");
     StorePage page;
-    page.revision = object.at("store_revision").to_number<std::uint64_t>();
-    page.items = internal::itemsOf(entries, onMalformed);
+    page.position = {era, object.at("store_revision").to_number<std::uint64_t>()};
+    page.items = internal::itemsOf(entries, era, onMalformed);
     page.hasMore = object.at("more_pages").as_bool() && !entries.as_array().empty();
     if (page.hasMore && page.items.empty()) {
         throw std::runtime_error("a page of the list has no readable item, so the next one cannot be requested");
@@ -87,13 +87,13 @@
     return page;
 }
 
-StorePage readWatchPage(const std::string &body, const MalformedItemHandler &onMalformed)
+StorePage readWatchPage(const std::string &body, std::uint64_t era, const MalformedItemHandler &onMalformed)
 {
     const auto response = json::parse(body);
     const auto &object = response.as_object();
     StorePage page;
-    page.revision = object.at("store_revision").to_number<std::uint64_t>();
-    page.items = internal::itemsOf(object.at("events"), onMalformed);
+    page.position = {era, object.at("store_revision").to_number<std::uint64_t>()};
+    page.items = internal::itemsOf(object.at("events"), era, onMalformed);
     return page;
 }
 
--- a/src/cyclamenspool/platform/storepoller.cpp
+++ b/src/cyclamenspool/platform/storepoller.cpp
@@ -24,14 +24,14 @@
 {
 }
 
-void StorePoller::poll(const std::string &prefix, std::uint64_t revision, StorePollCallbacks callbacks)
+void StorePoller::poll(const std::string &prefix, const member::StorePosition &position, StorePollCallbacks callbacks)
 {
     if (running_.size() >= internal::maxRunningPolls) {
         return;
     }
     auto poll = std::make_shared<Poll>();
     poll->prefix = prefix;
-    poll->revision = revision;
+    poll->position = position;
     poll->callbacks = std::move(callbacks);
     poll->connection = idle_ != nullptr ? std::move(idle_) : std::make_unique<StoreConnection>(context_, address_);
     poll->startedAt = std::chrono::steady_clock::now();
@@ -41,15 +41,21 @@
 
 boost::asio::awaitable<void> StorePoller::run(PollPtr poll)
 {
-    const auto target = watchTarget(poll->prefix, poll->revision, internal::shortestWait);
+    const auto target = watchTarget(poll->prefix, poll->position, internal::shortestWait);
     StoreChanges changes;
     changes.asOf = poll->startedAt;
     std::string failure;
     bool isCompacted = false;
+    bool isOtherEra = false;
     try {
-        const auto page = readWatchPage(co_await poll->connection->get(target, internal::pollTimeout), poll->callbacks.onMalformed);
+        const auto response = co_await poll->connection->get(target, internal::pollTimeout);
+        if (!poll->callbacks.onEra(response.era)) {
+            throw EraEnded();
+        }
+        isOtherEra = response.era != poll->position.era;
+        const auto page = readWatchPage(response.content(), response.era, poll->callbacks.onMalformed);
         changes.items = page.items;
-        changes.revision = page.revision;
+        changes.position = page.position;
     } catch (const RevisionCompacted &) {
         isCompacted = true;
     } catch (const std::exception &error) {
@@ -65,6 +71,10 @@
     }
     idle_ = std::move(poll->connection);
     cancelEarlier(*poll);
+    // The changes of a later era do not follow on the position.
+    if (isOtherEra) {
+        co_return;
+    }
     if (isCompacted) {
         poll->callbacks.onCompacted();
     } else {
--- a/src/cyclamenspool/platform/storepoller.h
+++ b/src/cyclamenspool/platform/storepoller.h
@@ -20,15 +20,17 @@
 /** @brief Changes that a poll has read. */
 struct StoreChanges {
     std::vector<member::StoreItem> items;
-    std::uint64_t revision = 0; /**< Store revision up to which they are complete. */
+    member::StorePosition position; /**< Position of the store up to which they are complete. */
     std::chrono::steady_clock::time_point asOf; /**< Start of the call: the changes are complete at least up to this time. */
 };
 
-/** @brief Result of a poll: one of the first three is called, unless a later poll of the same prefix has succeeded before. */
+/** @brief Result of a poll: one of the first three is called, unless a later poll of the same prefix has succeeded before, or the response is of a later era.
+ */
 struct StorePollCallbacks {
     std::function<void(const StoreChanges &)> onChanges;
-    std::function<void()> onCompacted; /**< The changes after the revision are no longer available. */
+    std::function<void()> onCompacted; /**< The changes after the position are no longer available. */
     std::function<void(const std::string &)> onFailure; /**< Argument: reason. */
+    std::function<bool(std::uint64_t)> onEra; /**< Called first with the era of any response. Returns false if the era has ended: the poll then fails. */
     std::function<void(const std::string &, const std::string &)> onMalformed; /**< An item was skipped. Arguments: key, reason. */
 };
 
@@ -47,10 +49,10 @@
     /**
      * @brief Starts a poll; does nothing while too many are in progress.
      * @param prefix Prefix of the keys.
-     * @param revision Revision after which changes are requested; not 0.
+     * @param position Position after which changes are requested; not empty.
      * @param callbacks Receiver of the result.
      */
-    void poll(const std::string &prefix, std::uint64_t revision, StorePollCallbacks callbacks);
+    void poll(const std::string &prefix, const member::StorePosition &position, StorePollCallbacks callbacks);
 
     /** @brief Returns the time since the start of the oldest poll in progress; zero if there is none. */
     [[nodiscard]] std::chrono::milliseconds oldestAge() const;
@@ -61,7 +63,7 @@
 private:
     struct Poll {
         std::string prefix;
-        std::uint64_t revision = 0;
+        member::StorePosition position;
         StorePollCallbacks callbacks;
         std::unique_ptr<StoreConnection> connection;
         std::chrono::steady_clock::time_point startedAt;
--- a/test/fuzz/store.cpp
+++ b/test/fuzz/store.cpp
@@ -27,10 +27,20 @@
 void mergePage(const platform::StorePage &page)
 {
     member::StoreReplica replica;
-    for (const auto &item : replica.merge(page.items, page.revision)) {
+    for (const auto &item : replica.merge(page.items, page.position)) {
         decodeItem(item);
     }
-    fuzz::check(replica.revision() == page.revision, "the replica is at the revision of the page");
+    fuzz::check(replica.position() == page.position, "the replica is at the position of the page");
+    const auto before = replica.toSnapshot();
+    const member::StorePosition restored(page.position.era + 1, 1);
+    if (!before.position.isEmpty()) {
+        static_cast<void>(replica.merge(page.items, restored));
+        fuzz::check(replica.position() == before.position, "changes do not lead to a later era");
+    }
+    static_cast<void>(replica.replace({{}, restored}));
+    fuzz::check(replica.position() == restored && replica.items().empty(), "a list of a later era replaces the replica");
+    static_cast<void>(replica.replace(before));
+    fuzz::check(replica.position() == restored && replica.items().empty(), "a snapshot of an earlier era is ignored");
 }
 
 } // namespace
@@ -49,14 +59,14 @@
     const platform::MalformedItemHandler ignoreMalformedItem = [](const std::string &, const std::string &) {};
     switch (data[0] % 4) {
     case 0:
-        decodeItem({"op/config", bytes, 7, false});
+        decodeItem({"op/config", bytes, {0, 7}, false});
         break;
     case 1:
-        decodeItem({"servers/i-1", bytes, 7, false});
+        decodeItem({"servers/i-1", bytes, {0, 7}, false});
         break;
     default:
         try {
-            mergePage(data[0] % 4 == 2 ? platform::readListPage(bytes, ignoreMalformedItem) : platform::readWatchPage(bytes, ignoreMalformedItem));
+            mergePage(data[0] % 4 == 2 ? platform::readListPage(bytes, 0, ignoreMalformedItem) : platform::readWatchPage(bytes, 0, ignoreMalformedItem));
         } catch (const std::exception &) {
             // The store client handles this by closing the connection and retrying.
         }
--- a/test/gateway/storeavailability.cpp
+++ b/test/gateway/storeavailability.cpp
@@ -86,7 +86,7 @@
     const auto now = std::chrono::steady_clock::now();
     for (const auto age : {0h, 1h, 2000h, 90000h}) {
         CAPTURE(age.count());
-        const auto copy = gateway::decodeSnapshot(gateway::encodeSnapshot({{{}, 7}, StoreUptime{now - age, now}}));
+        const auto copy = gateway::decodeSnapshot(gateway::encodeSnapshot({{{}, {0, 7}}, StoreUptime{now - age, now}}));
         REQUIRE(copy);
         REQUIRE(copy->storeUptime);
         CHECK(now - copy->storeUptime->since >= std::min<std::chrono::hours>(age, 1h) - 1s);
@@ -99,13 +99,13 @@
     gateway::Catalog catalog(dispatcher);
     constexpr auto section = gateway::Catalog::Section::Servers;
     const std::string text = R"({"service":"pool","address":"10.0.0.1:80","zone":"az-a","slots":8,"state":"ready"})";
-    catalog.onStoreList(section, {{{"servers/s0", text, 3, false}}, 3});
+    catalog.onStoreList(section, {{{"servers/s0", text, {0, 3}, false}}, {0, 3}});
     gateway::ServerPtr before;
     dispatcher.withFleet([&before](gateway::Fleet &fleet, core::MonotonicTime now) {
         before = fleet.find("s0");
         before->entryExpiredAt = now;
     });
-    catalog.onStoreChanges(section, {{"servers/s0", text, 5, false}}, 5);
+    catalog.onStoreChanges(section, {{"servers/s0", text, {0, 5}, false}}, {0, 5});
     dispatcher.withFleet([&before](gateway::Fleet &fleet, core::MonotonicTime) {
         CHECK(fleet.find("s0") == before);
     });
--- a/test/platform/documents.cpp
+++ b/test/platform/documents.cpp
@@ -10,7 +10,7 @@
 
 member::StoreItem itemOf(const std::string &key, const std::string &value)
 {
-    return {key, value, 7, false};
+    return {key, value, {0, 7}, false};
 }
 
 const std::string validServer
@@ -53,8 +53,8 @@
     const auto evacuation = std::get<platform::ZoneEvacuation>(decode(itemOf("op/evacuate/az-a", "{}")));
     CHECK(evacuation.zone == "az-a");
     CHECK(evacuation.isActive);
-    CHECK_FALSE(std::get<platform::ZoneEvacuation>(decode({"op/evacuate/az-a", "", 9, true})).isActive);
-    CHECK(std::get<platform::RemovedServer>(decode({"servers/i-1", "", 9, true})).id == "i-1");
+    CHECK_FALSE(std::get<platform::ZoneEvacuation>(decode({"op/evacuate/az-a", "", {0, 9}, true})).isActive);
+    CHECK(std::get<platform::RemovedServer>(decode({"servers/i-1", "", {0, 9}, true})).id == "i-1");
     CHECK(std::holds_alternative<platform::IgnoredItem>(decode(itemOf("op/other", "{}"))));
 }
 
--- a/test/platform/storepage.cpp
+++ b/test/platform/storepage.cpp
@@ -24,7 +24,7 @@
     const auto count = [&malformed](const std::string &, const std::string &) {
         ++malformed;
     };
-    const auto page = platform::readListPage(pageOf(readable + "," + withoutKey), count);
+    const auto page = platform::readListPage(pageOf(readable + "," + withoutKey), 0, count);
     CHECK(page.hasMore);
     CHECK(page.lastKey == "servers/a");
     CHECK(malformed == 1);
@@ -33,5 +33,5 @@
 TEST_CASE("a page without a readable item that announces more pages is an error", "[platform]")
 {
     const auto ignore = [](const std::string &, const std::string &) {};
-    CHECK_THROWS_WITH(platform::readListPage(pageOf(withoutKey), ignore), Catch::Contains("no readable item"));
+    CHECK_THROWS_WITH(platform::readListPage(pageOf(withoutKey), 0, ignore), Catch::Contains("no readable item"));
 }
