--- a/src/cyclamenspool/platform/documents.cpp
+++ b/src/cyclamenspool/platform/documents.cpp
@@ -263,7 +263,7 @@
     if (find(object, "sequence") != nullptr) {
         server.sequence = static_cast<std::uint64_t>(readNumber(object, "sequence"));
     }
-    server.revision = item.revision;
+    server.revision = item.position.revision;
     return server;
 }
 
