--- /dev/null
+++ b/test/gateway/backendcall.cpp
@@ -0,0 +1,197 @@
+#include <catch2/catch.hpp>
+
+#include <harness/brokenoffserver.h>
+
+#include <cyclamenspool/gateway/backendcall.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using gateway::BackendCall;
+using gateway::BackendConnectionPool;
+using gateway::BackendRequest;
+using harness::BreakOff;
+using harness::BrokenOffServer;
+using harness::WireResponse;
+
+namespace {
+
+/** @brief Records what a call reports. */
+class RecordingHandler : public gateway::BackendCallHandler
+{
+public:
+    bool isStillWanted() override
+    {
+        return true;
+    }
+
+    void onConnectFailed(const std::string &reason) override
+    {
+        ++endCount;
+        error = reason;
+    }
+
+    void onResponseHeaders(unsigned received, const platform::Fields & /*fields*/, const platform::ResponseHead & /*head*/) override
+    {
+        ++headCount;
+        status = received;
+    }
+
+    bool onResponseBody(std::string bytes) override
+    {
+        body += bytes;
+        return true;
+    }
+
+    void onResponseComplete() override
+    {
+        ++endCount;
+        isComplete = true;
+    }
+
+    void onResponseError(const std::string &reason) override
+    {
+        ++endCount;
+        error = reason;
+    }
+
+    int headCount = 0;
+    int endCount = 0;
+    unsigned status = 0;
+    std::string body;
+    bool isComplete = false;
+    std::string error;
+};
+
+/** @brief A worker's connections, and a server that breaks off the response to the request "r1". */
+class BrokenOffCall
+{
+public:
+    /** @brief Sends a request and waits for its end. */
+    RecordingHandler call(const std::string &requestId, bool isHeadRequest = false)
+    {
+        RecordingHandler handler;
+        BackendRequest request;
+        request.serverId = "i-1";
+        request.address = server.address();
+        request.requestId = requestId;
+        request.bytes = std::string(isHeadRequest ? "HEAD" : "GET") + " / HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+        request.isHeadRequest = isHeadRequest;
+        request.maxIdleTime = 10s;
+        const auto call = std::make_shared<BackendCall>(pool, request, handler);
+        call->start();
+        runUntil([&handler] {
+            return handler.endCount > 0;
+        });
+        call->cancel();
+        return handler;
+    }
+
+    /** @brief Serves one connection and sends the request "r1" on it, after an earlier request if there is a response to one. */
+    RecordingHandler callBrokenOff(const harness::BrokenOffConnection &connection, bool isHeadRequest = false)
+    {
+        server.serve(connection);
+        if (!connection.earlierResponse.empty()) {
+            REQUIRE(call("r0").isComplete);
+        }
+        auto result = call("r1", isHeadRequest);
+        runUntil([this] {
+            return server.isClosed();
+        });
+        REQUIRE(server.isClosed());
+        return result;
+    }
+
+    boost::asio::io_context context{1};
+    BackendConnectionPool pool{context};
+    BrokenOffServer server{context};
+
+private:
+    template<class Condition>
+    void runUntil(const Condition &condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + 2s;
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
+            context.run_one_for(100ms);
+        }
+    }
+};
+
+const std::string earlier = "HTTP/1.1 200 OK\r\nCyclamenspool-Response-Seal: s\r\nCyclamenspool-Request-Id: r0\r\nContent-Length: 2\r\n\r\nok";
+
+/** @brief Checks a call whose response was cut. @param cut Bytes that were sent. */
+void checkCut(const RecordingHandler &seen, const WireResponse &response, std::size_t cut, BreakOff end)
+{
+    INFO(response.name << ", bytes " << cut << " of " << response.bytes().size() << ", reset " << (end == BreakOff::Reset) << ", error " << seen.error);
+    const bool isHeadSent = cut >= response.head.size();
+    CHECK(seen.isComplete == response.isComplete(cut, end));
+    CHECK(seen.endCount == 1);
+    CHECK(seen.headCount == (isHeadSent ? 1 : 0));
+    CHECK(seen.status == (isHeadSent ? response.status : 0));
+    CHECK((!seen.isComplete || response.isUnframed || seen.body == response.content));
+    CHECK((!seen.isComplete || !response.isUnframed || seen.body.size() == cut - response.head.size()));
+    CHECK(response.content.compare(0, seen.body.size(), seen.body) == 0);
+}
+
+} // namespace
+
+// Guards against a response that ends inside its head or body and is taken for a complete one.
+TEST_CASE("a backend server's response that is cut after any byte is complete only where its framing says so", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto end = GENERATE(BreakOff::Fin, BreakOff::Reset);
+    const auto earlierResponse = GENERATE(as<std::string>(), "", earlier);
+    for (const auto &response : harness::wireResponses()) {
+        for (std::size_t cut = 0; cut <= response.bytes().size(); ++cut) {
+            const auto seen = broken.callBrokenOff({earlierResponse, response.bytes().substr(0, cut), end});
+            checkCut(seen, response, cut, end);
+            CHECK(broken.server.requestCount() == (earlierResponse.empty() ? 1 : 2));
+        }
+    }
+}
+
+// Guards against a parser that loses its place when the bytes of a response arrive one by one.
+TEST_CASE("a response whose bytes arrive one by one and end early is complete only where its framing says so", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    for (const auto &response : harness::wireResponses()) {
+        for (std::size_t cut = 0; cut <= response.bytes().size(); ++cut) {
+            checkCut(broken.callBrokenOff({"", response.bytes().substr(0, cut), BreakOff::Fin, true}), response, cut, BreakOff::Fin);
+        }
+    }
+}
+
+// Guards against a response to HEAD, whose length is that of no body, that is taken for complete before its blank line.
+TEST_CASE("a response to HEAD is complete exactly when its blank line was received", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto end = GENERATE(BreakOff::Fin, BreakOff::Reset);
+    for (const auto &response : harness::wireResponses()) {
+        for (std::size_t cut = 0; cut <= response.head.size(); ++cut) {
+            INFO(response.name << ", bytes " << cut);
+            const auto seen = broken.callBrokenOff({"", response.head.substr(0, cut), end}, true);
+            CHECK(seen.isComplete == (cut == response.head.size()));
+            CHECK(seen.body.empty());
+        }
+    }
+}
+
+// Guards against the rest of another request's response, or the connection's end after it, that is taken for the request's own.
+TEST_CASE("a connection that ends after another request's response ends the call as failed", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto end = GENERATE(BreakOff::Fin, BreakOff::Reset);
+    const bool isUnframed = GENERATE(false, true);
+    const std::string foreign = "HTTP/1.1 200 OK\r\nCyclamenspool-Response-Seal: s\r\nCyclamenspool-Request-Id: r0\r\n"
+        + std::string(isUnframed ? "\r\n" : "Content-Length: 5\r\n\r\n") + "stale";
+    for (std::size_t cut = 0; cut <= foreign.size(); ++cut) {
+        INFO("bytes " << cut);
+        const auto seen = broken.callBrokenOff({earlier, foreign.substr(0, cut), end});
+        CHECK_FALSE(seen.isComplete);
+        CHECK(seen.headCount == 0);
+        CHECK(seen.body.empty());
+    }
+}
