--- a/src/cyclamenspool/http/client.cpp
+++ b/src/cyclamenspool/http/client.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <optional>
 
 namespace cyclamenspool::http {
 
@@ -23,6 +24,7 @@
 namespace internal {
 
 constexpr std::size_t readBufferBytes = 16 * 1024;
+constexpr int maxInterimResponses = 16; /* more may never end */
 
 using Parser = bhttp::response_parser<bhttp::buffer_body>;
 
@@ -67,6 +69,25 @@
     stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
 }
 
+/** @brief Reads the headers of a response into a parser; interim (1xx) responses before it are skipped. */
+asio::awaitable<void> readHead(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::optional<Parser> &parser, const ClientRequest &request)
+{
+    for (int count = 0; count <= maxInterimResponses; ++count) {
+        parser.emplace();
+        parser->body_limit(boost::none);
+        boost::system::error_code error;
+        stream.expires_after(request.timeout);
+        co_await bhttp::async_read_header(stream, buffer, *parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            throw ClientError(request.address + ": " + error.message(), true);
+        }
+        if (parser->get().result_int() >= static_cast<unsigned>(bhttp::status::ok)) {
+            co_return;
+        }
+    }
+    throw ClientError(request.address + ": more than 16 interim responses", true);
+}
+
 asio::awaitable<void> readBody(beast::tcp_stream &stream,
                                beast::flat_buffer &buffer,
                                Parser &parser,
@@ -107,21 +128,16 @@
         throw ClientError(request.address + ": " + error.message(), true);
     }
     beast::flat_buffer buffer;
-    internal::Parser parser;
-    parser.body_limit(boost::none);
-    stream.expires_after(request.timeout);
-    co_await bhttp::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        throw ClientError(request.address + ": " + error.message(), true);
-    }
+    std::optional<internal::Parser> parser;
+    co_await internal::readHead(stream, buffer, parser, request);
     if (callbacks.onResponseHead) {
-        callbacks.onResponseHead(internal::headOf(parser));
+        callbacks.onResponseHead(internal::headOf(*parser));
     }
-    const bool hasLength = parser.chunked() || parser.content_length().has_value();
-    if (!hasLength && parser.get().result_int() != static_cast<unsigned>(bhttp::status::no_content)) {
+    const bool hasLength = parser->chunked() || parser->content_length().has_value();
+    if (!hasLength && parser->get().result_int() != static_cast<unsigned>(bhttp::status::no_content)) {
         throw ClientError(request.address + ": response has neither Content-Length nor chunked encoding", true);
     }
-    co_await internal::readBody(stream, buffer, parser, request, callbacks);
+    co_await internal::readBody(stream, buffer, *parser, request, callbacks);
 }
 
 asio::awaitable<ClientResponse> fetch(ClientRequest request)
--- a/src/cyclamenspool/http/client.h
+++ b/src/cyclamenspool/http/client.h
@@ -79,7 +79,7 @@
 /**
  * @brief Sends a request on a new connection and reports the response as it arrives.
  *
- * Completes when the response is complete. Any status counts as success.
+ * Completes when the response is complete. Any status counts as success; interim (1xx) responses are skipped.
  *
  * @param request Request to send.
  * @param callbacks Called as the request proceeds; an exception thrown by one ends the request and is passed on.
