Red test: a gateway relays a body whose transfer coding it does not remove

Transfer-Encoding other than "chunked" ("chunked;q=1", "chunked, gzip", "gzip") counts as no framing: the body, with its chunk headers, ends with the connection, at any byte, and is relayed as complete with the server's digest (MIXED); the header itself is dropped. Requests of callers are refused for it already.

--- a/test/gateway/backendcall.cpp
+++ b/test/gateway/backendcall.cpp
@@ -195,3 +195,18 @@
         CHECK(seen.body.empty());
     }
 }
+
+// Guards against a response with an unknown end of its body that is taken for one that ends with the connection.
+TEST_CASE("a response with any transfer coding but chunked fails", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto coding = GENERATE(as<std::string>(), "gzip", "chunked, gzip", "gzip, chunked", "chunked;q=1", "identity");
+    INFO(coding);
+    const std::string head = "HTTP/1.1 200 OK\r\nCyclamenspool-Response-Seal: s\r\nCyclamenspool-Request-Id: r1\r\nTransfer-Encoding: " + coding + "\r\n\r\n";
+    const std::string body = "5\r\nwhole\r\n0\r\n\r\n";
+    for (std::size_t cut = 0; cut <= body.size(); ++cut) {
+        const auto seen = broken.callBrokenOff({"", head + body.substr(0, cut), BreakOff::Fin});
+        CHECK_FALSE(seen.isComplete);
+        CHECK(seen.headCount == 0);
+    }
+}
