A response with any transfer coding but chunked fails

The end of its body is unknown. The call ends as an invalid response: outcome unknown, retried where that is allowed. "identity", which RFC 9112 has no more, fails too.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -4,6 +4,7 @@
 #include <cyclamenspool/wire/tcpkeepalive.h>
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace cyclamenspool::gateway {
 
@@ -194,6 +195,12 @@
     areHeadersParsed_ = true;
     const auto &response = parser_->get();
     const auto head = platform::readResponseHead(response.result_int(), response.base());
+    const auto encoding = response[bhttp::field::transfer_encoding];
+    // The end of the body is unknown with any other transfer coding, and the coding is not removed.
+    if (!encoding.empty() && !boost::beast::iequals(encoding, "chunked")) {
+        fail("header Transfer-Encoding of the response must be chunked");
+        return false;
+    }
     idleTimeout_ = head.idleTimeout;
     const bool isInterim = response.result_int() < internal::minFinalStatus;
     if (!isInterim && head.requestId.empty() && !request_.requestId.empty() && isConnectionReused_) {
