Red test: bytes after a store's response are taken for the response to the next call

StoreConnection keeps what it has read beyond a response. A second response would be returned for the next call, and each call after it would get the one before; pollers of several prefixes share a connection.

--- a/test/platform/storeconnection.cpp
+++ b/test/platform/storeconnection.cpp
@@ -83,3 +83,15 @@
         CHECK_THROWS(platform::readWatchPage(watch.substr(0, cut), nullptr));
     }
 }
+
+// Guards against a second response on a kept connection that is taken for the response to the next call.
+TEST_CASE("bytes after a store's response are never taken for the response to the next call", "[platform][answerends]")
+{
+    const auto second = GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale", "HTTP/1.1 200 OK\r\nContent-Le", "x");
+    BrokenOffStore store;
+    store.server.serve({earlier + second, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown", BreakOff::Fin});
+    REQUIRE(store.get() == "{}");
+    // The second connection, if one is opened, gets its own response.
+    store.server.serve({"", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown", BreakOff::Fin});
+    CHECK(store.get().value_or("the call failed") == "own");
+}
