--- a/src/cyclamenspool/platform/storeconnection.cpp
+++ b/src/cyclamenspool/platform/storeconnection.cpp
@@ -65,7 +65,8 @@
     waitingSince_.reset();
     co_await bhttp::async_read(*stream_, buffer_, parser, asio::use_awaitable);
     auto response = parser.release();
-    if (!response.keep_alive()) {
+    // Bytes after a complete response belong to no call, so the connection is closed.
+    if (!response.keep_alive() || buffer_.size() > 0) {
         stream_.reset();
     }
     if (response.result() == bhttp::status::gone) {
