--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/gateway/backendcall.h>
 
+#include <cyclamenspool/http/messageend.h>
 #include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/tcpkeepalive.h>
 
@@ -245,14 +246,10 @@
 void BackendCall::onReadError(const boost::system::error_code &error)
 {
     isClosedByServer_ = error == asio::error::eof || error == asio::error::connection_reset;
-    if (error == asio::error::eof && parser_->is_header_done() && !isDiscarding_) {
-        boost::system::error_code parseError;
-        parser_->put_eof(parseError);
-        if (!parseError && parser_->is_done()) {
-            mustClose_ = true;
-            finish();
-            return;
-        }
+    if (error == asio::error::eof && !isDiscarding_ && http::isCompleteAtConnectionEnd(*parser_)) {
+        mustClose_ = true;
+        finish();
+        return;
     }
     fail("backend connection closed before the response was complete: " + error.message());
 }
--- a/test/fuzz/answer.cpp
+++ b/test/fuzz/answer.cpp
@@ -2,19 +2,72 @@
 
 #include <cyclamenspool/gateway/eventboundary.h>
 #include <cyclamenspool/gateway/eventscanner.h>
+#include <cyclamenspool/http/messageend.h>
 #include <cyclamenspool/platform/headers.h>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 
 using namespace cyclamenspool;
 namespace bhttp = boost::beast::http;
 
 namespace {
 
+constexpr std::size_t maxCutBytes = 256; /* of a response that is cut after each of its bytes */
+
+using Parser = bhttp::response_parser<bhttp::string_body>;
+
+/** @brief Parses bytes as a gateway does. @return Number of bytes that belong
+ * to the response; empty if they are invalid. */
+std::optional<std::size_t> parse(Parser &parser, std::string_view bytes)
+{
+    parser.eager(true);
+    parser.body_limit(boost::none);
+    std::size_t parsedBytes = 0;
+    while (parsedBytes < bytes.size() && !parser.is_done()) {
+        boost::system::error_code error;
+        const auto consumed = parser.put(boost::asio::buffer(bytes.data() + parsedBytes, bytes.size() - parsedBytes), error);
+        if (error && error != bhttp::error::need_more) {
+            return std::nullopt;
+        }
+        parsedBytes += consumed;
+        if (consumed == 0) {
+            break;
+        }
+    }
+    return parsedBytes;
+}
+
+/** @brief Checks which ends of the connection complete a response: after each
+ * byte of it. */
+void checkConnectionEnds(std::string_view bytes)
+{
+    Parser unbroken;
+    const auto responseBytes = parse(unbroken, bytes);
+    const auto end = unbroken.is_done() ? responseBytes.value_or(0) : bytes.size() + 1;
+    for (std::size_t cut = 0; cut < std::min({end, bytes.size() + 1, maxCutBytes}); ++cut) {
+        Parser parser;
+        if (!parse(parser, bytes.substr(0, cut))) {
+            return;
+        }
+        fuzz::check(!parser.is_done(), "no beginning of a response is complete by its framing");
+        const bool needsEnd = parser.is_header_done() && parser.need_eof();
+        const bool isComplete = http::isCompleteAtConnectionEnd(parser);
+        fuzz::check(isComplete == needsEnd,
+                    "the connection's end completes a response exactly if its head "
+                    "is complete and names no other end");
+        fuzz::check(!isComplete || bytes.substr(0, cut).find("\r\n\r\n") != std::string_view::npos, "no response is complete without its blank line");
+        fuzz::check(!isComplete || (!parser.chunked() && !parser.content_length()),
+                    "no response with a length or chunks is completed by the "
+                    "connection's end");
+    }
+}
+
 void checkResponseHead(const std::string &bytes)
 {
     bhttp::response_parser<bhttp::string_body> parser;
@@ -46,7 +99,9 @@
     splitEvents += split.append(std::string_view(bytes).substr(0, splitPosition));
     splitEvents += split.append(std::string_view(bytes).substr(splitPosition));
     fuzz::check(unsplitEvents == splitEvents && unsplit.partialEvent() == split.partialEvent(), "events do not depend on how the stream is split into chunks");
-    fuzz::check(unsplit.lastEventId() == split.lastEventId(), "the last event id does not depend on how the stream is split into chunks");
+    fuzz::check(unsplit.lastEventId() == split.lastEventId(),
+                "the last event id does not depend on how the stream is split "
+                "into chunks");
     gateway::EventBoundary boundary;
     boundary.advance(bytes);
     fuzz::check(boundary.isInsideEvent() == !unsplit.partialEvent().empty(), "a stream is inside an event exactly if bytes of one are held back");
@@ -55,11 +110,13 @@
 
 } // namespace
 
-/** @brief Fuzzes a backend server's response: the head that the caller gets, and the event stream. */
+/** @brief Fuzzes a backend server's response: the head that the caller gets,
+ * and the event stream. */
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string bytes(reinterpret_cast<const char *>(data), size);
     checkResponseHead(bytes);
+    checkConnectionEnds(bytes);
     checkEventScanner(bytes);
     return 0;
 }
