--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -1,9 +1,11 @@
 #include <cyclamenspool/gateway/backendcall.h>
 
+#include <cyclamenspool/http/messageend.h>
 #include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/tcpkeepalive.h>
 
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace cyclamenspool::gateway {
 
@@ -194,6 +196,12 @@
     areHeadersParsed_ = true;
     const auto &response = parser_->get();
     const auto head = platform::readResponseHead(response.result_int(), response.base());
+    const auto encoding = response[bhttp::field::transfer_encoding];
+    // The end of the body is unknown with any other transfer coding, and the coding is not removed.
+    if (!encoding.empty() && !boost::beast::iequals(encoding, "chunked")) {
+        fail("header Transfer-Encoding of the response must be chunked");
+        return false;
+    }
     idleTimeout_ = head.idleTimeout;
     const bool isInterim = response.result_int() < internal::minFinalStatus;
     if (!isInterim && head.requestId.empty() && !request_.requestId.empty() && isConnectionReused_) {
@@ -238,14 +246,10 @@
 void BackendCall::onReadError(const boost::system::error_code &error)
 {
     isClosedByServer_ = error == asio::error::eof || error == asio::error::connection_reset;
-    if (error == asio::error::eof && parser_->is_header_done() && !isDiscarding_) {
-        boost::system::error_code parseError;
-        parser_->put_eof(parseError);
-        if (!parseError && parser_->is_done()) {
-            mustClose_ = true;
-            finish();
-            return;
-        }
+    if (error == asio::error::eof && !isDiscarding_ && http::isCompleteAtConnectionEnd(*parser_)) {
+        mustClose_ = true;
+        finish();
+        return;
     }
     fail("backend connection closed before the response was complete: " + error.message());
 }
--- a/src/cyclamenspool/platform/storeconnection.cpp
+++ b/src/cyclamenspool/platform/storeconnection.cpp
@@ -82,7 +82,8 @@
     waitingSince_.reset();
     co_await bhttp::async_read(*stream_, buffer_, parser, asio::use_awaitable);
     auto response = parser.release();
-    if (!response.keep_alive()) {
+    // Bytes after a complete response belong to no call, so the connection is closed.
+    if (!response.keep_alive() || buffer_.size() > 0) {
         stream_.reset();
     }
     StoreResponse result;
