--- a/src/cyclamenspool/http/server.h
+++ b/src/cyclamenspool/http/server.h
@@ -111,6 +111,12 @@
     /** @brief Stops accepting connections; open ones close after their current response, or, if idle, after the next one or at the idle timeout. */
     void close();
 
+    /** @brief Returns the address that connections are accepted on, with the port that the system chose if it was 0. */
+    [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const
+    {
+        return endpoint_;
+    }
+
 private:
     boost::asio::awaitable<void> acceptConnections();
     boost::asio::awaitable<void> serveConnection(boost::asio::ip::tcp::socket socket);
@@ -118,6 +124,7 @@
 
     boost::asio::io_context &context_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::endpoint endpoint_;
     ServerLimits limits_;
     RequestHandler handler_;
     RefusalHandler refuse_;
--- /dev/null
+++ b/test/http/server.cpp
@@ -0,0 +1,150 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/http/refusal.h>
+#include <cyclamenspool/http/server.h>
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <string>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using Socket = boost::asio::ip::tcp::socket;
+
+namespace {
+
+const std::string getRequest = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/** @brief What a caller has seen on its connection so far. */
+struct Seen {
+    std::string bytes;
+    bool isEnded = false; /**< The server has ended the connection: the caller's request was read, or nothing was sent. */
+    bool isReset = false; /**< The connection was reset: the server closed it without reading what the caller had sent. */
+
+    [[nodiscard]] int answers() const
+    {
+        int count = 0;
+        for (auto at = bytes.find("HTTP/1.1 200"); at != std::string::npos; at = bytes.find("HTTP/1.1 200", at + 1)) {
+            ++count;
+        }
+        return count;
+    }
+};
+
+/** @brief Collects what has arrived on a connection. */
+void readAvailable(Socket &socket, Seen &seen)
+{
+    socket.non_blocking(true);
+    boost::system::error_code error;
+    while (!error) {
+        std::array<char, 4096> space{};
+        const auto count = socket.read_some(boost::asio::buffer(space), error);
+        seen.bytes.append(space.data(), count);
+    }
+    seen.isEnded = error == boost::asio::error::eof;
+    seen.isReset = error == boost::asio::error::connection_reset;
+}
+
+/** @brief Server on loopback whose handlers run only when the test drives its context. */
+class DrivenServer
+{
+public:
+    explicit DrivenServer(http::RequestHandler handler)
+        : server(context, "127.0.0.1:0", http::ServerLimits(), std::move(handler), http::refuseWithNewId)
+    {
+    }
+
+    /** @brief Opens a connection; the kernel completes it without the server. */
+    [[nodiscard]] Socket connect()
+    {
+        Socket socket(callers_);
+        socket.connect(server.endpoint());
+        return socket;
+    }
+
+    /** @brief Runs the server's handlers for a time. */
+    void drive(std::chrono::milliseconds duration)
+    {
+        context.run_for(duration);
+        context.restart();
+    }
+
+    /** @brief Runs the server's handlers and collects what a caller receives, until the connection ends or for 300 ms. */
+    void receive(Socket &socket, Seen &seen)
+    {
+        for (int step = 0; step < 300 && !seen.isEnded && !seen.isReset; ++step) {
+            drive(1ms);
+            readAvailable(socket, seen);
+        }
+    }
+
+    boost::asio::io_context context{1};
+    http::Server server;
+
+private:
+    boost::asio::io_context callers_;
+};
+
+boost::asio::awaitable<void> answer(const http::Request &, http::Responder &responder)
+{
+    co_await responder.send(200, {}, "ok");
+}
+
+void send(Socket &socket, const std::string &bytes)
+{
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+}
+
+} // namespace
+
+// Guards against a listener that is closed over a queue of connections that the kernel has completed.
+TEST_CASE("a request in the accept queue is answered when the server closes", "[http]")
+{
+    DrivenServer driven(answer);
+    auto socket = driven.connect();
+    send(socket, getRequest);
+    driven.server.close();
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(seen.answers() == 1);
+    CHECK(seen.bytes.find("Connection: close") != std::string::npos);
+}
+
+// Guards against a server that reads a request and drops it, because it closes after a response that promised to keep the connection.
+TEST_CASE("a request behind a response that promised keep-alive is answered when the server closes in between", "[http]")
+{
+    http::Server *server = nullptr;
+    int calls = 0;
+    DrivenServer driven([&](const http::Request &, http::Responder &responder) -> boost::asio::awaitable<void> {
+        ++calls;
+        co_await responder.beginChunked(200, {});
+        server->close();
+        co_await responder.endChunked();
+    });
+    server = &driven.server;
+    auto socket = driven.connect();
+    send(socket, getRequest + getRequest);
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(calls == 2);
+    CHECK(seen.answers() == 2);
+    const auto announcement = seen.bytes.find("Connection: close");
+    CHECK(announcement != std::string::npos);
+    CHECK(announcement > seen.bytes.rfind("HTTP/1.1 200"));
+}
+
+// Guards against an idle connection that outlives the close until a request on it is cut by the process's exit.
+TEST_CASE("an idle connection is closed unread when the server closes", "[http]")
+{
+    DrivenServer driven(answer);
+    auto socket = driven.connect();
+    send(socket, getRequest);
+    Seen seen;
+    driven.drive(20ms);
+    driven.server.close();
+    driven.receive(socket, seen);
+    CHECK(seen.answers() == 1);
+    CHECK(seen.isReset);
+    CHECK_FALSE(seen.isEnded);
+}
