A peer server ends its sessions with GOAWAY and the end of the streams taken

Cause: close() closed the sockets, whatever streams were open, queued or unread; a router then had to report a booking's outcome as unknown. Change: the accept queue is accepted, GOAWAY names the last stream taken, later ones are not handled (the client's nghttp2 ends them as refused, which is not processed), and the connection closes after the last reply, when the client has closed its side or after 1 s. The server counts sessions from the acceptance to the end and reports once when none is left.

--- a/src/cyclamenspool/wire/peerserver.h
+++ b/src/cyclamenspool/wire/peerserver.h
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -27,20 +29,41 @@
      */
     PeerServer(boost::asio::io_context &context, const std::string &address, const SessionLimits &limits, RequestHandler handler);
 
-    /** @brief Stops accepting and closes all sessions. */
-    void close();
+    /**
+     * @brief Accepts the connections that the kernel has completed, then stops accepting and ends each session with Session::closeAfterStreams().
+     * @param onQuiet Called once, on any thread, when every session has ended; may be empty.
+     */
+    void close(std::function<void()> onQuiet = nullptr);
+
+    /** @brief Closes all sessions; their streams are cut. */
+    void closeSessions();
+
+    /** @brief Returns the address that sessions are accepted on, with the port that the system chose if it was 0. */
+    [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const
+    {
+        return endpoint_;
+    }
 
 private:
     void accept();
-    void trackSession(const std::shared_ptr<Session> &session);
+    void acceptQueued();
+    void addSession(Session::Socket socket);
+    void onSessionClosed();
+    void callIfQuiet();
+    [[nodiscard]] std::vector<std::shared_ptr<Session>> openSessions();
 
     boost::asio::io_context &context_;
     SessionLimits limits_;
     RequestHandler handler_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::endpoint endpoint_;
     boost::asio::steady_timer retryTimer_;
-    std::mutex mutex_;
+    bool isClosing_ = false; /* on the acceptor's strand */
+    std::mutex mutex_; /* guards the members below; no other lock is taken while it is held */
     std::vector<std::weak_ptr<Session>> sessions_;
+    std::size_t openSessions_ = 0; /* from the acceptance to the end of the connection */
+    bool isListening_ = true;
+    std::function<void()> onQuiet_;
 };
 
 } // namespace cyclamenspool::wire
--- a/src/cyclamenspool/wire/session.cpp
+++ b/src/cyclamenspool/wire/session.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t writeBatchBytes = 64 * 1024;
 constexpr std::int32_t streamWindowBytes = 1024 * 1024;
 constexpr int maxUnansweredPings = 2;
+constexpr std::chrono::milliseconds peerCloseTimeout{1000};
 
 } // namespace internal
 
@@ -90,6 +91,10 @@
         if (!self->open_) {
             return;
         }
+        if (self->sendingEnded_) {
+            self->read();
+            return;
+        }
         self->receivedSinceCheck_ = true;
         const auto *bytes = reinterpret_cast<const std::uint8_t *>(self->readBuffer_.data());
         const auto consumed = nghttp2_session_mem_recv(self->session_, bytes, count);
@@ -104,7 +109,7 @@
 
 void Session::write()
 {
-    if (writing_ || !open_ || session_ == nullptr) {
+    if (writing_ || !open_ || sendingEnded_ || session_ == nullptr) {
         return;
     }
     writeBuffer_.clear();
@@ -122,7 +127,9 @@
     }
     if (writeBuffer_.empty()) {
         const bool ended = nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0;
-        if (ended) {
+        if (ended && draining_) {
+            endSending();
+        } else if (ended) {
             closeNow("HTTP/2 session ended");
         }
         return;
@@ -139,9 +146,34 @@
     });
 }
 
+void Session::beginClose()
+{
+    if (!open_ || draining_) {
+        return;
+    }
+    draining_ = true;
+    nghttp2_submit_goaway(session_, NGHTTP2_FLAG_NONE, lastStream_, NGHTTP2_NO_ERROR, nullptr, 0);
+    write();
+}
+
+void Session::endSending()
+{
+    sendingEnded_ = true;
+    boost::system::error_code ignored;
+    // Closing over unread bytes would reset the connection and discard what the peer has not received.
+    socket_.shutdown(Socket::shutdown_send, ignored);
+    peerCheckTimer_.expires_after(internal::peerCloseTimeout);
+    peerCheckTimer_.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr) {
+            self->closeNow("the peer did not close its side");
+        }
+    });
+}
+
 void Session::checkPeer()
 {
-    if (!open_) {
+    if (!open_ || sendingEnded_) {
         return;
     }
     const bool hasReceived = std::exchange(receivedSinceCheck_, false);
@@ -191,6 +223,13 @@
     });
 }
 
+void Session::closeAfterStreams()
+{
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->beginClose();
+    });
+}
+
 void Session::onClosed(std::function<void()> handler)
 {
     asio::post(socket_.get_executor(), [self = shared_from_this(), handler = std::move(handler)] {
--- a/src/cyclamenspool/wire/session.h
+++ b/src/cyclamenspool/wire/session.h
@@ -132,6 +132,12 @@
     /** @brief Closes the connection. @param reason Reported to every open stream. */
     void close(const std::string &reason);
 
+    /**
+     * @brief Ends a server session in order: a GOAWAY frame names the last stream taken, later streams are not handled, and the connection closes when the
+     * streams taken have ended and the peer has closed its side, at most 1 s after the last of them.
+     */
+    void closeAfterStreams();
+
     /** @brief Sets the handler called once when the connection is closed. @param handler Also called if it is closed already. */
     void onClosed(std::function<void()> handler);
 
@@ -166,6 +172,8 @@
     void write();
     void checkPeer();
     void closeNow(const std::string &reason);
+    void beginClose();
+    void endSending();
     void openStream(const std::string &path, const std::string &message, StreamCallbacks callbacks, const std::shared_ptr<ClientStream> &handle);
     [[nodiscard]] std::string tryOpenStream(const std::string &path,
                                             const std::string &message,
@@ -187,6 +195,9 @@
     std::vector<char> readBuffer_;
     std::string writeBuffer_;
     bool writing_ = false;
+    bool draining_ = false; /* GOAWAY was submitted */
+    bool sendingEnded_ = false; /* everything was sent; bytes that are still received are dropped, as GOAWAY announced */
+    std::int32_t lastStream_ = 0; /* highest stream id that a server session has taken */
     int unansweredPings_ = 0;
     bool receivedSinceCheck_ = false;
     std::atomic<bool> open_{true};
--- a/src/cyclamenspool/wire/sessioncallbacks.cpp
+++ b/src/cyclamenspool/wire/sessioncallbacks.cpp
@@ -26,8 +26,11 @@
 
 int SessionCallbacks::onBeginHeaders(nghttp2_session *, const nghttp2_frame *frame, void *user)
 {
-    if (sessionOf(user).isServer_) {
-        sessionOf(user).streams_.try_emplace(frame->hd.stream_id);
+    auto &session = sessionOf(user);
+    // Streams above the one that GOAWAY names are not handled: the peer knows that they were not.
+    if (session.isServer_ && !session.draining_) {
+        session.lastStream_ = std::max(session.lastStream_, frame->hd.stream_id);
+        session.streams_.try_emplace(frame->hd.stream_id);
     }
     return 0;
 }
