--- /dev/null
+++ b/test/process/drain.cpp
@@ -0,0 +1,351 @@
+#include <catch2/catch.hpp>
+
+#include <harness/localfleet.h>
+
+#include <cyclamenspool/wire/endpoint.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json/parse.hpp>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <random>
+#include <thread>
+
+using namespace cyclamenspool;
+using harness::LocalFleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int rounds = 6; /* planned stops in one test */
+constexpr int callerCount = 6;
+constexpr unsigned firstSeed = 4711;
+
+/** @brief Ends of the requests of all callers. */
+struct Ends {
+    std::atomic<int> answered{0}; /**< Complete response. */
+    std::atomic<int> unread{0}; /**< Connection refused, or reset without a byte of a response. */
+    std::atomic<int> givenUp{0}; /**< The connection ended without a byte of a response and without a reset. */
+    std::atomic<int> cut{0}; /**< Part of a response. */
+    std::atomic<int> silent{0}; /**< Nothing within 5 s. */
+};
+
+/** @brief Caller that reuses its connection at random, and sends some requests in two parts. */
+class Caller
+{
+public:
+    Caller(std::string address, std::string request, unsigned seed, Ends &ends)
+        : address_(std::move(address))
+        , request_(std::move(request))
+        , random_(seed)
+        , ends_(ends)
+    {
+    }
+
+    ~Caller()
+    {
+        close();
+    }
+    Caller(const Caller &) = delete;
+    Caller &operator=(const Caller &) = delete;
+
+    /** @brief Sends one request. @return False if the connection is refused. */
+    bool call()
+    {
+        if (upTo(3) == 0 || !isOpen()) {
+            close();
+            if (!connect()) {
+                return false;
+            }
+        }
+        const auto firstPart = upTo(2) == 0 ? static_cast<std::size_t>(upTo(static_cast<int>(request_.size()) - 1)) : request_.size();
+        bool isSent = sendAll(request_.substr(0, firstPart));
+        if (isSent && firstPart < request_.size()) {
+            std::this_thread::sleep_for(std::chrono::microseconds(upTo(4000)));
+            isSent = sendAll(request_.substr(firstPart));
+        }
+        readResponse();
+        return true;
+    }
+
+private:
+    [[nodiscard]] int upTo(int limit)
+    {
+        return std::uniform_int_distribution<int>(0, limit)(random_);
+    }
+
+    [[nodiscard]] bool isOpen() const
+    {
+        char byte = 0;
+        return descriptor_ >= 0 && recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+    }
+
+    [[nodiscard]] bool connect()
+    {
+        const auto endpoint = wire::parseEndpoint(address_);
+        descriptor_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const timeval limit{5, 0};
+        setsockopt(descriptor_, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        return ::connect(descriptor_, endpoint.data(), static_cast<socklen_t>(endpoint.size())) == 0;
+    }
+
+    void close()
+    {
+        if (descriptor_ >= 0) {
+            ::close(descriptor_);
+        }
+        descriptor_ = -1;
+    }
+
+    [[nodiscard]] bool sendAll(const std::string &bytes) const
+    {
+        return bytes.empty() || ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+    }
+
+    void readResponse()
+    {
+        std::string received;
+        char space[4096];
+        while (true) {
+            const auto count = recv(descriptor_, space, sizeof space, 0);
+            if (count <= 0) {
+                const bool isReset = count < 0 && (errno == ECONNRESET || errno == EPIPE);
+                const bool isSilent = count < 0 && !isReset;
+                ++(isSilent ? ends_.silent : !received.empty() ? ends_.cut : isReset ? ends_.unread : ends_.givenUp);
+                close();
+                return;
+            }
+            received.append(space, static_cast<std::size_t>(count));
+            if (isComplete(received)) {
+                ++ends_.answered;
+                const bool isLast = received.find("Connection: close") != std::string::npos;
+                if (isLast) {
+                    close();
+                }
+                return;
+            }
+        }
+    }
+
+    [[nodiscard]] static bool isComplete(const std::string &received)
+    {
+        const auto head = received.find("\r\n\r\n");
+        const auto field = received.find("Content-Length: ");
+        return head != std::string::npos && field < head && received.size() >= head + 4 + std::stoul(received.substr(field + 16));
+    }
+
+    std::string address_;
+    std::string request_;
+    std::mt19937 random_;
+    Ends &ends_;
+    int descriptor_ = -1;
+};
+
+/** @brief Runs callers of one address until told to stop. */
+class Callers
+{
+public:
+    Callers(const std::string &address, const std::vector<std::string> &requests, unsigned seed, Ends &ends)
+    {
+        for (int i = 0; i < callerCount; ++i) {
+            const auto &request = requests[static_cast<std::size_t>(i) % requests.size()];
+            threads_.emplace_back([this, address, request, seed, i, &ends] {
+                Caller caller(address, request, seed * callerCount + static_cast<unsigned>(i), ends);
+                while (!isStopped_) {
+                    if (!caller.call()) {
+                        std::this_thread::sleep_for(milliseconds(1));
+                    }
+                }
+            });
+        }
+    }
+
+    ~Callers()
+    {
+        isStopped_ = true;
+        for (auto &thread : threads_) {
+            thread.join();
+        }
+    }
+    Callers(const Callers &) = delete;
+    Callers &operator=(const Callers &) = delete;
+
+private:
+    std::atomic<bool> isStopped_{false};
+    std::vector<std::thread> threads_;
+};
+
+/** @brief Suspends a process for 50 to 500 ms at random moments until it exits. @return Exit code. */
+int waitWithPauses(harness::Process &process, unsigned seed)
+{
+    std::mt19937 random(seed);
+    const auto draw = [&random](int low, int high) {
+        return milliseconds(std::uniform_int_distribution<int>(low, high)(random));
+    };
+    const auto deadline = std::chrono::steady_clock::now() + seconds(15);
+    while (std::chrono::steady_clock::now() < deadline) {
+        const auto code = process.wait(draw(1, 60));
+        if (!process.isRunning()) {
+            return code;
+        }
+        process.signal(SIGSTOP);
+        std::this_thread::sleep_for(draw(50, 500));
+        process.signal(SIGCONT);
+    }
+    return -1;
+}
+
+/** @brief Returns the lines of an event in a log. @param file Log file. @param event Event name. */
+std::vector<boost::json::object> linesOf(const std::string &file, const std::string &event)
+{
+    std::vector<boost::json::object> lines;
+    std::ifstream in(file);
+    for (std::string line; std::getline(in, line);) {
+        boost::system::error_code error;
+        const auto value = boost::json::parse(line, error);
+        const auto *object = error ? nullptr : value.if_object();
+        const auto *name = object == nullptr ? nullptr : object->if_contains("event");
+        if (name != nullptr && name->is_string() && name->as_string() == event) {
+            lines.push_back(*object);
+        }
+    }
+    return lines;
+}
+
+harness::FleetShape oneRouterShape()
+{
+    harness::FleetShape shape;
+    shape.routerCount = 1;
+    shape.zones = {"az-a"};
+    shape.enginesPerZone = 1;
+    shape.settings = {{"unready_period_ms", "30"}, {"shutdown_limit_ms", "8000"}, {"view_lease_ms", "1000"}, {"clock_bound_ms", "50"}};
+    return shape;
+}
+
+std::string rawRequest(const harness::HttpRequest &request)
+{
+    std::string raw = request.method + " " + request.target + " HTTP/1.1\r\nHost: x\r\n";
+    for (const auto &[name, value] : request.headers) {
+        raw += name + ": " + value + "\r\n";
+    }
+    return raw + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
+}
+
+} // namespace
+
+// Guards against a process that exits with bytes of a request read and no answer written.
+TEST_CASE("each request sent to a router during its planned stop is answered or its connection is closed unread", "[process][drain]")
+{
+    const bool isPaused = GENERATE(false, true);
+    CAPTURE(isPaused);
+    LocalFleet fleet(oneRouterShape());
+    auto &router = fleet.routers[0];
+    const std::vector<std::string> requests{rawRequest({router.httpAddress, "GET", "/healthz"}), rawRequest(fleet.makeChatRequest(0, "c", "hello", 2))};
+    Ends ends;
+    for (int round = 0; round < rounds; ++round) {
+        const auto seed = firstSeed + static_cast<unsigned>(round);
+        {
+            const Callers callers(router.httpAddress, requests, seed, ends);
+            std::this_thread::sleep_for(milliseconds(100));
+            router.process.signal(SIGTERM);
+            CHECK((isPaused ? waitWithPauses(router.process, seed) : router.process.wait(seconds(15))) == 0);
+        }
+        fleet.startRouter(router);
+        REQUIRE(LocalFleet::waitUntilReady(router.httpAddress));
+    }
+    CAPTURE(ends.answered.load(), ends.unread.load());
+    CHECK(ends.answered > 0);
+    CHECK(ends.givenUp == 0);
+    CHECK(ends.cut == 0);
+    CHECK(ends.silent == 0);
+}
+
+// Guards against an agent that closes its connections over streams that it has taken or has not read.
+TEST_CASE("no booking has an unknown outcome because its agent is stopped as planned", "[process][drain]")
+{
+    const bool isPaused = GENERATE(false, true);
+    CAPTURE(isPaused);
+    LocalFleet fleet(oneRouterShape());
+    auto &service = fleet.services[0];
+    std::atomic<int> answered{0};
+    std::atomic<int> notRun{0};
+    std::atomic<int> unknown{0};
+    for (int round = 0; round < rounds; ++round) {
+        std::atomic<bool> isStopped{false};
+        std::vector<std::thread> threads;
+        for (int i = 0; i < callerCount; ++i) {
+            threads.emplace_back([&] {
+                while (!isStopped) {
+                    const auto response = sendRequest(fleet.makeBookingRequest(0, "", "{}"));
+                    const bool isNotRun = response.body.find("\"not_run\":true") != std::string::npos;
+                    ++(response.status == 200 ? answered : isNotRun ? notRun : unknown);
+                }
+            });
+        }
+        std::this_thread::sleep_for(milliseconds(100));
+        service.agentProcess.signal(SIGTERM);
+        const auto seed = firstSeed + static_cast<unsigned>(round);
+        CHECK((isPaused ? waitWithPauses(service.agentProcess, seed) : service.agentProcess.wait(seconds(15))) == 0);
+        isStopped = true;
+        for (auto &thread : threads) {
+            thread.join();
+        }
+        fleet.startAgent(service);
+        REQUIRE(LocalFleet::waitUntilReady(service.httpAddress));
+        REQUIRE(LocalFleet::waitUntil([&] {
+            return sendRequest(fleet.makeBookingRequest(0, "", "{}")).status == 200;
+        }));
+    }
+    CAPTURE(answered.load(), notRun.load());
+    CHECK(answered > 0);
+    CHECK(unknown == 0);
+}
+
+// Guards against a cut that no line of the log tells, and against an exit line that hides it.
+TEST_CASE("at the shutdown limit an open request is answered and one read in part is logged as cut", "[process][drain]")
+{
+    const auto log = (std::filesystem::temp_directory_path() / ("drain-log-" + std::to_string(getpid()))).string();
+    std::filesystem::remove(log);
+    auto shape = oneRouterShape();
+    shape.settings["log_file"] = log;
+    shape.settings["shutdown_limit_ms"] = "300";
+    LocalFleet fleet(shape);
+    LocalFleet::callTestControl(fleet.engines[0].backendAddress, "/test/hold?step=accepted");
+    auto response = std::async(std::launch::async, [&] {
+        return sendRequest(fleet.makeChatRequest(0, "c", "hello", 2));
+    });
+    REQUIRE(LocalFleet::waitUntil([&] {
+        return LocalFleet::jsonNumber(fleet.engines[0].backendAddress, "/test/counts", "held") == 1;
+    }));
+    auto partRequest = std::async(std::launch::async, [&] {
+        return harness::exchangeRaw(fleet.routers[0].httpAddress, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n", false, seconds(5));
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    fleet.routers[0].process.signal(SIGTERM);
+    CHECK(fleet.routers[0].process.wait(seconds(5)) == 0);
+    CHECK(response.get().isComplete);
+    CHECK(partRequest.get().empty());
+    const auto cuts = linesOf(log, "request_cut");
+    const auto drained = linesOf(log, "drained");
+    std::filesystem::remove(log);
+    REQUIRE(cuts.size() == 1);
+    CHECK(cuts[0].at("request").as_string().size() == 36);
+    REQUIRE(drained.size() == 1);
+    CHECK(drained[0].at("cut").to_number<int>() == 1);
+    const auto sum = [&drained](const std::vector<const char *> &names) {
+        int total = 0;
+        for (const auto *name : names) {
+            total += drained[0].at(name).to_number<int>();
+        }
+        return total;
+    };
+    CHECK(sum({"taken"}) == sum({"answered", "refused", "abandoned", "cut"}));
+}
