A process exits when both of its servers owe nothing; each cut has a line

Cause: the exit followed 20 ms after a moment without open requests, over connections with bytes read, connections accepted and streams begun. Change: after beginShutdown() responses announce the close; when no request is open, both servers close, and the process ends on their reports, at the shutdown limit at the latest. At the limit a router's open requests fail with a complete response (100 ms, 20 before), then what is left is cut, with a line each. The line drained gives taken, answered, refused, abandoned and cut requests and cut streams. A second signal stops at once, as before.

--- a/src/cyclamenspool/agent/agentnode.cpp
+++ b/src/cyclamenspool/agent/agentnode.cpp
@@ -276,6 +276,11 @@
     status["refusals"] = std::move(refusals);
 }
 
+std::vector<std::string> AgentNode::openPeerRequests() const
+{
+    return core_.openRequests();
+}
+
 void AgentNode::addMetrics(telemetry::Metrics &metrics) const
 {
     const auto load = core_.load(core::Now::read());
--- a/src/cyclamenspool/agent/core/agentcore.cpp
+++ b/src/cyclamenspool/agent/core/agentcore.cpp
@@ -327,6 +327,18 @@
     return load;
 }
 
+std::vector<std::string> AgentCore::openRequests() const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<std::string> ids;
+    for (const auto &[id, run] : runs_) {
+        if (run.streamOpen) {
+            ids.push_back(run.request.request_id());
+        }
+    }
+    return ids;
+}
+
 AgentCounts AgentCore::counts() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/agent/core/agentcore.h
+++ b/src/cyclamenspool/agent/core/agentcore.h
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cyclamenspool::agent {
 
@@ -173,6 +174,9 @@
     /** @brief Returns the current load. */
     [[nodiscard]] AgentLoad load(core::Now now) const;
 
+    /** @brief Returns the ids of the requests that run for an open stream. */
+    [[nodiscard]] std::vector<std::string> openRequests() const;
+
     /** @brief Returns the counters since the start. */
     [[nodiscard]] AgentCounts counts() const;
 
--- a/src/cyclamenspool/node/node.cpp
+++ b/src/cyclamenspool/node/node.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 #include <vector>
@@ -19,6 +20,7 @@
 
 constexpr core::Milliseconds tickInterval{50};
 constexpr core::Milliseconds drainPollInterval{20};
+constexpr core::Milliseconds overdueResponseTime{100}; /* for error responses to the requests that are open at the shutdown limit */
 constexpr int forcedExitCode = 1;
 
 http::Headers contentTypeHeader(const std::string &type)
@@ -145,6 +147,7 @@
     drainTimer_.expires_after(settings_.unreadyPeriod);
     drainTimer_.async_wait([this](const boost::system::error_code &) {
         role_->beginShutdown();
+        httpServer_->announceClose();
         drain(std::chrono::steady_clock::now() + settings_.shutdownLimit);
     });
 }
@@ -153,8 +156,7 @@
 {
     const bool isOverdue = std::chrono::steady_clock::now() >= deadline;
     if (role_->openRequests() == 0 || isOverdue) {
-        telemetry::logEvent("drained", std::to_string(role_->openRequests()) + " requests still open");
-        stop();
+        closeServers(deadline);
         return;
     }
     drainTimer_.expires_after(internal::drainPollInterval);
@@ -163,18 +165,61 @@
     });
 }
 
-void Node::stop()
+void Node::closeServers(core::MonotonicTime deadline)
 {
     sync_.stop();
-    httpServer_->close();
-    peerServer_->close();
-    peers_.close();
-    drainTimer_.expires_after(internal::drainPollInterval);
+    drainTimer_.expires_at(std::max(deadline, std::chrono::steady_clock::now() + internal::drainPollInterval));
     drainTimer_.async_wait([this](const boost::system::error_code &) {
+        stopOverdue();
+    });
+    const auto onQuiet = [this] {
+        stopIfQuiet();
+    };
+    httpServer_->close(onQuiet);
+    peerServer_->close(onQuiet);
+}
+
+void Node::stopIfQuiet()
+{
+    if (--openServers_ == 0 && logDrained()) {
         context_.stop();
+    }
+}
+
+void Node::stopOverdue()
+{
+    for (const auto &request : role_->openPeerRequests()) {
+        ++cutStreams_;
+        telemetry::logEvent("request_cut", boost::json::object{{"request", request}, {"reason", "the process ended before the response was complete"}});
+    }
+    // The end of its streams fails the open requests of a router, so that their callers get a response.
+    peerServer_->closeSessions();
+    peers_.close();
+    drainTimer_.expires_after(internal::overdueResponseTime);
+    drainTimer_.async_wait([this](const boost::system::error_code &) {
+        if (logDrained()) {
+            context_.stop();
+        }
     });
 }
 
+bool Node::logDrained()
+{
+    if (drained_.exchange(true)) {
+        return false;
+    }
+    httpServer_->cutOpenRequests();
+    const auto counts = httpServer_->counts();
+    telemetry::logEvent("drained",
+                        boost::json::object{{"taken", counts.taken},
+                                            {"answered", counts.answered},
+                                            {"refused", counts.refused},
+                                            {"abandoned", counts.abandoned},
+                                            {"cut", counts.cut},
+                                            {"cut_streams", cutStreams_.load()}});
+    return true;
+}
+
 void Node::handleMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, std::string message)
 {
     if (path == "/documents") {
--- a/src/cyclamenspool/node/node.h
+++ b/src/cyclamenspool/node/node.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cyclamenspool::node {
 
@@ -59,6 +60,9 @@
 
     /** @brief Sets the role's metrics. @param metrics Destination. */
     virtual void addMetrics(telemetry::Metrics &metrics) const = 0;
+
+    /** @brief Returns the ids of the requests of other processes that have no final response. */
+    [[nodiscard]] virtual std::vector<std::string> openPeerRequests() const = 0;
 };
 
 /** @brief Runtime that router and agent processes share: worker threads, documents, connections to peers, operator pages and the graceful shutdown. */
@@ -72,8 +76,8 @@
      * @brief Runs the process until its shutdown has ended.
      *
      * SIGTERM or SIGINT starts the graceful shutdown: the process first reports "not ready" for Settings::unreadyPeriod, then
-     * rejects new requests, and stops when no request is open or after Settings::shutdownLimit. A second signal ends the process
-     * at once with exit code 1.
+     * rejects new requests, and stops when its servers owe nothing to a caller or another process, or after Settings::shutdownLimit. A second signal ends
+     * the process at once with exit code 1.
      * @param role Role; must outlive the call.
      * @return Exit code.
      */
@@ -111,7 +115,10 @@
     void publishView();
     void onSignal();
     void drain(core::MonotonicTime deadline);
-    void stop();
+    void closeServers(core::MonotonicTime deadline);
+    void stopIfQuiet();
+    void stopOverdue();
+    [[nodiscard]] bool logDrained();
     void handleMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, std::string message);
     boost::asio::awaitable<void> handleHttp(const http::Request &request, http::Responder &responder);
     [[nodiscard]] std::string statusPage() const;
@@ -132,6 +139,9 @@
     std::unique_ptr<http::Server> httpServer_;
     Role *role_ = nullptr;
     std::atomic<bool> draining_{false};
+    std::atomic<int> openServers_{2}; /* servers that owe an answer; the process stops at 0 */
+    std::atomic<std::uint64_t> cutStreams_{0}; /* requests of other processes that the shutdown limit has cut */
+    std::atomic<bool> drained_{false}; /* the outcome of the shutdown is logged */
     std::atomic<bool> viewPublished_{false}; /* the role has received its first view */
     std::mutex viewMutex_; /* held while a view is passed to the role, so that views arrive in order */
 };
--- a/src/cyclamenspool/router/routernode.cpp
+++ b/src/cyclamenspool/router/routernode.cpp
@@ -159,6 +159,7 @@
 asio::awaitable<void> RouterNode::onHttp(const http::Request &request, http::Responder &responder)
 {
     const auto id = http::makeRequestId();
+    responder.setRequestId(id);
     const auto startedAt = std::chrono::steady_clock::now();
     std::shared_ptr<const member::FleetView> view;
     {
@@ -267,6 +268,11 @@
     status["failures"] = std::move(failures);
 }
 
+std::vector<std::string> RouterNode::openPeerRequests() const
+{
+    return {};
+}
+
 void RouterNode::addMetrics(telemetry::Metrics &metrics) const
 {
     const auto counts = core_.counts();
--- a/src/cyclamenspool/router/routernode.h
+++ b/src/cyclamenspool/router/routernode.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace cyclamenspool::router {
 
@@ -27,6 +28,7 @@
     [[nodiscard]] std::size_t openRequests() const override;
     void addStatus(boost::json::object &status) const override;
     void addMetrics(telemetry::Metrics &metrics) const override;
+    [[nodiscard]] std::vector<std::string> openPeerRequests() const override;
 
 private:
     void execute(const Actions &actions);
