--- a/test/gateway/fleetrestore.cpp
+++ b/test/gateway/fleetrestore.cpp
@@ -368,16 +368,16 @@
         });
         return result;
     };
-    catalog.onStoreList(Catalog::Section::OperatorConfig, {{{"op/evacuate/az-b", "{}", 5, false}}, 10});
-    catalog.onStoreList(Catalog::Section::Servers, {{{"servers/s0", textOf(9, "draining"), 8, false}, {"servers/s1", textOf(9, "ready"), 9, false}}, 10});
+    catalog.onStoreList(Catalog::Section::OperatorConfig, {{{"op/evacuate/az-b", "{}", {1, 5}, false}}, {1, 10}});
+    catalog.onStoreList(Catalog::Section::Servers, {{{"servers/s0", textOf(9, "draining"), {1, 8}, false}, {"servers/s1", textOf(9, "ready"), {1, 9}, false}}, {1, 10}});
     dispatcher.withFleet([](Fleet &fleet, core::MonotonicTime now) {
         fleet.onStoreRestored(now);
     });
-    catalog.onStoreChanges(Catalog::Section::OperatorConfig, {{"op/evacuate/az-b", {}, 11, true}}, 11);
-    catalog.onStoreChanges(Catalog::Section::Servers, {{"servers/s0", textOf(8, "ready"), 12, false}}, 12);
+    catalog.onStoreChanges(Catalog::Section::OperatorConfig, {{"op/evacuate/az-b", {}, {1, 11}, true}}, {1, 11});
+    catalog.onStoreChanges(Catalog::Section::Servers, {{"servers/s0", textOf(8, "ready"), {1, 12}, false}}, {1, 12});
     CHECK(availability("s0") == Availability::Leaving);
     CHECK(availability("s1") == Availability::Evacuated);
-    catalog.onStoreChanges(Catalog::Section::Servers, {{"servers/s0", textOf(10, "ready"), 13, false}}, 13);
+    catalog.onStoreChanges(Catalog::Section::Servers, {{"servers/s0", textOf(10, "ready"), {1, 13}, false}}, {1, 13});
     CHECK(availability("s0") == Availability::Evacuated);
 }
 
--- a/test/platform/storeconnection.cpp
+++ b/test/platform/storeconnection.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+constexpr unsigned successStatus = 200;
+
 /** @brief A connection to a store that breaks off its responses. */
 class BrokenOffStore
 {
@@ -27,10 +29,11 @@
     {
         std::optional<std::string> body;
         bool isEnded = false;
-        boost::asio::co_spawn(context, connection.get("/-/kv-range", 500ms), [&](const std::exception_ptr &failure, std::string received) {
+        boost::asio::co_spawn(context, connection.get("/-/kv-range", 500ms), [&](const std::exception_ptr &failure, const platform::StoreResponse &received) {
             isEnded = true;
-            if (!failure) {
-                body = std::move(received);
+            // As content(), which throws for any other status.
+            if (!failure && received.status == successStatus) {
+                body = received.content();
             }
         });
         const auto limit = std::chrono::steady_clock::now() + 2s;
@@ -72,15 +75,16 @@
 // Guards against a response without a length that ends early: its framing does not tell, so its text must.
 TEST_CASE("no beginning of a store's page is read as a page", "[platform][answerends]")
 {
+    constexpr std::uint64_t era = 1;
     const std::string list = R"({"items":[{"key":"op/config","value":"e30=","revision":7}],"more_pages":false,"store_revision":9})";
     const std::string watch = R"({"events":[{"key":"op/config","value":"e30=","revision":7},{"key":"b","revision":8,"deleted":true}],"store_revision":9})";
-    CHECK(platform::readListPage(list, nullptr).items.size() == 1);
-    CHECK(platform::readWatchPage(watch, nullptr).items.size() == 2);
+    CHECK(platform::readListPage(list, era, nullptr).items.size() == 1);
+    CHECK(platform::readWatchPage(watch, era, nullptr).items.size() == 2);
     for (std::size_t cut = 0; cut < list.size(); ++cut) {
-        CHECK_THROWS(platform::readListPage(list.substr(0, cut), nullptr));
+        CHECK_THROWS(platform::readListPage(list.substr(0, cut), era, nullptr));
     }
     for (std::size_t cut = 0; cut < watch.size(); ++cut) {
-        CHECK_THROWS(platform::readWatchPage(watch.substr(0, cut), nullptr));
+        CHECK_THROWS(platform::readWatchPage(watch.substr(0, cut), era, nullptr));
     }
 }
 
