--- a/src/cyclamenspool/gateway/requestmeter.cpp
+++ b/src/cyclamenspool/gateway/requestmeter.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::array<const char *, 3> kindLabels{"kind=\"non_idempotent\"", "kind=\"idempotent\"", "kind=\"streaming\""}; /* by RouteKind */
 
+constexpr double usualShare = 0.95;
+
 } // namespace internal
 
 void RequestMeter::record(const EndedRequest &request)
@@ -15,6 +17,9 @@
     const auto kind = static_cast<std::size_t>(request.kind);
     const std::lock_guard lock(mutex_);
     durations_[kind].observe(request.duration);
+    if (request.isAnswered) {
+        answeredDurations_[kind].observe(request.duration);
+    }
     if (request.timeToHeaders) {
         timesToHeaders_[kind].observe(*request.timeToHeaders);
     }
@@ -24,6 +29,12 @@
     }
 }
 
+std::chrono::nanoseconds RequestMeter::usualDuration(world::RouteKind kind) const
+{
+    const std::lock_guard lock(mutex_);
+    return answeredDurations_[static_cast<std::size_t>(kind)].quantile(internal::usualShare);
+}
+
 void RequestMeter::write(std::ostream &out) const
 {
     const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/gateway/requestmeter.h
+++ b/src/cyclamenspool/gateway/requestmeter.h
@@ -30,6 +30,9 @@
     /** @brief Adds a request to the histograms and counts. @param request Ended request. */
     void record(const EndedRequest &request);
 
+    /** @brief Returns how long requests of a kind usually take to be answered: 95 in 100 take no longer; zero if none was answered yet. @param kind Kind. */
+    [[nodiscard]] std::chrono::nanoseconds usualDuration(world::RouteKind kind) const;
+
     /** @brief Writes all metrics in the Prometheus text format. @param out Output stream. */
     void write(std::ostream &out) const;
 
@@ -44,6 +47,7 @@
 
     mutable std::mutex mutex_; /* guards the members below */
     std::array<telemetry::Histogram, kindCount> durations_;
+    std::array<telemetry::Histogram, kindCount> answeredDurations_;
     std::array<telemetry::Histogram, kindCount> timesToHeaders_;
     std::map<std::string, Counts> workspaces_; /* by name; only names from the configuration occur, which bounds the size */
 };
--- a/src/cyclamenspool/gateway/worker.cpp
+++ b/src/cyclamenspool/gateway/worker.cpp
@@ -35,6 +35,7 @@
 {
     drainFrom_ = plan.closeAfterResponse;
     refuseFrom_ = plan.refuse;
+    requestsEndAt_ = plan.endRequests;
 }
 
 bool Worker::isDraining() const noexcept
@@ -53,6 +54,12 @@
     return value != core::MonotonicTime::max() && std::chrono::steady_clock::now() >= value;
 }
 
+core::MonotonicTime::duration Worker::timeUntilRequestsEnd() const noexcept
+{
+    const auto end = requestsEndAt_.load();
+    return end == core::MonotonicTime::max() ? core::MonotonicTime::duration::max() : end - std::chrono::steady_clock::now();
+}
+
 void Worker::closeIdleSessions()
 {
     forEachSession(&CallerSession::closeIfIdle);
--- a/src/cyclamenspool/gateway/worker.h
+++ b/src/cyclamenspool/gateway/worker.h
@@ -49,6 +49,9 @@
     /** @brief Returns whether new requests are refused. Thread safe. */
     [[nodiscard]] bool isRefusingRequests() const noexcept;
 
+    /** @brief Returns the time left until the requests in progress are ended; very long without a shutdown. Thread safe. */
+    [[nodiscard]] core::MonotonicTime::duration timeUntilRequestsEnd() const noexcept;
+
     /** @brief Closes the caller connections without a request in progress. Thread safe; they are closed later on the worker's thread. */
     void closeIdleSessions();
 
@@ -113,6 +116,7 @@
     std::atomic<std::size_t> sessionCount_{0};
     std::atomic<core::MonotonicTime> drainFrom_{core::MonotonicTime::max()};
     std::atomic<core::MonotonicTime> refuseFrom_{core::MonotonicTime::max()};
+    std::atomic<core::MonotonicTime> requestsEndAt_{core::MonotonicTime::max()};
     RequestTally tally_;
     boost::asio::io_context context_{1}; /* its destructor ends the sessions that are still open, which unregister from sessions_ */
     BackendConnectionPool connectionPool_; /* its sockets belong to context_ */
--- a/src/cyclamenspool/telemetry/histogram.cpp
+++ b/src/cyclamenspool/telemetry/histogram.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/telemetry/histogram.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace cyclamenspool::telemetry {
 
@@ -19,6 +20,21 @@
     sum_ += duration;
 }
 
+std::chrono::nanoseconds Histogram::quantile(double share) const noexcept
+{
+    const auto total = std::accumulate(bucketCounts_.begin(), bucketCounts_.end(), std::uint64_t{0});
+    if (total == 0) {
+        return std::chrono::nanoseconds(0);
+    }
+    std::uint64_t count = 0;
+    std::size_t i = 0;
+    while (i + 1 < internal::bounds.size() && static_cast<double>(count + bucketCounts_[i]) < share * static_cast<double>(total)) {
+        count += bucketCounts_[i];
+        ++i;
+    }
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(internal::bounds[i]));
+}
+
 void Histogram::write(std::ostream &out, const std::string &name, const std::string &labels) const
 {
     const std::string labelPrefix = labels.empty() ? "" : labels + ",";
--- a/src/cyclamenspool/telemetry/histogram.h
+++ b/src/cyclamenspool/telemetry/histogram.h
@@ -15,6 +15,10 @@
     /** @brief Counts a duration in its bucket and adds it to the sum. */
     void observe(std::chrono::nanoseconds duration) noexcept;
 
+    /** @brief Returns a duration that a share of the observed ones does not exceed: the bound of its bucket, 30 s at most; zero if there are none. @param share
+     * 0 to 1. */
+    [[nodiscard]] std::chrono::nanoseconds quantile(double share) const noexcept;
+
     /**
      * @brief Writes the cumulative buckets, the sum in seconds and the count.
      * @param out Output stream.
--- a/test/gateway/requestmeter.cpp
+++ b/test/gateway/requestmeter.cpp
@@ -24,3 +24,15 @@
     CHECK(text.find("cyclamenspool_workspace_requests_total{workspace=\"desk\",answered=\"no\"} 1\n") != std::string::npos);
     CHECK(text.find("workspace=\"\"") == std::string::npos);
 }
+
+TEST_CASE("the usual duration of a kind of request follows its answered requests only", "[gateway]")
+{
+    gateway::RequestMeter meter;
+    CHECK(meter.usualDuration(world::RouteKind::Streaming) == 0ns);
+    meter.record({world::RouteKind::Streaming, "desk", true, 900ms, 200ms});
+    for (int refused = 0; refused < 100; ++refused) {
+        meter.record({world::RouteKind::Streaming, "desk", false, 0ms, std::nullopt});
+    }
+    CHECK(meter.usualDuration(world::RouteKind::Streaming) == 1s);
+    CHECK(meter.usualDuration(world::RouteKind::Idempotent) == 0ns);
+}
--- a/test/process/plannedstop.cpp
+++ b/test/process/plannedstop.cpp
@@ -248,3 +248,38 @@
     CHECK(answered > 50);
     CHECK(givenUp == 0);
 }
+
+// Guards against a request that is sent on although it cannot end before the process does, so that its result is lost.
+TEST_CASE("planned stop: a request that cannot be repeated and usually takes longer than the time left is refused and not run", "[process][gateway][stop]")
+{
+    GatewayFleet fleet(1, 1);
+    auto &gateway = fleet.gateways[0];
+    setGracePeriod(gateway, "2.8"); /* requests are ended after 2 s */
+    auto &server = *fleet.backendServers[0];
+    server.setHandler([](const PlainRequest &request, PlainSocket &socket) {
+        std::this_thread::sleep_for(800ms);
+        return writeAll(socket, formatResponseWithDigest(request, "done"));
+    });
+    std::vector<std::future<End>> earlier;
+    for (int i = 0; i < 4; ++i) {
+        earlier.push_back(std::async(std::launch::async, [&gateway, i] {
+            return Caller(gateway).request("earlier-" + std::to_string(i));
+        }));
+    }
+    for (auto &each : earlier) {
+        CHECK(each.get() == End::Answered);
+    }
+    gateway.process.signal(SIGTERM);
+    std::this_thread::sleep_for(500ms);
+    Caller inTime(gateway);
+    CHECK(inTime.request("in-time") == End::Answered);
+    CHECK(inTime.status() == 200);
+    Caller late(gateway);
+    CHECK(late.request("late") == End::Answered);
+    CHECK(late.status() == 503);
+    CHECK(server.runCount("late") == 0);
+    Caller repeatable(gateway);
+    CHECK(repeatable.request("repeatable", "/again/x") == End::Answered);
+    CHECK(server.runCount("repeatable") == 1);
+    CHECK(gateway.process.wait(3s) == 0);
+}
--- a/test/telemetry/histogram.cpp
+++ b/test/telemetry/histogram.cpp
@@ -24,3 +24,17 @@
     CHECK(text.find("seconds_sum{kind=\"once\"} 60.403\n") != std::string::npos);
     CHECK(text.find("seconds_count{kind=\"once\"} 4\n") != std::string::npos);
 }
+
+TEST_CASE("the quantile of a histogram is the bound of the bucket that holds it", "[telemetry]")
+{
+    cyclamenspool::telemetry::Histogram histogram;
+    CHECK(histogram.quantile(0.95) == 0ns);
+    for (int i = 0; i < 95; ++i) {
+        histogram.observe(40ms);
+    }
+    for (int i = 0; i < 5; ++i) {
+        histogram.observe(60s);
+    }
+    CHECK(histogram.quantile(0.95) == 50ms);
+    CHECK(histogram.quantile(0.96) == 30s);
+}
