--- a/test/gateway/fleetrestore.cpp
+++ b/test/gateway/fleetrestore.cpp
@@ -369,7 +369,8 @@
         return result;
     };
     catalog.onStoreList(Catalog::Section::OperatorConfig, {{{"op/evacuate/az-b", "{}", {1, 5}, false}}, {1, 10}});
-    catalog.onStoreList(Catalog::Section::Servers, {{{"servers/s0", textOf(9, "draining"), {1, 8}, false}, {"servers/s1", textOf(9, "ready"), {1, 9}, false}}, {1, 10}});
+    catalog.onStoreList(Catalog::Section::Servers,
+                        {{{"servers/s0", textOf(9, "draining"), {1, 8}, false}, {"servers/s1", textOf(9, "ready"), {1, 9}, false}}, {1, 10}});
     dispatcher.withFleet([](Fleet &fleet, core::MonotonicTime now) {
         fleet.onStoreRestored(now);
     });
