Store checks: a check leaves the list of a section alone whose copy is of an ended era

Cause: after a restore, each successful check of the list replaced the call of a section that counted as unavailable, and could not mark it as available, as its copy is of the ended era. A list of the configuration that takes longer than a check's period was aborted each time (found in review: 23 calls in 11 s with responses that take 0.7 s). Change: such a section's call is already the list of the new era and is not replaced.

--- a/src/cyclamenspool/gateway/storechecks.cpp
+++ b/src/cyclamenspool/gateway/storechecks.cpp
@@ -115,7 +115,8 @@
 void StoreChecks::onAvailable()
 {
     for (const auto section : internal::sections) {
-        if (catalog_.isStoreUnavailable(section)) {
+        // After a restore, the section's call is already one for the list of the new era.
+        if (catalog_.isStoreUnavailable(section) && !catalog_.timeWithoutEra(section)) {
             // The section's own watch may wait on a connection that carries nothing further.
             callbacks_.replaceCall(section);
             catalog_.onStoreChanges(section, {}, catalog_.position(section), {});
