Backend calls: an expired connect timer does not close an established connection

Cause, of the same class as the planned stop's: an event loop that is late queues the success of the connect and the expiry of its timer together; the first handler sends the request, the second closes the connection. A request that may run once only was answered 502 although its server worked on it. Change: the timer's handler closes only while the connect is in progress.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -74,14 +74,17 @@
 void BackendCall::connect()
 {
     auto self = shared_from_this();
+    isConnecting_ = true;
     connectTimer_.expires_after(internal::connectTimeout);
     connectTimer_.async_wait([self](const boost::system::error_code &error) {
-        if (!error) {
+        // A late event loop can find the connection established and the time over at once.
+        if (!error && self->isConnecting_) {
             boost::system::error_code ignored;
             self->socket_.close(ignored);
         }
     });
     socket_.async_connect(wire::parseEndpoint(request_.address), [self](const boost::system::error_code &error) {
+        self->isConnecting_ = false;
         self->connectTimer_.cancel();
         if (self->handler_ == nullptr) {
             return;
--- a/src/cyclamenspool/gateway/backendcall.h
+++ b/src/cyclamenspool/gateway/backendcall.h
@@ -131,6 +131,7 @@
     bool mustClose_ = false; /* the connection is not reused: it carried another request's response, or the server closed it */
     bool isConnectionReused_ = false;
     std::size_t discardedBytes_ = 0; /* of responses that are interim or belong to other requests */
+    bool isConnecting_ = false;
     bool isRequestSent_ = false;
     bool isClosedByServer_ = false;
     bool isReading_ = false;
--- a/test/gateway/backendcall.cpp
+++ b/test/gateway/backendcall.cpp
@@ -5,8 +5,11 @@
 #include <cyclamenspool/gateway/backendcall.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 
 #include <chrono>
+#include <thread>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
@@ -210,3 +213,30 @@
         CHECK(seen.headCount == 0);
     }
 }
+
+// Guards against a request that is cut on a connection that was established in time, as the event loop was late.
+TEST_CASE("a request is sent and answered although a late event loop finds the time limit of its connect expired", "[gateway][late]")
+{
+    boost::asio::io_context context{1};
+    BackendConnectionPool pool(context);
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+    BackendRequest request;
+    request.serverId = "i-1";
+    request.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    request.requestId = "r1";
+    request.bytes = "GET / HTTP/1.1\r\n\r\n";
+    RecordingHandler handler;
+    const auto call = std::make_shared<BackendCall>(pool, std::move(request), handler);
+    call->start();
+    auto socket = acceptor.accept();
+    std::this_thread::sleep_for(300ms); /* longer than the time limit of a connect */
+    context.run_for(20ms);
+    boost::system::error_code error;
+    std::string received(64, '\0');
+    received.resize(socket.read_some(boost::asio::buffer(received), error));
+    CHECK(received == "GET / HTTP/1.1\r\n\r\n");
+    boost::asio::write(socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nCyclamenspool-Request-Id: r1\r\nContent-Length: 2\r\n\r\nok")), error);
+    context.run_for(20ms);
+    CHECK(handler.body == "ok");
+    CHECK(handler.isComplete);
+}
