Withheld entries: revisions are compared within one history of the store only

Cause: after a second restore, an entry with a higher revision than the withheld one counted as written again, although the two revisions are of different histories. Change: a restore voids the revisions of the withheld entries; the first sight in the new history counts as the first. Evidence: unit test "store restored twice: ..."; it passed before the change as well, because the sequence alone decides there, so it is a guard and no proof.

--- a/src/cyclamenspool/gateway/staleentries.cpp
+++ b/src/cyclamenspool/gateway/staleentries.cpp
@@ -3,6 +3,7 @@
 #include <cyclamenspool/gateway/fleet.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace cyclamenspool::gateway {
 
@@ -18,6 +19,15 @@
 
 } // namespace internal
 
+void StaleEntries::onStoreRestored(core::MonotonicTime now) noexcept
+{
+    restoredAt_ = now;
+    // Revisions of the history that has ended say nothing in the new one, where the next write can be told only from the first sight on.
+    for (auto &[hash, entry] : withheld_) {
+        entry.revision = std::numeric_limits<std::uint64_t>::max();
+    }
+}
+
 void StaleEntries::onRemoved(const std::string &id, const KnownProcess &process, core::MonotonicTime now)
 {
     std::erase_if(removed_, [now](const auto &each) {
--- a/src/cyclamenspool/gateway/staleentries.h
+++ b/src/cyclamenspool/gateway/staleentries.h
@@ -32,10 +32,7 @@
 {
 public:
     /** @brief Handles a restore of the store from an older copy. */
-    void onStoreRestored(core::MonotonicTime now) noexcept
-    {
-        restoredAt_ = now;
-    }
+    void onStoreRestored(core::MonotonicTime now) noexcept;
 
     /** @brief Records the removal of a process from the fleet. @param id Id of its backend server. @param process Process. @param now Current time. */
     void onRemoved(const std::string &id, const KnownProcess &process, core::MonotonicTime now);
--- a/test/gateway/fleetrestore.cpp
+++ b/test/gateway/fleetrestore.cpp
@@ -551,3 +551,20 @@
     CHECK(reverted == 0);
     CHECK(unused == 0);
 }
+
+// Guards against a removed server that is used again, as the revisions of two histories of the store are compared.
+TEST_CASE("store restored twice: an entry that is first seen in the later history is withheld, whatever its revision", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onServerListed(entryOf(9, 90), start);
+    fleet.onStoreAvailable(start);
+    fleet.onServerRemoved("s0", start);
+    fleet.restore();
+    fleet.onServerListed(entryOf(5, 50), restored);
+    CHECK_FALSE(fleet.isUsed(restored));
+    fleet.onStoreRestored(restored + 5s);
+    fleet.onServerListed(entryOf(7, 70), restored + 5s);
+    CHECK_FALSE(fleet.isUsed(restored + 5s));
+    fleet.onServerListed(entryOf(10, 71), restored + 6s);
+    CHECK(fleet.isUsed(restored + 6s));
+}
