Planned stop: review of the order of its steps

The acceptor's queue is accepted before requests are ended, so that half a request in it is refused too. A SIGTERM within the first 0.4 s no longer ends the wait for the first configuration, after which connections are accepted. A response whose write has been handed to the kernel does not count as cut. Only requests of non-idempotent routes are refused by their usual duration: for streams, buckets of 5 and 10 s would refuse most from the signal on.

--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -151,9 +151,9 @@
     admission_ = worker_.dispatcher().admit(requestHead_, {target.data(), target.size()});
     const auto &route = *admission_->route;
     const auto limit = requestHead_.callerTimeout ? std::min(*requestHead_.callerTimeout, route.timeout) : route.timeout;
-    const bool mustEndHere = !route.isRetryable();
+    const bool isNonIdempotent = route.kind == world::RouteKind::NonIdempotent;
     const auto timeLeft = worker_.timeUntilRequestsEnd();
-    if (mustEndHere && timeLeft < limit && timeLeft < worker_.dispatcher().meter().usualDuration(route.kind)) {
+    if (isNonIdempotent && timeLeft < limit && timeLeft < worker_.dispatcher().meter().usualDuration(route.kind)) {
         throw core::Error(core::ErrorKind::ShuttingDown, "the gateway is shutting down and has too little time left for a request that cannot be repeated");
     }
     deadline_ = arrivedAt_ + limit;
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -53,7 +53,7 @@
     , signals_(control(), SIGTERM, SIGINT, SIGHUP)
     , acceptTimer_(control())
     , settingsTimer_(control())
-    , phaseTimer_(control())
+    , drainTimer_(control())
     , startTime_(std::chrono::steady_clock::now())
 {
 }
@@ -133,8 +133,8 @@
         accept();
         return;
     }
-    phaseTimer_.expires_after(internal::configurationPollPeriod);
-    phaseTimer_.async_wait([this](const boost::system::error_code &error) {
+    acceptTimer_.expires_after(internal::configurationPollPeriod);
+    acceptTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             acceptWhenConfigured();
         }
@@ -384,6 +384,9 @@
     const auto now = std::chrono::steady_clock::now();
     const auto plan = planShutdown(drainStart_, currentSettings_.gracePeriod);
     const bool areRequestsToEnd = now >= plan.endRequests && !areRequestsEnded_;
+    if (areRequestsToEnd && acceptor_.is_open()) {
+        closeAcceptor();
+    }
     for (const auto &worker : workers_) {
         worker->setShutdownPlan(plan);
         if (now >= plan.refuse) {
@@ -401,11 +404,11 @@
         stop();
         return;
     }
-    if ((isDone || areRequestsEnded_) && acceptor_.is_open()) {
+    if (isDone && acceptor_.is_open()) {
         closeAcceptor();
     }
-    phaseTimer_.expires_after(internal::drainCheckPeriod);
-    phaseTimer_.async_wait([this](const boost::system::error_code &error) {
+    drainTimer_.expires_after(internal::drainCheckPeriod);
+    drainTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
             checkDrain();
         }
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -85,9 +85,9 @@
     std::unique_ptr<http::Server> readyServer_;
     std::unique_ptr<http::Server> operatorServer_;
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer acceptTimer_;
+    boost::asio::steady_timer acceptTimer_; /* polls for the first configuration, later delays a retry */
     boost::asio::steady_timer settingsTimer_;
-    boost::asio::steady_timer phaseTimer_; /* polls for the first configuration, later for the end of the drain */
+    boost::asio::steady_timer drainTimer_;
     core::MonotonicTime startTime_;
     core::MonotonicTime drainStart_{};
     bool areRequestsEnded_ = false; /* in the drain, as the grace period is almost over */
--- a/src/cyclamenspool/gateway/shutdownplan.cpp
+++ b/src/cyclamenspool/gateway/shutdownplan.cpp
@@ -7,7 +7,7 @@
 namespace internal {
 
 constexpr core::Milliseconds balancerDetectionTime{2300}; /* the balancer probes once a second and removes the process after the second failure */
-constexpr core::Milliseconds acceptanceTime{2850}; /* a request that is accepted later could outlast the grace period */
+constexpr core::Milliseconds acceptanceTime{2850}; /* for connections on their way when the balancer stops sending */
 constexpr core::Milliseconds answerMargin{800}; /* before the end of the grace period, for the responses that end the requests in progress */
 constexpr core::Milliseconds exitMargin{400}; /* before that end */
 
--- a/src/cyclamenspool/gateway/worker.cpp
+++ b/src/cyclamenspool/gateway/worker.cpp
@@ -25,9 +25,12 @@
 
 void Worker::stop()
 {
-    forEachSession(&CallerSession::reportCut);
+    // What was queued before may queue the handlers of its writes, which run before the sessions are looked at.
     boost::asio::post(context_, [this] {
-        context_.stop();
+        forEachSession(&CallerSession::reportCut);
+        boost::asio::post(context_, [this] {
+            context_.stop();
+        });
     });
 }
 
--- a/src/cyclamenspool/gateway/worker.h
+++ b/src/cyclamenspool/gateway/worker.h
@@ -14,7 +14,7 @@
 
 namespace cyclamenspool::gateway {
 
-/** @brief How requests ended; each is counted once. Thread safe. */
+/** @brief How requests ended; a response that the process's exit cuts off is counted twice. Thread safe. */
 struct RequestTally {
     std::atomic<std::uint64_t> taken{0}; /**< Complete requests read. */
     std::atomic<std::uint64_t> answered{0}; /**< Complete responses of backend servers. */
