--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -111,7 +111,7 @@
 void CallerSession::discard()
 {
     if (!parser_) {
-        // A further request stays unread, so that its caller knows that it was not taken.
+        // A further request stays unread: closing then resets the connection, and the caller can repeat the request.
         if (wire::isClosedByPeer(socket_)) {
             onDisconnected();
         }
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -74,7 +74,7 @@
     /** @brief Returns the position of the latest known change of a section; of the copy's era, and empty if that is not known to have one. */
     [[nodiscard]] const member::StorePosition &changePosition(Section section) const;
 
-    /** @brief Returns the latest known era of the store, which the copies may lack still. */
+    /** @brief Returns the latest known era of the store; the copies may be of an earlier one. */
     [[nodiscard]] std::uint64_t era() const noexcept
     {
         return era_.value();
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -107,7 +107,7 @@
      */
     void onStoreRestored(core::MonotonicTime now);
 
-    /** @brief Removes the expired entries, and ends the evacuations whose end was put off, once there was time to write them again. */
+    /** @brief Removes the expired entries, and ends the evacuations whose end was postponed, once there was time to write them again. */
     void removeExpired(core::MonotonicTime now);
 
     /** @brief Returns StoreAvailability::uptime(). */
--- a/src/cyclamenspool/gateway/requestmeter.cpp
+++ b/src/cyclamenspool/gateway/requestmeter.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::array<const char *, 3> kindLabels{"kind=\"non_idempotent\"", "kind=\"idempotent\"", "kind=\"streaming\""}; /* by RouteKind */
 
-constexpr double usualShare = 0.95;
+constexpr double usualShare = 0.95; /* of the answered requests; the slowest ones are exceptions */
 
 } // namespace internal
 
--- a/src/cyclamenspool/gateway/staleentries.cpp
+++ b/src/cyclamenspool/gateway/staleentries.cpp
@@ -22,7 +22,7 @@
 void StaleEntries::onStoreRestored(core::MonotonicTime now) noexcept
 {
     restoredAt_ = now;
-    // Revisions of the history that has ended say nothing in the new one, where the next write can be told only from the first sight on.
+    // Revisions of two eras cannot be compared: the next listing of an entry counts as its first.
     for (auto &[hash, entry] : withheld_) {
         entry.revision = std::numeric_limits<std::uint64_t>::max();
     }
--- a/src/cyclamenspool/node/node.h
+++ b/src/cyclamenspool/node/node.h
@@ -139,7 +139,7 @@
     std::unique_ptr<http::Server> httpServer_;
     Role *role_ = nullptr;
     std::atomic<bool> draining_{false};
-    std::atomic<int> openServers_{2}; /* servers that owe an answer; the process stops at 0 */
+    std::atomic<int> openServers_{2}; /* servers with open requests or connections; the process stops at 0 */
     std::atomic<std::uint64_t> cutStreams_{0}; /* requests of other processes that the shutdown limit has cut */
     std::atomic<bool> drained_{false}; /* the outcome of the shutdown is logged */
     std::atomic<bool> viewPublished_{false}; /* the role has received its first view */
--- a/src/cyclamenspool/wire/session.h
+++ b/src/cyclamenspool/wire/session.h
@@ -197,7 +197,7 @@
     bool writing_ = false;
     bool draining_ = false; /* GOAWAY was submitted */
     bool sendingEnded_ = false; /* everything was sent; bytes that are still received are dropped, as GOAWAY announced */
-    std::int32_t lastStream_ = 0; /* highest stream id that a server session has taken */
+    std::int32_t lastStream_ = 0; /* highest stream id that a server session has accepted */
     int unansweredPings_ = 0;
     bool receivedSinceCheck_ = false;
     std::atomic<bool> open_{true};
