Callers' connections: the timer keeps the session

Cause: a session was kept alive only by its pending reads and writes; its timer held a weak reference. A session that stops reading, because more than 64 KiB were pipelined behind a request in progress or because a further request stays unread behind a response that announced the end of the connection, was destroyed at once: the connection ended without a response, the requests read from it were not counted, and the exchange, which its deadline timer keeps, went on with a dangling pointer to the session. The time for the caller to read its response and close did not pass.

Change: the timer holds the session until it is closed.

Before: the test of a pipelined 128 KiB found the session gone while its request was in progress. After: the request is answered, then the next one.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -398,16 +398,16 @@
     isTimerArmed_ = true;
     const auto nextCheck = std::chrono::steady_clock::now() + internal::maxTimerInterval;
     timer_.expires_at(std::min(timeoutAt_, nextCheck));
-    auto self = weak_from_this();
+    // Keeps the session until it is closed; it may neither read nor write meanwhile.
+    auto self = shared_from_this();
     timer_.async_wait([self](const boost::system::error_code &error) {
-        const auto session = self.lock();
-        if (error || session == nullptr || session->isClosed_) {
+        if (error || self->isClosed_) {
             return;
         }
-        if (std::chrono::steady_clock::now() < session->timeoutAt_) {
-            session->armTimer();
+        if (std::chrono::steady_clock::now() < self->timeoutAt_) {
+            self->armTimer();
         } else {
-            session->onTimeout();
+            self->onTimeout();
         }
     });
 }
--- a/test/gateway/callersession.cpp
+++ b/test/gateway/callersession.cpp
@@ -6,9 +6,11 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -21,26 +23,89 @@
 namespace {
 
 const std::string completeRequest = "POST /once/x HTTP/1.1\r\nHost: desk.example\r\nCyclamenspool-Request-Id: r1\r\nContent-Length: 0\r\n\r\n";
+const std::string streamRequest = "POST /stream/x HTTP/1.1\r\nHost: desk.example\r\nCyclamenspool-Request-Id: r2\r\nContent-Length: 0\r\n\r\n";
+const std::string streamHead = "HTTP/1.1 200 OK\r\nCyclamenspool-Request-Id: r2\r\nCyclamenspool-Response-Seal: seal\r\nContent-Type: text/plain\r\n\r\n";
+constexpr int smallBufferBytes = 4096;
+constexpr std::size_t longBodyBytes = 48UL * 1024; /* more than the small buffers of a connection hold */
+
+bool isEnding(const std::string &text, const std::string &end)
+{
+    return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
 
 /** @brief A worker whose event loop the test runs step by step, and a caller's connection to it over loopback. */
 class SteppedWorker
 {
 public:
-    SteppedWorker()
+    /** @brief Connects the caller, whose receive buffer is small. @param sendBufferBytes Size of the worker's send buffer. */
+    explicit SteppedWorker(int sendBufferBytes = smallBufferBytes)
         : dispatcher_(settings_)
         , worker(dispatcher_, 1)
         , acceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , backendAcceptor_(context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
         , caller(context_)
     {
+        caller.open(tcp::v4());
+        caller.set_option(boost::asio::socket_base::receive_buffer_size(smallBufferBytes));
         caller.connect(acceptor_.local_endpoint());
         accepted_ = std::make_unique<tcp::socket>(acceptor_.accept(worker.context()));
+        accepted_->set_option(boost::asio::socket_base::send_buffer_size(sendBufferBytes));
+    }
+
+    /** @brief Routes requests of the paths /once/ and /stream/ to a backend server that the test plays. @param idleTimeout Limit of a caller's pauses. */
+    void addRouting(std::chrono::milliseconds idleTimeout = 5000ms)
+    {
+        world::RoutingConfig routing;
+        routing.version = 1;
+        routing.limits.idleTimeout = idleTimeout;
+        routing.limits.headerTimeout = idleTimeout;
+        routing.services["pool"].name = "pool";
+        for (const auto &[name, kind] : {std::pair("once", world::RouteKind::NonIdempotent), std::pair("stream", world::RouteKind::Streaming)}) {
+            world::Route route;
+            route.name = name;
+            route.host = "desk.example";
+            route.prefix = "/" + route.name + "/";
+            route.kind = kind;
+            route.services = {{"pool", 1.0}};
+            routing.routes.push_back(route);
+        }
+        dispatcher_.onRouting(std::move(routing));
+        dispatcher_.withFleet([this](gateway::Fleet &fleet, core::MonotonicTime now) {
+            world::BackendServer server;
+            server.id = "i-0";
+            server.service = "pool";
+            server.address = "127.0.0.1:" + std::to_string(backendAcceptor_.local_endpoint().port());
+            server.zone = settings_.zone;
+            server.slots = 8;
+            fleet.onServerListed(server, now);
+        });
+    }
+
+    /** @brief Runs the event loop until the backend server has got a request, and responds with a stream that has not ended. @param body Bytes of the body. */
+    void beginStream(const std::string &body)
+    {
+        run(50ms);
+        backend_ = std::make_unique<tcp::socket>(backendAcceptor_.accept());
+        run(50ms);
+        std::string request;
+        boost::asio::read_until(*backend_, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        boost::asio::write(*backend_, boost::asio::buffer(streamHead + body));
+        run(50ms);
+    }
+
+    /** @brief Ends the stream of beginStream(). */
+    void endStream()
+    {
+        backend_->close();
     }
 
     /** @brief Queues the start of the connection's session, as after an accept. */
     void queueSession()
     {
         boost::asio::post(worker.context(), [this] {
-            std::make_shared<CallerSession>(worker, std::move(*accepted_))->start();
+            const auto started = std::make_shared<CallerSession>(worker, std::move(*accepted_));
+            session = started;
+            started->start();
         });
     }
 
@@ -53,14 +118,43 @@
         }
     }
 
+    /** @brief Runs the event loop for a time. */
+    void run(std::chrono::milliseconds time)
+    {
+        worker.context().restart();
+        worker.context().run_for(time);
+    }
+
+    /** @brief Runs the event loop and reads until the connection or what was received ends so, for 2 s at most. @return Received bytes. */
+    std::string receiveUntil(const std::string &end)
+    {
+        const auto limit = std::chrono::steady_clock::now() + 2s;
+        std::string received;
+        while (!isEnding(received, end) && !isEnding(received, "closed") && !isEnding(received, "reset") && std::chrono::steady_clock::now() < limit) {
+            received += runAndReceive(1ms);
+        }
+        return received;
+    }
+
+    /** @brief Queues a function to run after a number of other handlers that each queue the next. */
+    void queueBehind(int handlers, const std::function<void()> &function)
+    {
+        boost::asio::post(worker.context(), [this, handlers, function] {
+            if (handlers == 0) {
+                function();
+            } else {
+                queueBehind(handlers - 1, function);
+            }
+        });
+    }
+
     /** @brief Runs the event loop for a time and returns what the caller has received; "closed" if the connection ended without a byte, "reset" if it was
      * reset. */
     std::string runAndReceive(std::chrono::milliseconds time)
     {
-        worker.context().restart();
-        worker.context().run_for(time);
+        run(time);
         caller.non_blocking(true);
-        std::string bytes(4096, '\0');
+        std::string bytes(smallBufferBytes, '\0');
         boost::system::error_code error;
         bytes.resize(caller.read_some(boost::asio::buffer(bytes), error));
         if (error == boost::asio::error::eof) {
@@ -79,12 +173,22 @@
 private:
     boost::asio::io_context context_;
     tcp::acceptor acceptor_;
+    tcp::acceptor backendAcceptor_;
     std::unique_ptr<tcp::socket> accepted_;
+    std::unique_ptr<tcp::socket> backend_;
 
 public:
     tcp::socket caller;
+    std::weak_ptr<CallerSession> session; /* of the connection */
 };
 
+/** @brief Returns the times of a stop in which requests are accepted and responses announce that their connection closes. */
+gateway::ShutdownPlan planWithOpenEnd()
+{
+    const auto now = std::chrono::steady_clock::now();
+    return {now, now + 1h, now + 1h, now + 1h};
+}
+
 } // namespace
 
 // Guards against a request that is read from the socket and then lost, as its connection counts as idle until the read's handler has run.
@@ -105,3 +209,27 @@
     stepped.worker.closeIdleSessions();
     CHECK(stepped.runAndReceive(50ms) == "closed");
 }
+
+// Guards against a connection that ends with its request, and a request that outlives it, once nothing more is read from the connection.
+TEST_CASE("a request is answered although more is pipelined behind it than the session reads", "[gateway][session]")
+{
+    SteppedWorker stepped;
+    stepped.addRouting();
+    stepped.queueSession();
+    stepped.send(streamRequest);
+    stepped.beginStream("first");
+    std::string pipelined;
+    while (pipelined.size() < static_cast<std::size_t>(smallBufferBytes)) {
+        pipelined += "GET /none/x HTTP/1.1\r\nHost: desk.example\r\n\r\n";
+    }
+    stepped.caller.non_blocking(true);
+    for (int i = 0; i < 32; ++i) {
+        boost::system::error_code ignored;
+        stepped.caller.write_some(boost::asio::buffer(pipelined), ignored);
+        stepped.run(2ms);
+    }
+    stepped.run(20ms);
+    REQUIRE(!stepped.session.expired());
+    stepped.endStream();
+    CHECK(stepped.runAndReceive(50ms).find("\r\n0\r\n\r\nHTTP/1.1 404 ") != std::string::npos); /* the first response ends, and the second begins */
+}
