Callers' connections: a closed session releases its exchange

Cause: a session whose caller disconnects kept the exchange, which no longer has a session, until the last cancelled handler had run. endRequests() in between ended that exchange through a null pointer: the process crashed at the end of a planned stop, with the requests that were still in progress.

Change: the session releases its exchange when the caller disconnects.

Before: SIGSEGV in the test, with endRequests() queued right behind the caller's FIN and a write in progress. After: no crash in any of six orders of the queued handlers, and each request counted once.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <utility>
+
 namespace cyclamenspool::gateway {
 
 namespace asio = boost::asio;
@@ -369,8 +371,8 @@
 
 void CallerSession::onDisconnected()
 {
-    if (exchange_ != nullptr) {
-        exchange_->onCallerDisconnected();
+    if (const auto exchange = std::exchange(exchange_, nullptr)) {
+        exchange->onCallerDisconnected();
     }
     close();
 }
--- a/test/gateway/callersession.cpp
+++ b/test/gateway/callersession.cpp
@@ -233,3 +233,24 @@
     stepped.endStream();
     CHECK(stepped.runAndReceive(50ms).find("\r\n0\r\n\r\nHTTP/1.1 404 ") != std::string::npos); /* the first response ends, and the second begins */
 }
+
+// Guards against the end of a request whose caller has left: the connection may exist until a cancelled write has run.
+TEST_CASE("requests are ended at the exit although a caller has just left", "[gateway][session]")
+{
+    for (int handlers = 0; handlers < 6; ++handlers) {
+        CAPTURE(handlers);
+        SteppedWorker stepped;
+        stepped.addRouting();
+        stepped.queueSession();
+        stepped.send(streamRequest);
+        stepped.beginStream(std::string(longBodyBytes, 'x'));
+        REQUIRE(!stepped.session.expired());
+        stepped.caller.shutdown(tcp::socket::shutdown_send);
+        stepped.queueBehind(handlers, [&stepped] {
+            stepped.worker.endRequests();
+        });
+        stepped.run(20ms);
+        CHECK(stepped.session.expired());
+        CHECK(stepped.worker.tally().cut + stepped.worker.tally().callerGone == 1);
+    }
+}
