Planned stop: a request that begins after requests were ended is refused

Cause: requests in progress are ended once, 0.8 s before the end of the grace period. An incomplete request whose first bytes arrive later, on a connection that was accepted or had unread bytes at that time, was read and had no response when the process exited: its caller saw an orderly close.

Change: from that time on an incomplete request is refused as soon as a part of it was read.

Before: no response to one byte, or to headers and a part of the body. After: 503, not run.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -167,6 +167,10 @@
         onRequest();
         return true;
     }
+    if (worker_.timeUntilRequestsEnd() <= core::MonotonicTime::duration::zero()) {
+        refuseForShutdown();
+        return false;
+    }
     if (areHeadersParsed_) {
         setTimeout(std::chrono::steady_clock::now() + limits.idleTimeout);
     }
@@ -313,10 +317,15 @@
         const auto exchange = exchange_;
         exchange->onShutdown();
     } else if (parser_ && !closeAfterWrite_ && !isClosed_) {
-        refuseIncomplete(core::ErrorKind::ShuttingDown, "the gateway shut down before the request was complete");
+        refuseForShutdown();
     }
 }
 
+void CallerSession::refuseForShutdown()
+{
+    refuseIncomplete(core::ErrorKind::ShuttingDown, "the gateway shut down before the request was complete");
+}
+
 bool CallerSession::hasCallerLeft()
 {
     return isClosed_ || wire::isClosedByPeer(socket_);
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -87,6 +87,7 @@
     void onHeaders();
     void onRequest();
     void refuseIncomplete(core::ErrorKind kind, const std::string &detail);
+    void refuseForShutdown(); /* a request that is incomplete when requests are ended */
     void startWrite();
     void writeSome();
     void onWritten(const boost::system::error_code &error, std::size_t count);
--- a/test/gateway/callersession.cpp
+++ b/test/gateway/callersession.cpp
@@ -254,3 +254,14 @@
         CHECK(stepped.worker.tally().cut + stepped.worker.tally().callerGone == 1);
     }
 }
+
+// Guards against a request that is read in part when requests have been ended, and dropped by the exit.
+TEST_CASE("a part of a request that arrives after requests were ended is refused at once", "[gateway][session]")
+{
+    SteppedWorker stepped;
+    const auto now = std::chrono::steady_clock::now();
+    stepped.worker.setShutdownPlan({now, now, now, now + 1h});
+    stepped.queueSession();
+    stepped.send(GENERATE(as<std::string>(), "P", "POST /once/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 9\r\n\r\nbody"));
+    CHECK(stepped.runAndReceive(50ms).substr(0, 13) == "HTTP/1.1 503 ");
+}
