Callers' connections: a response that its caller stops reading counts as cut

Cause: the idle timeout closed a connection with unwritten bytes of a response without counting or logging it, so that the sums of the line "stopped" showed the request as answered only.

Change: the idle timeout counts and logs it as the exit does (response_cut).

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -436,6 +436,7 @@
         expectProgress(); /* a request has arrived, and the event loop is late */
         return;
     }
+    reportCut();
     close();
 }
 
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -72,7 +72,7 @@
     /** @brief Closes the connection if no request or response is in progress. */
     void closeIfIdle();
 
-    /** @brief Logs and counts the response that the process's exit cuts off, if any. */
+    /** @brief Logs and counts the response that the end of the connection cuts off, if any. */
     void reportCut();
 
 private:
--- a/test/gateway/callersession.cpp
+++ b/test/gateway/callersession.cpp
@@ -265,3 +265,18 @@
     stepped.send(GENERATE(as<std::string>(), "P", "POST /once/x HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 9\r\n\r\nbody"));
     CHECK(stepped.runAndReceive(50ms).substr(0, 13) == "HTTP/1.1 503 ");
 }
+
+// Guards against a response that is broken off at the idle timeout and counts as complete.
+TEST_CASE("a response that its caller stops reading counts as cut", "[gateway][session]")
+{
+    SteppedWorker stepped;
+    stepped.addRouting(200ms);
+    stepped.queueSession();
+    stepped.send(streamRequest);
+    stepped.beginStream(std::string(longBodyBytes, 'x'));
+    stepped.endStream();
+    stepped.run(500ms);
+    CHECK(stepped.session.expired());
+    CHECK(stepped.worker.tally().answered == 1);
+    CHECK(stepped.worker.tally().cut == 1);
+}
