Callers' connections: a refusal of an incomplete request has a time limit

Cause: the expired timer of an incomplete request was not armed again for the refusal. With the response before it unread by the caller, the refusal could not be written, and the connection stayed open for good, so that the process ran to the end of the grace period in a planned stop.

Change: the idle timeout limits the writing of a refusal, as that of any other response.

Before: the connection of the test was open 1 s after the end of an idle timeout of 0.2 s; after: closed.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -214,6 +214,7 @@
     const bool isHeadRequest = request.method() == bhttp::verb::head;
     write(formatRefusal({platform::readRequestId(request.base()), kind, detail, std::chrono::milliseconds(0), false, isHeadRequest}));
     closeAfterWrite_ = true;
+    expectProgress();
 }
 
 void CallerSession::write(std::string bytes)
@@ -267,7 +268,7 @@
         onDisconnected();
         return;
     }
-    if (exchange_ == nullptr && !parser_) {
+    if (exchange_ == nullptr && (!parser_ || closeAfterWrite_)) {
         expectProgress(); /* a slow caller gets the rest of the response as long as it reads */
     }
     if (!isComplete) {
--- a/test/gateway/callersession.cpp
+++ b/test/gateway/callersession.cpp
@@ -280,3 +280,18 @@
     CHECK(stepped.worker.tally().answered == 1);
     CHECK(stepped.worker.tally().cut == 1);
 }
+
+// Guards against a connection that stays open for good, as nothing limits the time to write the refusal of an incomplete request.
+TEST_CASE("a caller that neither reads its response nor completes its next request is disconnected", "[gateway][session]")
+{
+    SteppedWorker stepped;
+    stepped.addRouting(200ms);
+    stepped.queueSession();
+    stepped.send(streamRequest);
+    stepped.beginStream(std::string(longBodyBytes, 'x'));
+    stepped.endStream();
+    stepped.run(50ms);
+    boost::asio::write(stepped.caller, boost::asio::buffer(completeRequest.substr(0, 9)));
+    stepped.run(1000ms);
+    CHECK(stepped.session.expired());
+}
