Callers' connections: the last response is received before the connection ends

Cause: a connection was closed 1 s after the last byte of its last response was handed to the kernel. A further request that stays unread makes the close a reset, which discards what the caller has not acknowledged (RFC 9112, 9.6).

Change: a connection ends once its peer has acknowledged all bytes, or acknowledged none for the idle timeout. wire::DeliveryWatch decides it, without a socket, so that http::Server can use it too.

Before: a caller that paused for 1.5 s lost the end of a 48 KiB response; after: it gets all of it. In the same test a request that arrives while the response is still streamed changes nothing, before and after.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::size_t readSize = 8UL * 1024;
 constexpr std::size_t maxPipelinedBytes = 64UL * 1024; /* read while an earlier request is in progress, in addition to the header limit */
-constexpr std::chrono::milliseconds lingerTime{1000}; /* for the caller to read the response and close */
+constexpr std::chrono::milliseconds lingerTime{1000}; /* for the caller to close, and between checks whether it has received the response */
 constexpr std::chrono::milliseconds maxTimerInterval{15000}; /* longest wait of the timer before it compares the clock with timeoutAt_ */
 constexpr wire::TcpKeepAlive callerKeepAlive{std::chrono::milliseconds(10000), std::chrono::seconds(3), 3};
 
@@ -376,9 +376,15 @@
     boost::system::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     setTimeout(std::chrono::steady_clock::now() + internal::lingerTime);
+    static_cast<void>(isResponseOnItsWay()); /* its progress is measured from here */
     waitForBytes();
 }
 
+bool CallerSession::isResponseOnItsWay()
+{
+    return delivery_.isPending(wire::unacknowledgedBytes(socket_), std::chrono::steady_clock::now(), internal::callerLimits(worker_).idleTimeout);
+}
+
 void CallerSession::onDisconnected()
 {
     if (const auto exchange = std::exchange(exchange_, nullptr)) {
@@ -437,6 +443,10 @@
         expectProgress(); /* a request has arrived, and the event loop is late */
         return;
     }
+    if (isLingering_ && isResponseOnItsWay()) {
+        setTimeout(std::chrono::steady_clock::now() + internal::lingerTime);
+        return;
+    }
     reportCut();
     close();
 }
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -4,6 +4,7 @@
 #include <cyclamenspool/core/now.h>
 #include <cyclamenspool/gateway/fwd.h>
 #include <cyclamenspool/gateway/worker.h>
+#include <cyclamenspool/wire/deliverywatch.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -94,6 +95,7 @@
     void expectProgress();
     void setResetOnClose(bool isReset);
     void linger();
+    [[nodiscard]] bool isResponseOnItsWay();
     [[nodiscard]] bool isIdle();
     void onDisconnected();
     void close();
@@ -119,6 +121,7 @@
     bool keepAlive_ = true; /* after the current response; as its headers say once they are written */
     bool closeAfterWrite_ = false;
     bool isLingering_ = false;
+    wire::DeliveryWatch delivery_; /* of the last response, while lingering */
     bool isClosed_ = false;
 };
 
--- a/test/gateway/callersession.cpp
+++ b/test/gateway/callersession.cpp
@@ -295,3 +295,27 @@
     stepped.run(1000ms);
     CHECK(stepped.session.expired());
 }
+
+// Guards against a reset that discards the end of a response which its caller has not received yet.
+TEST_CASE("a slow caller gets the whole of its last response although a further request stays unread behind it", "[gateway][session]")
+{
+    constexpr int sendBufferBytes = 256 * 1024; /* holds the whole response */
+    SteppedWorker stepped(sendBufferBytes);
+    stepped.addRouting();
+    stepped.worker.setShutdownPlan(planWithOpenEnd());
+    stepped.queueSession();
+    stepped.send(streamRequest);
+    stepped.beginStream(std::string(longBodyBytes, 'x'));
+    const bool isSentBefore = GENERATE(false, true); /* before the response is complete */
+    CAPTURE(isSentBefore);
+    if (isSentBefore) {
+        boost::asio::write(stepped.caller, boost::asio::buffer(completeRequest));
+    }
+    stepped.endStream();
+    stepped.run(50ms);
+    if (!isSentBefore) {
+        boost::asio::write(stepped.caller, boost::asio::buffer(completeRequest));
+    }
+    stepped.run(1500ms); /* longer than a caller that has received all gets for closing */
+    CHECK(isEnding(stepped.receiveUntil("closed"), "\r\n0\r\n\r\nclosed"));
+}
