Planned stop: a kept connection is closed once its last response was received

Cause: in a planned stop a connection without a request was closed although the caller had not acknowledged the end of the last response. A request that crosses the close is answered by a reset, which discards that end.

Before: the caller of the test lost the end of a 48 KiB response when its next request crossed the close; after: it gets all of it, and the connection of a caller that sends nothing is closed.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -341,8 +341,9 @@
 
 void CallerSession::closeIfIdle()
 {
-    // A request that arrives while the connection is being closed is never read, so its caller can safely retry it.
-    if (!isLingering_ && !isClosed_ && isIdle()) {
+    // A request that arrives while the connection is being closed is never read, so its caller can safely retry it. The reset that answers it would
+    // discard what the caller has not acknowledged of the last response.
+    if (!isLingering_ && !isClosed_ && isIdle() && wire::unacknowledgedBytes(socket_) == 0) {
         close();
     }
 }
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -70,7 +70,7 @@
     /** @brief Ends the request in progress because the process is about to exit, see Exchange::onShutdown(); an incomplete one is refused. */
     void endRequest();
 
-    /** @brief Closes the connection if no request or response is in progress. */
+    /** @brief Closes the connection if no request is in progress and the caller has received the last response. */
     void closeIfIdle();
 
     /** @brief Logs and counts the response that the end of the connection cuts off, if any. */
--- a/test/gateway/callersession.cpp
+++ b/test/gateway/callersession.cpp
@@ -319,3 +319,28 @@
     stepped.run(1500ms); /* longer than a caller that has received all gets for closing */
     CHECK(isEnding(stepped.receiveUntil("closed"), "\r\n0\r\n\r\nclosed"));
 }
+
+// Guards against a close that a request can cross while the last response is on its way: the reset would discard the end of that response.
+TEST_CASE("an idle connection is closed only after its last response was received", "[gateway][session]")
+{
+    constexpr int sendBufferBytes = 256 * 1024; /* holds the whole response */
+    SteppedWorker stepped(sendBufferBytes);
+    stepped.addRouting();
+    stepped.queueSession();
+    stepped.send(streamRequest);
+    stepped.beginStream(std::string(longBodyBytes, 'x'));
+    stepped.endStream();
+    stepped.run(50ms);
+    stepped.worker.closeIdleSessions();
+    stepped.run(50ms);
+    const bool isCrossing = GENERATE(false, true);
+    CAPTURE(isCrossing);
+    if (isCrossing) {
+        boost::asio::write(stepped.caller, boost::asio::buffer(completeRequest));
+    }
+    stepped.run(50ms);
+    CHECK(isEnding(stepped.receiveUntil("\r\n0\r\n\r\n"), "\r\n0\r\n\r\n"));
+    stepped.run(100ms);
+    stepped.worker.closeIdleSessions();
+    CHECK((isCrossing || stepped.runAndReceive(50ms) == "closed"));
+}
