--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -21,6 +22,9 @@
 
 namespace {
 
+const std::string graceKey = "grace_s: ";
+const std::string initialGrace = graceKey + "6";
+
 json::object makeRoute(const std::string &name, const std::string &kind, const std::string &service)
 {
     return {{"name", name},
@@ -78,7 +82,8 @@
         std::ofstream(gateway.settingsFile) << "vm: " << name << "\nzone: " << zone << "\ncaller_address: " << gateway.callerAddress
                                             << "\nready_address: " << gateway.readyAddress << "\npeer_address: " << gateway.peerAddress
                                             << "\nmetrics_address: " << gateway.metricsAddress << "\nstore_address: " << store.address() << "\nseed_peers: ["
-                                            << seedPeers << "]\ngrace_s: 6\nworkers: 2\n";
+                                            << seedPeers << "]\n"
+                                            << initialGrace << "\nworkers: 2\n";
         start(gateway);
     }
     for (const auto &gateway : gateways) {
@@ -180,4 +185,19 @@
     std::ofstream(gateway.settingsFile) << text;
 }
 
+void GatewayFleet::setGracePeriod(Gateway &gateway, std::chrono::milliseconds period)
+{
+    auto settings = readSettings(gateway);
+    std::ostringstream line;
+    line << graceKey << std::chrono::duration<double>(period).count();
+    settings.replace(settings.find(initialGrace), initialGrace.size(), line.str());
+    writeSettings(gateway, settings);
+    gateway.process.signal(SIGHUP);
+    if (!LocalFleet::waitUntil([&gateway] {
+            return readLog(gateway).find("in force\"") != std::string::npos;
+        })) {
+        throw std::runtime_error("a gateway did not apply its grace period in time");
+    }
+}
+
 } // namespace cyclamenspool::harness
--- a/test/process/gatewayfaults.cpp
+++ b/test/process/gatewayfaults.cpp
@@ -81,18 +81,6 @@
     return result;
 }
 
-/** @brief Changes the grace period of a running gateway. @param seconds New value, as written in the settings file. */
-void setGracePeriod(GatewayFleet::Gateway &gateway, const std::string &seconds)
-{
-    auto settings = GatewayFleet::readSettings(gateway);
-    settings.replace(settings.find("grace_s: 6"), 10, "grace_s: " + seconds);
-    GatewayFleet::writeSettings(gateway, settings);
-    gateway.process.signal(SIGHUP);
-    REQUIRE(LocalFleet::waitUntil([&gateway] {
-        return GatewayFleet::readLog(gateway).find("in force\"") != std::string::npos;
-    }));
-}
-
 } // namespace
 
 TEST_CASE("a late second copy of a response without an id on a reused connection is not given to the next caller", "[process][gateway][faults]")
@@ -300,7 +288,7 @@
     const bool isGraceShort = GENERATE(false, true);
     CAPTURE(isGraceShort);
     if (isGraceShort) {
-        setGracePeriod(gateway, "1.5"); /* shorter than the time after which requests are refused */
+        GatewayFleet::setGracePeriod(gateway, 1500ms); /* shorter than the time after which requests are refused */
     }
     std::atomic<bool> isProcessGone{false};
     std::atomic<int> cut{0};
@@ -342,7 +330,7 @@
 {
     GatewayFleet fleet(1, 1);
     auto &gateway = fleet.gateways[0];
-    setGracePeriod(gateway, "1.5");
+    GatewayFleet::setGracePeriod(gateway, 1500ms);
     fleet.backendServers[0]->setHandler([](const PlainRequest &, PlainSocket &) {
         std::this_thread::sleep_for(3000ms);
         return false;
@@ -360,7 +348,7 @@
 {
     GatewayFleet fleet(1, 1);
     auto &gateway = fleet.gateways[0];
-    setGracePeriod(gateway, "1.5");
+    GatewayFleet::setGracePeriod(gateway, 1500ms);
     fleet.backendServers[0]->setHandler([](const PlainRequest &, PlainSocket &) {
         std::this_thread::sleep_for(3000ms);
         return false;
--- a/test/process/plannedstop.cpp
+++ b/test/process/plannedstop.cpp
@@ -2,7 +2,6 @@
 
 #include <harness/eventstream.h>
 #include <harness/gatewayfleet.h>
-#include <harness/localfleet.h>
 
 #include <cyclamenspool/wire/endpoint.h>
 
@@ -22,7 +21,6 @@
 using harness::chunk;
 using harness::formatResponseWithDigest;
 using harness::GatewayFleet;
-using harness::LocalFleet;
 using harness::PlainRequest;
 using harness::PlainSocket;
 using harness::responseHeadFor;
@@ -92,18 +90,6 @@
     unsigned status_ = 0;
 };
 
-/** @brief Changes the grace period of a running gateway, which is 6 s at the start. @param seconds New value, as written in the settings file. */
-void setGracePeriod(GatewayFleet::Gateway &gateway, const std::string &seconds)
-{
-    auto settings = GatewayFleet::readSettings(gateway);
-    settings.replace(settings.find("grace_s: 6"), 10, "grace_s: " + seconds);
-    GatewayFleet::writeSettings(gateway, settings);
-    gateway.process.signal(SIGHUP);
-    REQUIRE(LocalFleet::waitUntil([&gateway] {
-        return GatewayFleet::readLog(gateway).find("in force\"") != std::string::npos;
-    }));
-}
-
 /** @brief Makes a backend server send a stream of events, one each 100 ms. */
 void sendStreams(harness::FakeBackendServer &server, int events)
 {
@@ -164,7 +150,7 @@
 {
     GatewayFleet fleet(1, 1);
     auto &gateway = fleet.gateways[0];
-    setGracePeriod(gateway, "2.5");
+    GatewayFleet::setGracePeriod(gateway, 2500ms);
     fleet.backendServers[0]->setHandler([](const PlainRequest &, PlainSocket &) {
         std::this_thread::sleep_for(5000ms);
         return false;
@@ -254,7 +240,7 @@
 {
     GatewayFleet fleet(1, 1);
     auto &gateway = fleet.gateways[0];
-    setGracePeriod(gateway, "2.8"); /* requests are ended after 2 s */
+    GatewayFleet::setGracePeriod(gateway, 2800ms); /* requests are ended after 2 s */
     auto &server = *fleet.backendServers[0];
     server.setHandler([](const PlainRequest &request, PlainSocket &socket) {
         std::this_thread::sleep_for(800ms);
