--- a/src/cyclamenspool/node/node.h
+++ b/src/cyclamenspool/node/node.h
@@ -76,8 +76,8 @@
      * @brief Runs the process until its shutdown has ended.
      *
      * SIGTERM or SIGINT starts the graceful shutdown: the process first reports "not ready" for Settings::unreadyPeriod, then
-     * rejects new requests, and stops when its servers owe nothing to a caller or another process, or after Settings::shutdownLimit. A second signal ends
-     * the process at once with exit code 1.
+     * rejects new requests, and stops when every connection of its servers has ended, or after Settings::shutdownLimit. A second signal ends the process
+     * at once with exit code 1.
      * @param role Role; must outlive the call.
      * @return Exit code.
      */
