Planned stop: requests are ended at the end of a lengthened grace period too

Cause: the process noted for good that requests were ended. A reload of the settings that lengthens the grace period between that moment and the exit, 0.4 s later, accepts requests again, and nothing ended them before the new exit: their connections closed without a response.

Change: the note follows the times of the stop as they are now. The test's harness can change the grace period more than once.

--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -396,7 +396,7 @@
             worker->endRequests();
         }
     }
-    areRequestsEnded_ = areRequestsEnded_ || areRequestsToEnd;
+    areRequestsEnded_ = now >= plan.endRequests; /* a reload may have moved that time */
     // A connection counts from its accept, on this thread, to its end, so that none can follow once there is none and the acceptor is closed.
     const bool isDone = now >= plan.refuse && openConnections() == 0;
     if ((isDone && !acceptor_.is_open()) || now >= plan.exit) {
--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -23,7 +23,17 @@
 namespace {
 
 const std::string graceKey = "grace_s: ";
-const std::string initialGrace = graceKey + "6";
+
+/** @brief Returns the number of reloads of the settings after which they were in force. */
+std::size_t reloadCount(const std::string &log)
+{
+    const std::string mark = "in force\"";
+    std::size_t count = 0;
+    for (auto place = log.find(mark); place != std::string::npos; place = log.find(mark, place + mark.size())) {
+        ++count;
+    }
+    return count;
+}
 
 json::object makeRoute(const std::string &name, const std::string &kind, const std::string &service)
 {
@@ -83,7 +93,7 @@
                                             << "\nready_address: " << gateway.readyAddress << "\npeer_address: " << gateway.peerAddress
                                             << "\nmetrics_address: " << gateway.metricsAddress << "\nstore_address: " << store.address() << "\nseed_peers: ["
                                             << seedPeers << "]\n"
-                                            << initialGrace << "\nworkers: 2\n";
+                                            << graceKey << "6\nworkers: 2\n";
         start(gateway);
     }
     for (const auto &gateway : gateways) {
@@ -187,14 +197,16 @@
 
 void GatewayFleet::setGracePeriod(Gateway &gateway, std::chrono::milliseconds period)
 {
+    const auto earlierReloads = reloadCount(readLog(gateway));
     auto settings = readSettings(gateway);
     std::ostringstream line;
     line << graceKey << std::chrono::duration<double>(period).count();
-    settings.replace(settings.find(initialGrace), initialGrace.size(), line.str());
+    const auto place = settings.find(graceKey);
+    settings.replace(place, settings.find('\n', place) - place, line.str());
     writeSettings(gateway, settings);
     gateway.process.signal(SIGHUP);
-    if (!LocalFleet::waitUntil([&gateway] {
-            return readLog(gateway).find("in force\"") != std::string::npos;
+    if (!LocalFleet::waitUntil([&gateway, earlierReloads] {
+            return reloadCount(readLog(gateway)) > earlierReloads;
         })) {
         throw std::runtime_error("a gateway did not apply its grace period in time");
     }
--- a/test/harness/gatewayfleet.h
+++ b/test/harness/gatewayfleet.h
@@ -71,8 +71,8 @@
     /** @brief Replaces a gateway's settings file. @param text YAML. */
     static void writeSettings(const Gateway &gateway, const std::string &text);
 
-    /** @brief Changes the grace period of a running gateway, which is 6 s at the start, and waits until it is in force; at most once for each gateway.
-     * @param period New value. @throws std::runtime_error If it is not in force within 10 s. */
+    /** @brief Changes the grace period of a running gateway, which is 6 s at the start, and waits until it is in force. @param period New value. @throws
+     * std::runtime_error If it is not in force within 10 s. */
     static void setGracePeriod(Gateway &gateway, std::chrono::milliseconds period);
 
     FakeStore store;
--- a/test/process/plannedstop.cpp
+++ b/test/process/plannedstop.cpp
@@ -36,6 +36,12 @@
     GivenUp, /**< The connection was closed in order without a complete response: the request was read and not answered. */
 };
 
+std::string formatRequest(const std::string &id, const std::string &path)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-1\r\nCyclamenspool-Request-Id: " + id
+        + "\r\nCyclamenspool-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n";
+}
+
 /** @brief A connection of a caller to a gateway. */
 class Caller
 {
@@ -51,10 +57,7 @@
     /** @brief Sends a request and waits for the end of its response. */
     End request(const std::string &id, const std::string &path = "/once/x")
     {
-        const bool isSent = isOpen_
-            && writeAll(socket_,
-                        "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-1\r\nCyclamenspool-Request-Id: " + id
-                            + "\r\nCyclamenspool-Deadline-Ms: 9000\r\nContent-Length: 0\r\n\r\n");
+        const bool isSent = isOpen_ && writeAll(socket_, formatRequest(id, path));
         if (!isSent) {
             isOpen_ = false;
             return End::Unread;
@@ -177,6 +180,45 @@
     CHECK(gateway.process.wait(2s) == 0);
 }
 
+// Guards against a request that is accepted after a longer grace period came into force, and that nothing ends before the exit.
+TEST_CASE("planned stop: a request is answered before the exit although the grace period was lengthened meanwhile", "[process][gateway][stop]")
+{
+    GatewayFleet fleet(1, 1);
+    auto &gateway = fleet.gateways[0];
+    GatewayFleet::setGracePeriod(gateway, 2500ms); /* requests are ended 1.7 s after the signal, and the process exits 0.4 s later */
+    fleet.backendServers[0]->setHandler([](const PlainRequest &request, PlainSocket &socket) {
+        if (request["Cyclamenspool-Request-Id"] == "long") {
+            constexpr std::size_t bodyBytes = 100UL * 1024;
+            return writeAll(socket, formatResponseWithDigest(request, std::string(bodyBytes, 'x')));
+        }
+        std::this_thread::sleep_for(6000ms);
+        return false;
+    });
+    // The response that the caller has not received keeps the connection through the end of requests.
+    boost::asio::io_context context;
+    PlainSocket socket(context);
+    socket.open(boost::asio::ip::tcp::v4());
+    socket.set_option(boost::asio::socket_base::receive_buffer_size(16 * 1024));
+    socket.connect(wire::parseEndpoint(gateway.callerAddress));
+    REQUIRE(writeAll(socket, formatRequest("long", "/again/x")));
+    std::this_thread::sleep_for(300ms);
+    gateway.process.signal(SIGTERM);
+    std::this_thread::sleep_for(1850ms);
+    GatewayFleet::setGracePeriod(gateway, 5500ms);
+    boost::beast::flat_buffer buffer;
+    boost::beast::http::response<boost::beast::http::string_body> response;
+    boost::beast::http::read(socket, buffer, response);
+    REQUIRE(response.keep_alive());
+    std::this_thread::sleep_for(300ms); /* until the times of the stop follow the new period; requests are accepted until 2.85 s */
+    REQUIRE(writeAll(socket, formatRequest("late", "/again/x")));
+    response = {};
+    boost::system::error_code error;
+    boost::beast::http::read(socket, buffer, response, error);
+    CHECK(!error);
+    CHECK(response.result_int() == 502); /* it may have run */
+    CHECK(gateway.process.wait(4s) == 0);
+}
+
 // Guards against a request that is read and not answered at any moment of a planned stop, while the process is late by up to 0.3 s.
 TEST_CASE("planned stop of a late process: no request is read and given up, whenever it arrives", "[process][gateway][stop]")
 {
