Planned stop: a connection that a response kept open waits for its next request

Cause: from 2.85 s on, idle connections are closed at checks 0.1 s apart. A check that falls between the end of a response and the caller's next request closes a connection that the response's headers kept open; the reset tells the caller that the request was not read, but it can't know that of a request that must not be repeated.

Change: a connection is closed only 0.2 s after its last write: a round trip and the caller's delay.

Before: in the new test the request meets the reset.

--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t readSize = 8UL * 1024;
 constexpr std::size_t maxPipelinedBytes = 64UL * 1024; /* read while an earlier request is in progress, in addition to the header limit */
 constexpr std::chrono::milliseconds lingerTime{1000}; /* for the caller to close, and between checks whether it has received the response */
+constexpr std::chrono::milliseconds nextRequestTime{200}; /* for a request that follows at once on a response; mostly a round trip */
 constexpr std::chrono::milliseconds maxTimerInterval{15000}; /* longest wait of the timer before it compares the clock with timeoutAt_ */
 constexpr wire::TcpKeepAlive callerKeepAlive{std::chrono::milliseconds(10000), std::chrono::seconds(3), 3};
 
@@ -268,6 +269,7 @@
         onDisconnected();
         return;
     }
+    lastWriteAt_ = std::chrono::steady_clock::now();
     if (exchange_ == nullptr && (!parser_ || closeAfterWrite_)) {
         expectProgress(); /* a slow caller gets the rest of the response as long as it reads */
     }
@@ -343,7 +345,8 @@
 {
     // A request that arrives while the connection is being closed is never read, so its caller can safely retry it. The reset that answers it would
     // discard what the caller has not acknowledged of the last response.
-    if (!isLingering_ && !isClosed_ && isIdle() && wire::unacknowledgedBytes(socket_) == 0) {
+    const bool isAwaitingRequest = std::chrono::steady_clock::now() < lastWriteAt_ + internal::nextRequestTime;
+    if (!isLingering_ && !isClosed_ && !isAwaitingRequest && isIdle() && wire::unacknowledgedBytes(socket_) == 0) {
         close();
     }
 }
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -70,7 +70,7 @@
     /** @brief Ends the request in progress because the process is about to exit, see Exchange::onShutdown(); an incomplete one is refused. */
     void endRequest();
 
-    /** @brief Closes the connection if no request is in progress and the caller has received the last response. */
+    /** @brief Closes the connection if no request is in progress, and the caller has received the last response and had time to send its next request. */
     void closeIfIdle();
 
     /** @brief Logs and counts the response that the end of the connection cuts off, if any. */
@@ -121,6 +121,7 @@
     bool keepAlive_ = true; /* after the current response; as its headers say once they are written */
     bool closeAfterWrite_ = false;
     bool isLingering_ = false;
+    core::MonotonicTime lastWriteAt_{};
     wire::DeliveryWatch delivery_; /* of the last response, while lingering */
     bool isClosed_ = false;
 };
--- a/test/gateway/callersession.cpp
+++ b/test/gateway/callersession.cpp
@@ -320,6 +320,27 @@
     CHECK(isEnding(stepped.receiveUntil("closed"), "\r\n0\r\n\r\nclosed"));
 }
 
+// Guards against a reset that meets a request which follows at once on a response whose headers kept the connection open.
+TEST_CASE("a connection that a response has kept open is not closed before the caller's next request can arrive", "[gateway][session]")
+{
+    constexpr int sendBufferBytes = 256 * 1024; /* holds the whole response */
+    SteppedWorker stepped(sendBufferBytes);
+    stepped.addRouting();
+    stepped.queueSession();
+    stepped.send(streamRequest);
+    stepped.beginStream("x");
+    stepped.endStream();
+    REQUIRE(isEnding(stepped.receiveUntil("\r\n0\r\n\r\n"), "\r\n0\r\n\r\n"));
+    stepped.run(80ms); /* the caller's kernel acknowledges the response after up to 40 ms */
+    stepped.worker.closeIdleSessions();
+    stepped.run(20ms);
+    boost::asio::write(stepped.caller, boost::asio::buffer(completeRequest));
+    stepped.run(20ms);
+    stepped.worker.closeIdleSessions();
+    stepped.worker.endRequests();
+    CHECK(isEnding(stepped.receiveUntil("\r\n\r\n").substr(0, 9), "HTTP/1.1 "));
+}
+
 // Guards against a close that a request can cross while the last response is on its way: the reset would discard the end of that response.
 TEST_CASE("an idle connection is closed only after its last response was received", "[gateway][session]")
 {
