Test of cut responses: a whole response and its connection's end arrive together

Traced: a server of the test that has sent the whole response closes the connection right after it, without having announced that. If the close comes after the gateway has sent the next request on the kept connection, that request has no response; it may have run, so that a non-idempotent one fails with 502, as it must.

Change: the server's kernel sends the last byte and the end together, so that the gateway, which looks at a kept connection before it uses it, cannot miss the end. What is checked is unchanged.

--- a/test/process/headends.cpp
+++ b/test/process/headends.cpp
@@ -6,6 +6,10 @@
 
 #include <cyclamenspool/wire/endpoint.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <atomic>
 #include <string>
 #include <thread>
@@ -157,6 +161,11 @@
         if (!isCut) {
             return harness::writeAll(socket, bytes);
         }
+        if (end_ == ConnectionEnd::Fin && cut_ == bytes.size()) {
+            // The end of the connection arrives with the last byte: later, it could meet the next request on the connection, which then fails.
+            const int isCorked = 1;
+            setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_CORK, &isCorked, sizeof isCorked);
+        }
         harness::writeAll(socket, bytes.substr(0, cut_));
         if (end_ == ConnectionEnd::Fin) {
             return false;
