Gateways tell each other the routing version in force

Cause: a gateway that starts after the store came back from an older copy learned only copies, the store's and its peers'. What its peers have in force was told to nobody, so a key that a lost version had revoked was accepted until the operator wrote again.

Change: updates and totals of zones name the version in force; a copy that a peer asks for brings the document in force if the copy holds another one. A gateway that starts puts no version in force until a running peer has named its own and that version is here; it goes on at once if no peer has one in force, after 1 s if some do not answer, after 3 s if the version cannot be had. A running gateway asks a peer with a higher version and no later copy. Gateways of the version before ignore the fields, and are not waited for.

Test of the positions on the wire: same checks by the new functions.

Not covered: a version whose last holder has ended, and peers that answer later than 1 s after the start.

--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -4,6 +4,7 @@
 #include <cyclamenspool/telemetry/log.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenspool::gateway {
 
@@ -11,7 +12,7 @@
 
 constexpr std::array<std::string_view, 2> prefixes{platform::operatorPrefix, platform::serverPrefix};
 
-/** @brief Applies a decoded document to the dispatcher and logs the result. */
+/** @brief Applies a decoded document of a backend server or a zone to the dispatcher and logs the result; all others are ignored. */
 class DocumentVisitor
 {
 public:
@@ -22,10 +23,8 @@
     {
     }
 
-    void operator()(const world::RoutingConfig &routing) const
+    void operator()(const world::RoutingConfig &) const
     {
-        const bool isNew = dispatcher_.onRouting(routing);
-        log("routing", {{"version", routing.version}, {"routes", routing.routes.size()}, {"in_force", isNew}});
     }
 
     void operator()(const world::BackendServer &server) const
@@ -306,13 +305,66 @@
 void Catalog::applyOne(const member::StoreItem &item, const char *source)
 {
     try {
-        std::visit(internal::DocumentVisitor(dispatcher_, item.position, source), platform::decode(item));
+        auto document = platform::decode(item);
+        if (auto *routing = std::get_if<world::RoutingConfig>(&document)) {
+            onRouting(std::move(*routing), item, source);
+        } else {
+            std::visit(internal::DocumentVisitor(dispatcher_, item.position, source), document);
+        }
     } catch (const std::exception &error) {
         telemetry::logRateLimited("item_passed_over",
                                   {{"key", item.key}, {"revision", item.position.revision}, {"era", item.position.era}, {"reason", error.what()}});
     }
 }
 
+void Catalog::onRouting(world::RoutingConfig routing, const member::StoreItem &item, const char *source)
+{
+    const auto version = routing.version;
+    const auto routes = routing.routes.size();
+    const bool isKeptBack = !isRoutingInForce_ && version < lowestRouting_;
+    const bool isInForce = !isKeptBack && dispatcher_.onRouting(std::move(routing));
+    telemetry::logRateLimited("routing",
+                              {{"version", version},
+                               {"routes", routes},
+                               {"in_force", isInForce},
+                               {"revision", item.position.revision},
+                               {"era", item.position.era},
+                               {"source", source}});
+    if (isInForce || (isKeptBack && (!routing_ || version > routing_->version))) {
+        routing_ = {version, item, source};
+    }
+    isRoutingInForce_ = isRoutingInForce_ || isInForce;
+}
+
+void Catalog::setLowestRouting(std::uint64_t lowest)
+{
+    lowestRouting_ = lowest;
+    if (isRoutingInForce_ || !routing_ || routing_->version < lowest) {
+        return;
+    }
+    const auto kept = *std::exchange(routing_, std::nullopt);
+    applyOne(kept.item, kept.source);
+}
+
+void Catalog::onPeerDocuments(const std::vector<member::StoreItem> &documents)
+{
+    for (const auto &item : documents) {
+        if (item.key == platform::routingKey && !item.isDeleted) {
+            applyOne(item, "peer");
+        }
+    }
+}
+
+std::vector<member::StoreItem> Catalog::documentsBesideCopy(Section section) const
+{
+    if (section != Section::OperatorConfig || !isRoutingInForce_) {
+        return {};
+    }
+    const auto *copy = stateOf(section).replica.find(routing_->item.key);
+    const bool isCopied = copy != nullptr && copy->value == routing_->item.value;
+    return isCopied ? std::vector<member::StoreItem>() : std::vector{routing_->item};
+}
+
 member::StoreSnapshot Catalog::snapshot(Section section) const
 {
     return stateOf(section).replica.toSnapshot();
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -62,6 +62,31 @@
      */
     bool onPeerListDelta(const ListDelta &delta);
 
+    /**
+     * @brief Keeps routing documents back until one of at least a version is known; has no effect once one is in force. By default none is kept back.
+     * @param lowest Version.
+     */
+    void setLowestRouting(std::uint64_t lowest);
+
+    /** @brief Applies documents that are in force at a peer, whatever the era and the content of its copy. @param documents Documents; of routing documents a
+     * lower version than the known one changes nothing, and all others are ignored. */
+    void onPeerDocuments(const std::vector<member::StoreItem> &documents);
+
+    /** @brief Returns the documents of a section that are in force but that its copy holds in another form or not at all: at most the routing document. */
+    [[nodiscard]] std::vector<member::StoreItem> documentsBesideCopy(Section section) const;
+
+    /** @brief Returns the version of the routing document in force; 0 if none is. */
+    [[nodiscard]] std::uint64_t routingVersion() const noexcept
+    {
+        return isRoutingInForce_ ? routing_->version : 0;
+    }
+
+    /** @brief Returns the highest version of a known routing document, in force or kept back; 0 if none is known. */
+    [[nodiscard]] std::uint64_t knownRoutingVersion() const noexcept
+    {
+        return routing_ ? routing_->version : 0;
+    }
+
     /** @brief Returns the cached items of a section with their position. */
     [[nodiscard]] member::StoreSnapshot snapshot(Section section) const;
 
@@ -113,6 +138,11 @@
         bool isUnavailable = true;
         std::uint64_t failedCalls = 0; /* since the last successful one */
     };
+    struct RoutingDocument {
+        std::uint64_t version = 0;
+        member::StoreItem item;
+        const char *source = "";
+    };
 
     void onStoreSuccess(Section section, core::MonotonicTime asOf);
     void onStoreAnswered(Section section);
@@ -120,12 +150,16 @@
     void replace(Section section, const member::StoreSnapshot &list, const char *source);
     void apply(Section section, const std::vector<member::StoreItem> &changes, const char *source);
     void applyOne(const member::StoreItem &item, const char *source);
+    void onRouting(world::RoutingConfig routing, const member::StoreItem &item, const char *source);
     [[nodiscard]] SectionState &stateOf(Section section);
     [[nodiscard]] const SectionState &stateOf(Section section) const;
 
     Dispatcher &dispatcher_;
     std::array<SectionState, static_cast<std::size_t>(Section::Count)> states_;
     StoreEra era_;
+    std::optional<RoutingDocument> routing_; /* the highest known version: a copy of a restored store may hold a lower one */
+    std::uint64_t lowestRouting_ = 0;
+    bool isRoutingInForce_ = false;
     std::atomic<bool> complete_{false};
 };
 
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -129,7 +129,8 @@
 void GatewayNode::acceptWhenConfigured()
 {
     const auto elapsed = std::chrono::steady_clock::now() - startTime_;
-    if (catalog_.isComplete() || elapsed > internal::configurationWait) {
+    const bool isRoutingKeptBack = catalog_.knownRoutingVersion() > catalog_.routingVersion();
+    if ((catalog_.isComplete() && !isRoutingKeptBack) || elapsed > internal::configurationWait) {
         accept();
         return;
     }
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -79,6 +79,12 @@
     const auto handler = [this](const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message) {
         onMessage(stream, path, message);
     };
+    std::set<std::string> asked;
+    for (const auto &[address, peer] : peers_) {
+        asked.insert(address);
+    }
+    routingInquiry_.start(std::move(asked), std::chrono::steady_clock::now());
+    applyLowestRouting();
     server_ = std::make_unique<wire::PeerServer>(context_, settings_.peerAddress, internal::sessionLimits(), handler);
     tick();
 }
@@ -157,6 +163,7 @@
         fleet.dropStaleZones(zoneLimit, time);
     });
     publishPromptEvidence();
+    applyLowestRouting();
     const auto updatePeriod = this->updatePeriod();
     const auto tickPeriod = this->tickPeriod();
     for (auto &[address, peer] : peers_) {
@@ -213,6 +220,8 @@
         if (found != peers_.end() && found->second.updateId == updateId) {
             found->second.isReplyPending = false;
         }
+        routingInquiry_.onFailed(address);
+        applyLowestRouting();
     };
     connectionPool_.submit(address, internal::updatePath, buildUpdate(peer), std::move(callbacks));
 }
@@ -272,7 +281,7 @@
         entry->set_history(placement.historyKey);
         entry->set_backend_server(placement.server);
     }
-    setPositions(update, catalog_.changePosition(Catalog::Section::OperatorConfig), catalog_.changePosition(Catalog::Section::Servers));
+    setStoreReport(update, storeReport());
     update.set_store_unavailable(catalog_.isStoreUnavailable(Catalog::Section::Servers));
     setStoreUptime(update, storeUptime());
     // Concatenated protobuf messages parse as one merged message.
@@ -339,8 +348,7 @@
     for (const auto &known : update.peers()) {
         onKnownPeer(known, now);
     }
-    pullIfOutdated(update.address(), Catalog::Section::OperatorConfig, operatorPositionIn(update));
-    pullIfOutdated(update.address(), Catalog::Section::Servers, serverPositionIn(update));
+    onPeerStore(update.address(), storeReportIn(update));
     return true;
 }
 
@@ -406,7 +414,34 @@
     return isMissed && (isConfiguration || catalog_.age(section) >= listOverdueAge(bounds));
 }
 
-void PeerGossip::pullIfOutdated(const std::string &address, Catalog::Section section, const member::StorePosition &position)
+StoreReport PeerGossip::storeReport() const
+{
+    return {catalog_.changePosition(Catalog::Section::OperatorConfig), catalog_.changePosition(Catalog::Section::Servers), catalog_.routingVersion()};
+}
+
+void PeerGossip::applyLowestRouting()
+{
+    catalog_.setLowestRouting(routingInquiry_.lowestVersion(std::chrono::steady_clock::now()));
+}
+
+void PeerGossip::onPeerStore(const std::string &address, const StoreReport &report)
+{
+    const auto now = std::chrono::steady_clock::now();
+    routingInquiry_.onAnswered(address, report.routingVersion);
+    applyLowestRouting();
+    const auto version = report.routingVersion.value_or(0);
+    const RoutingInquiry::Versions own{catalog_.knownRoutingVersion(), catalog_.routingVersion()};
+    const bool hasLaterCopy = report.operatorPosition > catalog_.position(Catalog::Section::OperatorConfig);
+    if (pullIfOutdated(address, Catalog::Section::OperatorConfig, report.operatorPosition)) {
+        routingInquiry_.onPull(version, now);
+    } else if (routingInquiry_.isPullDue(version, own, hasLaterCopy, now)) {
+        routingInquiry_.onPull(version, now);
+        pull(address, Catalog::Section::OperatorConfig);
+    }
+    static_cast<void>(pullIfOutdated(address, Catalog::Section::Servers, report.serverPosition));
+}
+
+bool PeerGossip::pullIfOutdated(const std::string &address, Catalog::Section section, const member::StorePosition &position)
 {
     const auto now = std::chrono::steady_clock::now();
     const auto &own = catalog_.position(section);
@@ -420,14 +455,20 @@
     const auto minInterval = isUnavailable || isLaterEra ? internal::minPullInterval : internal::minOverduePullInterval;
     auto &last = lastPulls_[section];
     if (!isOutdated || (position.era == last.era && internal::elapsed(last.at, now) < minInterval)) {
-        return;
+        return false;
     }
     last = {now, position.era};
     if (!isUnavailable && !isLaterEra) {
         storeCalls_.replace(section);
     }
-    wire::ItemPull pull;
-    pull.set_prefix(std::string(Catalog::prefixOf(section)));
+    pull(address, section);
+    return true;
+}
+
+void PeerGossip::pull(const std::string &address, Catalog::Section section)
+{
+    wire::ItemPull request;
+    request.set_prefix(std::string(Catalog::prefixOf(section)));
     wire::StreamCallbacks callbacks;
     callbacks.onMessage = [this, section](const std::string &message) {
         const auto snapshot = internal::logIfUnreadable(decodeSnapshot(message), internal::itemsPath, message.size());
@@ -435,10 +476,12 @@
             storeCalls_.onEra(snapshot->snapshot.position.era);
         }
         if (snapshot) {
+            // First, so that a lower version in the copy is not in force in between.
+            catalog_.onPeerDocuments(snapshot->inForce);
             catalog_.onPeerSnapshot(section, snapshot->snapshot, snapshot->storeUptime);
         }
     };
-    connectionPool_.submit(address, internal::itemsPath, pull.SerializeAsString(), std::move(callbacks));
+    connectionPool_.submit(address, internal::itemsPath, request.SerializeAsString(), std::move(callbacks));
 }
 
 void PeerGossip::onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message)
@@ -451,7 +494,7 @@
         }
     } else if (path == internal::itemsPath) {
         const auto section = Catalog::sectionOf(decodePullPrefix(message));
-        reply = section ? encodeSnapshot({catalog_.snapshot(*section), storeUptime()}) : std::string();
+        reply = section ? encodeSnapshot({catalog_.snapshot(*section), storeUptime(), catalog_.documentsBesideCopy(*section)}) : std::string();
     } else if (path == internal::zonePath) {
         const auto age = decodeZonePull(message);
         reply = age ? buildZoneTotals(*age) : std::string();
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -6,6 +6,7 @@
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/listdelta.h>
 #include <cyclamenspool/gateway/missedchange.h>
+#include <cyclamenspool/gateway/routinginquiry.h>
 #include <cyclamenspool/gateway/zonepulls.h>
 #include <cyclamenspool/wire/peerconnectionpool.h>
 #include <cyclamenspool/wire/peerserver.h>
@@ -31,6 +32,8 @@
 
 namespace cyclamenspool::gateway {
 
+struct StoreReport;
+
 /** @brief Status of another gateway, as the operator's status page shows it. */
 struct PeerStatus {
     std::string vm; /**< Name of its VM. */
@@ -148,7 +151,10 @@
     [[nodiscard]] bool isLiveInOwnZone(const Peer &peer, core::MonotonicTime now) const;
     [[nodiscard]] std::size_t exchangePeerCount() const;
     [[nodiscard]] core::MonotonicTime lastSign(const Peer &peer) const;
-    void pullIfOutdated(const std::string &address, Catalog::Section section, const member::StorePosition &position);
+    void onPeerStore(const std::string &address, const StoreReport &report);
+    [[nodiscard]] bool pullIfOutdated(const std::string &address, Catalog::Section section, const member::StorePosition &position);
+    void pull(const std::string &address, Catalog::Section section);
+    void applyLowestRouting();
     [[nodiscard]] bool isOverdue(Catalog::Section section, const member::StorePosition &position, core::MonotonicTime now);
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message);
     void expirePeers(core::MonotonicTime now);
@@ -157,6 +163,7 @@
     [[nodiscard]] std::size_t advertisedCount(std::size_t members) const;
     void refreshSharedUpdate(core::MonotonicTime now);
     [[nodiscard]] std::string buildUpdate(Peer &recipient);
+    [[nodiscard]] StoreReport storeReport() const;
     [[nodiscard]] std::chrono::milliseconds updatePeriod() const;
     [[nodiscard]] std::chrono::milliseconds tickPeriod() const;
     [[nodiscard]] std::chrono::milliseconds unresponsiveTimeout() const;
@@ -178,6 +185,7 @@
         std::uint64_t era = 0; /* of the peer's copy */
     };
     std::map<Catalog::Section, Pull> lastPulls_;
+    RoutingInquiry routingInquiry_;
     std::map<Catalog::Section, MissedChange> missedChanges_;
     StoreCalls storeCalls_;
     std::uint64_t lastUpdateId_ = 0;
--- a/src/cyclamenspool/gateway/peergossipzones.cpp
+++ b/src/cyclamenspool/gateway/peergossipzones.cpp
@@ -135,8 +135,7 @@
     if (!applyZoneTotals(totals, bytes)) {
         return;
     }
-    pullIfOutdated(totals.address(), Catalog::Section::OperatorConfig, operatorPositionIn(totals));
-    pullIfOutdated(totals.address(), Catalog::Section::Servers, serverPositionIn(totals));
+    onPeerStore(totals.address(), storeReportIn(totals));
     if (isOnDuty(totals.zone(), settings_.peerAddress, liveMembers())) {
         shareZoneTotals(totals);
     }
@@ -221,7 +220,7 @@
     addQuarantined(totals, quarantinedParts());
     setStoreUptime(totals, storeUptime());
     advertiseZonePeers(totals, now);
-    setPositions(totals, catalog_.changePosition(Catalog::Section::OperatorConfig), catalog_.changePosition(Catalog::Section::Servers));
+    setStoreReport(totals, storeReport());
     return totals.SerializeAsString();
 }
 
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -191,6 +191,9 @@
         result.snapshot.items.push_back({item.key(), item.value(), {copy.era(), item.revision()}, false});
     }
     result.storeUptime = storeUptimeIn(copy);
+    for (const auto &item : copy.in_force()) {
+        result.inForce.push_back({item.key(), item.value(), {}, item.deleted()});
+    }
     return result;
 }
 
@@ -203,6 +206,12 @@
         internal::setItem(*message.add_items(), item);
     }
     setStoreUptime(message, copy.storeUptime);
+    for (const auto &item : copy.inForce) {
+        auto *entry = message.add_in_force();
+        entry->set_key(item.key);
+        entry->set_value(item.value);
+        entry->set_deleted(item.isDeleted);
+    }
     return message.SerializeAsString();
 }
 
--- a/src/cyclamenspool/gateway/peermessages.h
+++ b/src/cyclamenspool/gateway/peermessages.h
@@ -113,6 +113,7 @@
 struct PeerSnapshot {
     member::StoreSnapshot snapshot;
     std::optional<StoreUptime> storeUptime; /**< Empty: not reported. */
+    std::vector<member::StoreItem> inForce; /**< Documents in force there that the copy holds in another form or not at all; without positions. */
 };
 
 /** @brief Decodes a peer's copy of the platform store's items. @param bytes Serialized message. @return Copy; empty if malformed. */
@@ -149,29 +150,36 @@
     message.mutable_store_uptime()->set_since_ms(internal::reportedAge(uptime->since, now));
 }
 
-/** @brief Returns the position of the latest change of the operator's documents in a message; of era 0 if its sender names none. */
-template<typename Message>
-[[nodiscard]] member::StorePosition operatorPositionIn(const Message &message)
-{
-    return {message.operator_era(), message.operator_revision()};
-}
+/** @brief What a gateway tells others of its copy of the store, and of what it has in force. */
+struct StoreReport {
+    /* The positions of the copies also rise without a change in their section, so that peers could not tell from them that they lack one. */
+    member::StorePosition operatorPosition; /**< Latest change of the operator's documents; of era 0 if the sender names none. */
+    member::StorePosition serverPosition; /**< Latest change of the list of backend servers; of era 0 if the sender names none. */
+    std::optional<std::uint64_t> routingVersion; /**< Of the routing document in force, whatever the copy holds; 0: none yet; empty: not named. */
+};
 
-/** @brief Returns the position of the latest change of the list of backend servers in a message; of era 0 if its sender names none. */
+/** @brief Returns what the sender of a message tells of the store. */
 template<typename Message>
-[[nodiscard]] member::StorePosition serverPositionIn(const Message &message)
+[[nodiscard]] StoreReport storeReportIn(const Message &message)
 {
-    return {message.server_era(), message.server_revision()};
+    StoreReport report{{message.operator_era(), message.operator_revision()}, {message.server_era(), message.server_revision()}, std::nullopt};
+    if (message.has_routing_version()) {
+        report.routingVersion = message.routing_version();
+    }
+    return report;
 }
 
-/** @brief Writes the positions of the latest changes to a message: those of the copies also rise without a change in their section, so that peers could not
- * tell from them that they lack one. */
+/** @brief Writes what this gateway tells of the store to a message. */
 template<typename Message>
-void setPositions(Message &message, const member::StorePosition &operatorPosition, const member::StorePosition &serverPosition)
+void setStoreReport(Message &message, const StoreReport &report)
 {
-    message.set_operator_era(operatorPosition.era);
-    message.set_operator_revision(operatorPosition.revision);
-    message.set_server_era(serverPosition.era);
-    message.set_server_revision(serverPosition.revision);
+    message.set_operator_era(report.operatorPosition.era);
+    message.set_operator_revision(report.operatorPosition.revision);
+    message.set_server_era(report.serverPosition.era);
+    message.set_server_revision(report.serverPosition.revision);
+    if (report.routingVersion) {
+        message.set_routing_version(*report.routingVersion);
+    }
 }
 
 /** @brief Decodes a peer's request for items. @param bytes Serialized message. @return Prefix of the requested keys; empty if malformed. */
--- /dev/null
+++ b/src/cyclamenspool/gateway/routinginquiry.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cyclamenspool/core/now.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace cyclamenspool::gateway {
+
+/**
+ * @brief Decides when a gateway asks a peer for the routing document in force there, and which versions it may put in force after its start. Without I/O; not
+ * thread safe.
+ *
+ * The store, and with it each gateway's copy, may have been restored from an older copy, so that only gateways that have run since before know the version in
+ * force. A gateway that starts waits until a peer has named a version in force, or all have failed to, for at most 1 s; and then for that version, for at most
+ * 3 s from its start.
+ */
+class RoutingInquiry
+{
+public:
+    /** @brief Versions of this gateway's routing documents. */
+    struct Versions {
+        std::uint64_t known = 0; /**< Highest known version, in force or not. */
+        std::uint64_t inForce = 0; /**< 0: none. */
+    };
+
+    /** @brief Begins the wait of a gateway that starts; without it there is nothing to wait for. @param peers Addresses of the peers that are asked. */
+    void start(std::set<std::string> peers, core::MonotonicTime now);
+
+    /** @brief Handles a peer's message. @param peer Its address. @param version Version in force there; 0: none yet; empty: not named. */
+    void onAnswered(const std::string &peer, std::optional<std::uint64_t> version);
+
+    /** @brief Handles a peer that could not be asked or did not answer; has no effect on one that has answered. @param peer Its address. */
+    void onFailed(const std::string &peer);
+
+    /** @brief Returns the lowest version that may be put in force; the highest number while none may. */
+    [[nodiscard]] std::uint64_t lowestVersion(core::MonotonicTime now) const noexcept;
+
+    /**
+     * @brief Returns whether to ask a peer for its document: at once for a version that was not asked for yet, again after 0.3 s, or 1 s once any is in force.
+     * @param version Version in force at the peer.
+     * @param own Versions here.
+     * @param hasLaterCopy True if the peer's copy of the store is later than the own one: a running gateway gets that copy, and the version with it.
+     * @param now Current time.
+     */
+    [[nodiscard]] bool isPullDue(std::uint64_t version, const Versions &own, bool hasLaterCopy, core::MonotonicTime now) const noexcept;
+
+    /** @brief Records that a peer was asked for its document. @param version Version in force there; 0: none, or not named. */
+    void onPull(std::uint64_t version, core::MonotonicTime now) noexcept;
+
+private:
+    std::set<std::string> unanswered_;
+    core::MonotonicTime startedAt_{};
+    std::uint64_t highestNamed_ = 0;
+    core::MonotonicTime pulledAt_{};
+    std::uint64_t pulledVersion_ = 0;
+};
+
+} // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/platform/documents.cpp
+++ b/src/cyclamenspool/platform/documents.cpp
@@ -15,7 +15,6 @@
 
 namespace internal {
 
-constexpr std::string_view routingKey = "op/config";
 constexpr std::string_view evacuationPrefix = "op/evacuate/";
 constexpr double maxExactInteger = 9e15; /* below 2^53, up to which a double holds every integer exactly */
 constexpr double maxCount = 2147483647; /* highest int */
@@ -271,7 +270,7 @@
 
 Document decode(const member::StoreItem &item)
 {
-    if (item.key == internal::routingKey) {
+    if (item.key == routingKey) {
         return item.isDeleted ? Document(IgnoredItem{}) : Document(internal::routingOf(item.value));
     }
     if (boost::starts_with(item.key, internal::evacuationPrefix)) {
--- a/src/cyclamenspool/platform/documents.h
+++ b/src/cyclamenspool/platform/documents.h
@@ -40,6 +40,9 @@
 /** @brief Prefix of the keys that operators write: the routing configuration and zone evacuations. */
 inline constexpr std::string_view operatorPrefix = "op/";
 
+/** @brief Key of the routing configuration. */
+inline constexpr std::string_view routingKey = "op/config";
+
 /** @brief Prefix of the backend servers' entries; the server's id follows. */
 inline constexpr std::string_view serverPrefix = "servers/";
 
--- a/test/gateway/listdelta.cpp
+++ b/test/gateway/listdelta.cpp
@@ -296,7 +296,7 @@
     CHECK(copy.availabilityOf("s9") == Availability::Count);
     CHECK(copy.catalog.position(Catalog::Section::Servers) == member::StorePosition(2, 9));
     // Its own copy keeps its era on the wire.
-    const auto sent = gateway::decodeSnapshot(gateway::encodeSnapshot({copy.catalog.snapshot(Catalog::Section::Servers), {}}));
+    const auto sent = gateway::decodeSnapshot(gateway::encodeSnapshot({copy.catalog.snapshot(Catalog::Section::Servers), {}, {}}));
     REQUIRE(sent);
     CHECK(sent->snapshot.position == member::StorePosition(2, 9));
     CHECK(sent->snapshot.items.front().position == member::StorePosition(2, 3));
@@ -362,15 +362,20 @@
     wire::GatewayNews update;
     update.set_operator_revision(900);
     update.set_server_revision(901);
-    CHECK(gateway::operatorPositionIn(update) == member::StorePosition(0, 900));
-    CHECK(gateway::serverPositionIn(update) < member::StorePosition(1, 1));
-    gateway::setPositions(update, {2, 10}, {3, 11});
+    const auto older = gateway::storeReportIn(update);
+    CHECK(older.operatorPosition == member::StorePosition(0, 900));
+    CHECK(older.serverPosition < member::StorePosition(1, 1));
+    CHECK_FALSE(older.routingVersion);
+    gateway::setStoreReport(update, {{2, 10}, {3, 11}, 0});
     wire::GatewayNews received;
     REQUIRE(received.ParseFromString(update.SerializeAsString()));
-    CHECK(gateway::operatorPositionIn(received) == member::StorePosition(2, 10));
-    CHECK(gateway::serverPositionIn(received) == member::StorePosition(3, 11));
+    const auto report = gateway::storeReportIn(received);
+    CHECK(report.operatorPosition == member::StorePosition(2, 10));
+    CHECK(report.serverPosition == member::StorePosition(3, 11));
+    CHECK(report.routingVersion == 0U);
     CHECK(received.operator_revision() == 10);
     wire::ZoneTotals totals;
-    gateway::setPositions(totals, {2, 10}, {3, 11});
-    CHECK(gateway::serverPositionIn(totals) == member::StorePosition(3, 11));
+    gateway::setStoreReport(totals, {{2, 10}, {3, 11}, 7});
+    CHECK(gateway::storeReportIn(totals).serverPosition == member::StorePosition(3, 11));
+    CHECK(gateway::storeReportIn(totals).routingVersion == 7U);
 }
--- /dev/null
+++ b/test/gateway/routinginquiry.cpp
@@ -0,0 +1,94 @@
+#include <catch2/catch.hpp>
+
+#include <cyclamenspool/gateway/routinginquiry.h>
+
+#include <limits>
+#include <optional>
+
+using namespace cyclamenspool;
+using namespace std::chrono_literals;
+using gateway::RoutingInquiry;
+
+namespace {
+
+const core::MonotonicTime start = core::MonotonicTime() + 1h;
+constexpr auto none = std::numeric_limits<std::uint64_t>::max();
+
+/** @brief An inquiry of a gateway that starts and asks two peers. */
+RoutingInquiry startedInquiry()
+{
+    RoutingInquiry inquiry;
+    inquiry.start({"a", "b"}, start);
+    return inquiry;
+}
+
+} // namespace
+
+// Guards against a start with what a restored store holds, before any peer could name the version in force.
+TEST_CASE("routing inquiry: a gateway that starts waits for a version that a peer has in force", "[gateway][era]")
+{
+    auto inquiry = startedInquiry();
+    CHECK(inquiry.lowestVersion(start) == none);
+    // Peers that start too, or are of the version before, know nothing.
+    inquiry.onAnswered("a", GENERATE(std::optional<std::uint64_t>(), std::optional<std::uint64_t>(0)));
+    CHECK(inquiry.lowestVersion(start + 1ms) == none);
+    inquiry.onAnswered("b", 3);
+    CHECK(inquiry.lowestVersion(start + 2ms) == 3);
+    inquiry.onAnswered("c", 4);
+    inquiry.onAnswered("a", 2);
+    CHECK(inquiry.lowestVersion(start + 3ms) == 4);
+    inquiry.onFailed("b");
+    CHECK(inquiry.lowestVersion(start + 4ms) == 4);
+}
+
+// Guards against gateways that wait for each other after all were killed, and against one that waits for a frozen peer or for a document that nobody has.
+TEST_CASE("routing inquiry: a gateway starts without a word of its peers once all have failed or know none, or after a second", "[gateway][era]")
+{
+    CHECK(RoutingInquiry().lowestVersion(start) == 0);
+    auto alone = startedInquiry();
+    alone.start({}, start);
+    CHECK(alone.lowestVersion(start) == 0);
+    auto inquiry = startedInquiry();
+    inquiry.onFailed("a");
+    CHECK(inquiry.lowestVersion(start + 1ms) == none);
+    SECTION("the other one starts too")
+    {
+        inquiry.onAnswered("b", 0);
+        CHECK(inquiry.lowestVersion(start + 2ms) == 0);
+    }
+    SECTION("the other one does not answer")
+    {
+        CHECK(inquiry.lowestVersion(start + 999ms) == none);
+        CHECK(inquiry.lowestVersion(start + 1s) == 0);
+    }
+    SECTION("the other one names a version that no gateway can give")
+    {
+        inquiry.onAnswered("b", 9);
+        CHECK(inquiry.lowestVersion(start + 2999ms) == 9);
+        CHECK(inquiry.lowestVersion(start + 3s) == 0);
+    }
+}
+
+// Guards against a document that each gateway reads from a peer although its own call to the store returns it.
+TEST_CASE("routing inquiry: a running gateway asks for a version that no copy holds, one that starts for any", "[gateway][era]")
+{
+    RoutingInquiry inquiry;
+    CHECK(inquiry.isPullDue(3, {2, 2}, false, start));
+    CHECK_FALSE(inquiry.isPullDue(3, {2, 2}, true, start));
+    CHECK_FALSE(inquiry.isPullDue(3, {3, 3}, false, start));
+    CHECK_FALSE(inquiry.isPullDue(0, {0, 0}, false, start));
+    CHECK(inquiry.isPullDue(3, {2, 0}, true, start));
+    CHECK_FALSE(inquiry.isPullDue(3, {3, 0}, true, start));
+}
+
+// Guards against a document that cannot be read here and is asked for with each message, and against a wait for the next version.
+TEST_CASE("routing inquiry: a version is asked for again after a time, a higher one at once", "[gateway][era]")
+{
+    RoutingInquiry inquiry;
+    inquiry.onPull(3, start);
+    CHECK_FALSE(inquiry.isPullDue(3, {2, 2}, false, start + 999ms));
+    CHECK(inquiry.isPullDue(3, {2, 2}, false, start + 1s));
+    CHECK(inquiry.isPullDue(4, {2, 2}, false, start + 1ms));
+    CHECK_FALSE(inquiry.isPullDue(3, {2, 0}, false, start + 299ms));
+    CHECK(inquiry.isPullDue(3, {2, 0}, false, start + 300ms));
+}
--- a/test/gateway/storeavailability.cpp
+++ b/test/gateway/storeavailability.cpp
@@ -129,7 +129,7 @@
     const auto now = std::chrono::steady_clock::now();
     for (const auto age : {0h, 1h, 2000h, 90000h}) {
         CAPTURE(age.count());
-        const auto copy = gateway::decodeSnapshot(gateway::encodeSnapshot({{{}, {0, 7}}, StoreUptime{now - age, now}}));
+        const auto copy = gateway::decodeSnapshot(gateway::encodeSnapshot({{{}, {0, 7}}, StoreUptime{now - age, now}, {}}));
         REQUIRE(copy);
         REQUIRE(copy->storeUptime);
         CHECK(now - copy->storeUptime->since >= std::min<std::chrono::hours>(age, 1h) - 1s);
--- a/test/process/storerestore.cpp
+++ b/test/process/storerestore.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <string>
@@ -171,6 +172,35 @@
     return copy;
 }
 
+/** @brief Returns whether a gateway's copies are those of an era of the store. */
+bool isOfEra(const GatewayFleet::Gateway &gateway, int era)
+{
+    harness::HttpRequest call;
+    call.address = gateway.metricsAddress;
+    call.target = "/metrics";
+    const auto metrics = harness::sendRequest(call).body;
+    const auto isNamed = [&metrics, era](const std::string &section) {
+        return metrics.find("cyclamenspool_store_era{section=\"" + section + "\"} " + std::to_string(era) + '\n') != std::string::npos;
+    };
+    return isNamed("op/") && isNamed("servers/");
+}
+
+/** @brief Kills gateways, starts them again and waits until they are ready. @param indices Indices of the gateways. */
+void killAndStart(GatewayFleet &fleet, const std::vector<std::size_t> &indices)
+{
+    for (const auto i : indices) {
+        fleet.gateways[i].process.kill();
+    }
+    for (const auto i : indices) {
+        fleet.start(fleet.gateways[i]);
+    }
+    REQUIRE(LocalFleet::waitUntil([&] {
+        return std::all_of(indices.begin(), indices.end(), [&fleet](std::size_t i) {
+            return GatewayFleet::isReady(fleet.gateways[i]);
+        });
+    }));
+}
+
 /** @brief Returns the number of requests that reach a server during a time. */
 int countRuns(GatewayFleet &fleet, std::size_t server, std::chrono::milliseconds time)
 {
@@ -413,11 +443,7 @@
     const auto copy = loseRevocation(fleet);
     const Prober revoked(fleet, "revoked", "key-old");
     restore(fleet.store, copy, absence);
-    fleet.gateways[2].process.kill();
-    fleet.start(fleet.gateways[2]);
-    REQUIRE(LocalFleet::waitUntil([&fleet] {
-        return GatewayFleet::isReady(fleet.gateways[2]);
-    }));
+    killAndStart(fleet, {2});
     std::this_thread::sleep_for(rewriteDelay);
     fleet.publishRouting(3, "pool", {"key-1"});
     fleet.publishRouting(4, "pool", {"key-1", "key-4"});
@@ -425,6 +451,46 @@
     CHECK(revoked.accepted() == 0);
 }
 
+// As above, once no copy of the fleet holds version 3 any more; one gateway that has it in force is left.
+TEST_CASE("a store restored from an older copy: gateways that start once all copies are restored handle no request by a version that a peer has left behind",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 1, zones);
+    const auto copy = loseRevocation(fleet);
+    const Prober revoked(fleet, "revoked", "key-old");
+    restore(fleet.store, copy, absence);
+    REQUIRE(LocalFleet::waitUntil([&fleet] {
+        return std::all_of(fleet.gateways.begin(), fleet.gateways.end(), [](const auto &gateway) {
+            return isOfEra(gateway, 2);
+        });
+    }));
+    killAndStart(fleet, {1, 2});
+    CHECK(waitForKeyEverywhere(fleet, "key-1"));
+    // The gateways that have learned it can pass it on in their turn.
+    killAndStart(fleet, {0});
+    CHECK(waitForKeyEverywhere(fleet, "key-1"));
+    CHECK(revoked.accepted() == 0);
+    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    CHECK(waitForKeyEverywhere(fleet, "key-4"));
+    CHECK(revoked.accepted() == 0);
+}
+
+// Guards against gateways that wait for each other's word on a version that none of them has in force any more.
+TEST_CASE("a store restored from an older copy: gateways that all start after it serve by the restored version within two seconds", "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 1, zones);
+    const auto copy = loseRevocation(fleet);
+    restore(fleet.store, copy, absence);
+    const auto killed = std::chrono::steady_clock::now();
+    killAndStart(fleet, {0, 1, 2});
+    CHECK(waitForKeyEverywhere(fleet, "key-old"));
+    CHECK(std::chrono::steady_clock::now() - killed < changeBound);
+}
+
 // Guards against an evacuation that ends because the copy lacks it, and against one that does not end any more.
 TEST_CASE("a store restored from an older copy: an evacuation begun in the lost seconds stays in force and ends when it is removed",
           "[process][gateway][store]")
