A gateway that starts is told of servers that left or were removed

Cause: as with the routing version, a gateway that starts after the store came back from an older copy learned only the copy, which lists servers as ready that left or were removed in the lost seconds. Its peers withhold those entries but told nobody.

Change: the reply to a gateway without a version in force names the processes of servers that leave or were removed within five minutes (id, start, sequence; at most 512). The receiver withholds older entries of them until the store shows a further write, whichever of the list and the reply comes first. Only a reply ends the wait of a gateway that starts, so that the list is there before its first request; any message still names a version.

Evacuations of the lost seconds are still not told.

--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -31,6 +31,14 @@
 constexpr double othersFactor = 1.5; /* multiplies the mean of the other servers' failure ratios */
 constexpr double maxSuspectFraction = 0.34; /* failure ratios make no further server suspect once this fraction of the service's servers is suspect */
 
+constexpr std::size_t maxProcessReports = 512; /* 20 KB in one reply to a gateway that starts */
+
+KnownProcess processOf(const ServerState &server)
+{
+    const auto &entry = server.entry;
+    return {entry.startedUnixMs, entry.sequence, entry.leaving, server.statements.isLeaving(), false, false};
+}
+
 } // namespace internal
 
 std::uint32_t serverHash(const std::string &id) noexcept
@@ -54,10 +62,9 @@
 {
     const auto server = find(id);
     if (server == nullptr) {
-        return staleEntries_.removedProcess(id, now);
+        return staleEntries_.rememberedProcess(id, now);
     }
-    const auto &entry = server->entry;
-    return KnownProcess{entry.startedUnixMs, entry.sequence, entry.leaving, server->statements.isLeaving(), false};
+    return internal::processOf(*server);
 }
 
 bool Fleet::onServerListed(const world::BackendServer &entry, core::MonotonicTime now)
@@ -154,10 +161,14 @@
 }
 
 void Fleet::removeServer(std::map<std::string, ServerPtr>::iterator known, core::MonotonicTime now)
+{
+    staleEntries_.onRemoved(known->first, internal::processOf(*known->second), now);
+    takeOut(known);
+}
+
+void Fleet::takeOut(std::map<std::string, ServerPtr>::iterator known)
 {
     const auto &[id, server] = *known;
-    const auto &entry = server->entry;
-    staleEntries_.onRemoved(id, {entry.startedUnixMs, entry.sequence, entry.leaving, server->statements.isLeaving(), true}, now);
     server->isRemoved = true;
     removeFromService(server);
     idsByHash_.erase(serverHash(id));
@@ -445,6 +456,38 @@
     }
 }
 
+std::vector<ProcessReport> Fleet::goneProcesses(core::MonotonicTime now) const
+{
+    auto reports = staleEntries_.rememberedProcesses(now);
+    for (const auto &[id, server] : servers_) {
+        if (server->entry.leaving || server->statements.isLeaving()) {
+            reports.push_back({id, internal::processOf(*server)});
+        }
+    }
+    // Those that leave come last and may still take requests.
+    const auto surplus = reports.size() - std::min(reports.size(), internal::maxProcessReports);
+    reports.erase(reports.begin(), reports.begin() + static_cast<std::ptrdiff_t>(surplus));
+    return reports;
+}
+
+void Fleet::onPeerProcess(const ProcessReport &report, core::MonotonicTime now)
+{
+    const auto known = servers_.find(report.server);
+    if (known != servers_.end()) {
+        auto process = report.process;
+        process.isReported = true;
+        const auto entry = known->second->entry;
+        if (!staleEntries_.withhold(entry, process, now)) {
+            if (process.saysLeaving && entry.startedUnixMs == process.startedUnixMs) {
+                known->second->statements.onReportedLeaving();
+            }
+            return;
+        }
+        takeOut(known);
+    }
+    staleEntries_.onReported(report, now);
+}
+
 Availability Fleet::availabilityOf(const ServerState &server, core::MonotonicTime now) const
 {
     const bool isExpired = server.entryExpiredAt && !store_.mayEntryHaveExpired(now);
--- a/src/cyclamenspool/gateway/fleet.h
+++ b/src/cyclamenspool/gateway/fleet.h
@@ -161,6 +161,13 @@
     /** @brief Handles another gateway's report of a statement; ignored if it is about another process of the backend server. */
     void onPeerStatement(const ServerStatementReport &report);
 
+    /** @brief Returns the processes that leave, or were removed within the last five minutes, to tell a gateway that starts: at most 512. */
+    [[nodiscard]] std::vector<ProcessReport> goneProcesses(core::MonotonicTime now) const;
+
+    /** @brief Handles another gateway's report of a process that leaves or was removed: the store may have been restored from a copy that lists it as usable.
+     * An entry that is older than that is taken out until it is written again. */
+    void onPeerProcess(const ProcessReport &report, core::MonotonicTime now);
+
     /** @brief Returns this gateway's requests in flight; backend servers without any are left out. */
     [[nodiscard]] std::vector<ServerLoad> loads() const;
 
@@ -207,6 +214,7 @@
     bool applyEntry(const world::BackendServer &entry, const std::optional<KnownProcess> &known, core::MonotonicTime now);
     [[nodiscard]] bool applyWithheldEntry(std::uint32_t hash, core::MonotonicTime now);
     void removeServer(std::map<std::string, ServerPtr>::iterator known, core::MonotonicTime now);
+    void takeOut(std::map<std::string, ServerPtr>::iterator known);
     void endEvacuation(const std::string &zone);
     void removeFromService(const ServerPtr &server);
     void updatePeerLoads(const std::vector<std::string> &servers);
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -211,8 +211,10 @@
     wire::StreamCallbacks callbacks;
     callbacks.onMessage = [this](const std::string &message) {
         const auto update = internal::logIfUnreadable(decodePeerUpdate(message), internal::updatePath, message.size());
-        if (update) {
-            onUpdate(*update);
+        if (update && onUpdate(*update)) {
+            // Only a reply tells a gateway that starts all that it has to know.
+            routingInquiry_.onAnswered(update->address(), storeReportIn(*update).routingVersion);
+            applyLowestRouting();
         }
     };
     callbacks.onEnd = [this, address, updateId = peer.updateId](const wire::StreamEnd &) {
@@ -282,6 +284,11 @@
         entry->set_backend_server(placement.server);
     }
     setStoreReport(update, storeReport());
+    if (recipient.isStarting) {
+        dispatcher_.withFleet([&update](const Fleet &fleet, core::MonotonicTime time) {
+            addGoneProcesses(update, fleet.goneProcesses(time));
+        });
+    }
     update.set_store_unavailable(catalog_.isStoreUnavailable(Catalog::Section::Servers));
     setStoreUptime(update, storeUptime());
     // Concatenated protobuf messages parse as one merged message.
@@ -335,6 +342,8 @@
     auto &peer = peers_[update.address()];
     onPeerMessage(peer, update.address(), update.vm(), update.zone());
     peer.isStoreUnavailable = update.store_unavailable();
+    peer.isStarting = storeReportIn(update).routingVersion == 0U;
+    applyGoneProcesses(update);
     if (!isOtherZone(peer)) {
         applyLoads(update);
     }
@@ -377,6 +386,19 @@
     });
 }
 
+void PeerGossip::applyGoneProcesses(const wire::GatewayNews &update)
+{
+    const auto reports = goneProcessesIn(update);
+    if (reports.empty()) {
+        return;
+    }
+    dispatcher_.withFleet([&reports](Fleet &fleet, core::MonotonicTime now) {
+        for (const auto &report : reports) {
+            fleet.onPeerProcess(report, now);
+        }
+    });
+}
+
 std::optional<StoreUptime> PeerGossip::storeUptime() const
 {
     std::optional<StoreUptime> uptime;
@@ -427,9 +449,9 @@
 void PeerGossip::onPeerStore(const std::string &address, const StoreReport &report)
 {
     const auto now = std::chrono::steady_clock::now();
-    routingInquiry_.onAnswered(address, report.routingVersion);
-    applyLowestRouting();
     const auto version = report.routingVersion.value_or(0);
+    routingInquiry_.onNamed(version);
+    applyLowestRouting();
     const RoutingInquiry::Versions own{catalog_.knownRoutingVersion(), catalog_.routingVersion()};
     const bool hasLaterCopy = report.operatorPosition > catalog_.position(Catalog::Section::OperatorConfig);
     if (pullIfOutdated(address, Catalog::Section::OperatorConfig, report.operatorPosition)) {
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -117,6 +117,7 @@
         bool isReplyPending = false; /* an update was sent and its reply has not arrived */
         bool isSeed = false;
         bool isStoreUnavailable = false; /* as the peer itself reports */
+        bool isStarting = false; /* it has no routing in force yet, as it reports */
         bool hasFullPeerList = false; /* all peers were advertised to it; from then on a few per update, in rotation */
         std::string lastAdvertised; /* address of the peer advertised to it last; the rotation continues after it */
         std::uint64_t updateId = 0; /* latest update that this gateway sent first */
@@ -144,6 +145,7 @@
     void passOn(const std::vector<std::string> &addresses, const char *path, const std::string &message);
     [[nodiscard]] std::vector<std::string> liveMembers() const;
     void applyLoads(const wire::GatewayNews &update);
+    void applyGoneProcesses(const wire::GatewayNews &update);
     [[nodiscard]] std::optional<StoreUptime> storeUptime() const;
     void applyStoreUptime(const std::optional<StoreUptime> &uptime);
     [[nodiscard]] std::string buildZoneTotals(core::Milliseconds placementAge);
--- a/src/cyclamenspool/gateway/peermessages.cpp
+++ b/src/cyclamenspool/gateway/peermessages.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/gateway/peermessages.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenspool::gateway {
 
@@ -9,6 +10,7 @@
 constexpr std::uint32_t maxOutstanding = 1000000; /* highest number of descriptors that the settings allow a process */
 constexpr std::uint32_t maxGateways = 100000; /* in one zone */
 constexpr int maxPassTo = 1000; /* gateways in one group of a zone */
+constexpr std::size_t maxGoneProcesses = 1024;
 constexpr std::int64_t maxLoadAge = 3600000; /* milliseconds, summed over the gateways of a zone */
 
 void setItem(wire::ListedItem &entry, const member::StoreItem &item)
@@ -75,6 +77,41 @@
     return internal::suspicionsIn(totals);
 }
 
+std::vector<ProcessReport> goneProcessesIn(const wire::GatewayNews &update)
+{
+    std::vector<ProcessReport> reports;
+    for (const auto &entry : update.gone()) {
+        if (reports.size() == internal::maxGoneProcesses) {
+            break;
+        }
+        ProcessReport report{entry.backend_server(), {}};
+        report.process.startedUnixMs = entry.started_unix_ms();
+        if (entry.has_sequence()) {
+            report.process.sequence = entry.sequence();
+        }
+        report.process.isLeaving = entry.entry_leaving();
+        report.process.saysLeaving = entry.says_leaving();
+        report.process.isRemoved = entry.removed();
+        reports.push_back(std::move(report));
+    }
+    return reports;
+}
+
+void addGoneProcesses(wire::GatewayNews &update, const std::vector<ProcessReport> &reports)
+{
+    for (const auto &report : reports) {
+        auto *entry = update.add_gone();
+        entry->set_backend_server(report.server);
+        entry->set_started_unix_ms(report.process.startedUnixMs);
+        if (report.process.sequence) {
+            entry->set_sequence(*report.process.sequence);
+        }
+        entry->set_entry_leaving(report.process.isLeaving);
+        entry->set_says_leaving(report.process.saysLeaving);
+        entry->set_removed(report.process.isRemoved);
+    }
+}
+
 void encodeSuspicion(const Suspicion &suspicion, wire::Suspicion &entry)
 {
     entry.set_backend_server(suspicion.server);
--- a/src/cyclamenspool/gateway/peermessages.h
+++ b/src/cyclamenspool/gateway/peermessages.h
@@ -25,6 +25,12 @@
 /** @brief Returns the suspected backend servers in a zone's totals, each with the remaining duration of the suspicion. */
 [[nodiscard]] std::vector<Suspicion> suspicionsOf(const wire::ZoneTotals &totals);
 
+/** @brief Returns the processes that leave or were removed in a peer update, at most 1024. */
+[[nodiscard]] std::vector<ProcessReport> goneProcessesIn(const wire::GatewayNews &update);
+
+/** @brief Writes processes that leave or were removed to a peer update. */
+void addGoneProcesses(wire::GatewayNews &update, const std::vector<ProcessReport> &reports);
+
 /** @brief Writes a suspected backend server to an entry of a message. */
 void encodeSuspicion(const Suspicion &suspicion, wire::Suspicion &entry);
 
--- a/src/cyclamenspool/gateway/routinginquiry.cpp
+++ b/src/cyclamenspool/gateway/routinginquiry.cpp
@@ -24,7 +24,13 @@
 void RoutingInquiry::onAnswered(const std::string &peer, std::optional<std::uint64_t> version)
 {
     unanswered_.erase(peer);
-    highestNamed_ = std::max(highestNamed_, version.value_or(0));
+    isTold_ = isTold_ || version.value_or(0) > 0;
+    onNamed(version.value_or(0));
+}
+
+void RoutingInquiry::onNamed(std::uint64_t version) noexcept
+{
+    highestNamed_ = std::max(highestNamed_, version);
 }
 
 void RoutingInquiry::onFailed(const std::string &peer)
@@ -34,7 +40,7 @@
 
 std::uint64_t RoutingInquiry::lowestVersion(core::MonotonicTime now) const noexcept
 {
-    if (highestNamed_ == 0 && !unanswered_.empty() && now < startedAt_ + internal::answerTime) {
+    if (!isTold_ && !unanswered_.empty() && now < startedAt_ + internal::answerTime) {
         return std::numeric_limits<std::uint64_t>::max();
     }
     return now < startedAt_ + internal::documentTime ? highestNamed_ : 0;
--- a/src/cyclamenspool/gateway/routinginquiry.h
+++ b/src/cyclamenspool/gateway/routinginquiry.h
@@ -14,8 +14,8 @@
  * thread safe.
  *
  * The store, and with it each gateway's copy, may have been restored from an older copy, so that only gateways that have run since before know the version in
- * force. A gateway that starts waits until a peer has named a version in force, or all have failed to, for at most 1 s; and then for that version, for at most
- * 3 s from its start.
+ * force. A gateway that starts waits until a peer that has a version in force has replied, or no peer is left that may, for at most 1 s; and then for the
+ * highest version that was named, for at most 3 s from its start.
  */
 class RoutingInquiry
 {
@@ -29,7 +29,11 @@
     /** @brief Begins the wait of a gateway that starts; without it there is nothing to wait for. @param peers Addresses of the peers that are asked. */
     void start(std::set<std::string> peers, core::MonotonicTime now);
 
-    /** @brief Handles a peer's message. @param peer Its address. @param version Version in force there; 0: none yet; empty: not named. */
+    /** @brief Handles any message of a peer. @param version Version in force there; 0: none yet, or not named. */
+    void onNamed(std::uint64_t version) noexcept;
+
+    /** @brief Handles a peer's reply to a message of this gateway. @param peer Its address. @param version Version in force there; 0: none yet; empty: not
+     * named. */
     void onAnswered(const std::string &peer, std::optional<std::uint64_t> version);
 
     /** @brief Handles a peer that could not be asked or did not answer; has no effect on one that has answered. @param peer Its address. */
@@ -53,6 +57,7 @@
 private:
     std::set<std::string> unanswered_;
     core::MonotonicTime startedAt_{};
+    bool isTold_ = false; /* by a peer with a version in force */
     std::uint64_t highestNamed_ = 0;
     core::MonotonicTime pulledAt_{};
     std::uint64_t pulledVersion_ = 0;
--- a/src/cyclamenspool/gateway/staleentries.cpp
+++ b/src/cyclamenspool/gateway/staleentries.cpp
@@ -10,7 +10,7 @@
 namespace internal {
 
 constexpr std::chrono::minutes staleTime{5}; /* far longer than the age of a copy and the time in which the entry of a silent server expires */
-constexpr std::size_t maxRemoved = 1024; /* about 100 bytes each */
+constexpr std::size_t maxRemembered = 1024; /* about 100 bytes each */
 
 bool isWithin(const std::optional<core::MonotonicTime> &begin, core::MonotonicTime now)
 {
@@ -30,25 +30,54 @@
 
 void StaleEntries::onRemoved(const std::string &id, const KnownProcess &process, core::MonotonicTime now)
 {
-    std::erase_if(removed_, [now](const auto &each) {
-        return !internal::isWithin(each.second.removedAt, now);
+    auto removed = process;
+    removed.isRemoved = true;
+    remember(id, removed, now);
+}
+
+void StaleEntries::onReported(const ProcessReport &report, core::MonotonicTime now)
+{
+    const auto known = rememberedProcess(report.server, now);
+    const bool isLater = !known || report.process.startedUnixMs > known->startedUnixMs;
+    const bool isEqual = known && report.process.startedUnixMs == known->startedUnixMs;
+    if (isLater || (isEqual && report.process.isRemoved && !known->isRemoved)) {
+        auto reported = report.process;
+        reported.isReported = true;
+        remember(report.server, reported, now);
+    }
+}
+
+void StaleEntries::remember(const std::string &id, const KnownProcess &process, core::MonotonicTime now)
+{
+    std::erase_if(remembered_, [now](const auto &each) {
+        return !internal::isWithin(each.second.since, now);
     });
-    removed_[id] = {process, now};
-    removed_[id].process.isRemoved = true;
-    if (removed_.size() > internal::maxRemoved) {
-        removed_.erase(std::min_element(removed_.begin(), removed_.end(), [](const auto &left, const auto &right) {
-            return left.second.removedAt < right.second.removedAt;
+    remembered_[id] = {process, now};
+    if (remembered_.size() > internal::maxRemembered) {
+        remembered_.erase(std::min_element(remembered_.begin(), remembered_.end(), [](const auto &left, const auto &right) {
+            return left.second.since < right.second.since;
         }));
     }
 }
 
-std::optional<KnownProcess> StaleEntries::removedProcess(const std::string &id, core::MonotonicTime now) const
+std::optional<KnownProcess> StaleEntries::rememberedProcess(const std::string &id, core::MonotonicTime now) const
 {
-    const auto found = removed_.find(id);
-    const bool isKnown = found != removed_.end() && internal::isWithin(found->second.removedAt, now);
+    const auto found = remembered_.find(id);
+    const bool isKnown = found != remembered_.end() && internal::isWithin(found->second.since, now);
     return isKnown ? std::optional(found->second.process) : std::nullopt;
 }
 
+std::vector<ProcessReport> StaleEntries::rememberedProcesses(core::MonotonicTime now) const
+{
+    std::vector<ProcessReport> processes;
+    for (const auto &[id, each] : remembered_) {
+        if (internal::isWithin(each.since, now)) {
+            processes.push_back({id, each.process});
+        }
+    }
+    return processes;
+}
+
 bool StaleEntries::isWrittenAgain(const world::BackendServer &entry) const
 {
     const auto found = withheld_.find(serverHash(entry.id));
@@ -57,7 +86,7 @@
 
 bool StaleEntries::isStale(const world::BackendServer &entry, const KnownProcess &known, core::MonotonicTime now) const
 {
-    const bool mayBeRestored = internal::isWithin(restoredAt_, now) && !isWrittenAgain(entry);
+    const bool mayBeRestored = (known.isReported || internal::isWithin(restoredAt_, now)) && !isWrittenAgain(entry);
     if (entry.startedUnixMs != known.startedUnixMs) {
         // Without a restore, the clock of the server was set back.
         return mayBeRestored && entry.startedUnixMs != 0 && entry.startedUnixMs < known.startedUnixMs;
@@ -96,7 +125,7 @@
 void StaleEntries::onListed(const std::string &id)
 {
     dropWithheld(id);
-    removed_.erase(id);
+    remembered_.erase(id);
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/staleentries.h
+++ b/src/cyclamenspool/gateway/staleentries.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cyclamenspool::gateway {
 
@@ -18,6 +19,13 @@
     bool isLeaving = false; /**< Its entry said so. */
     bool saysLeaving = false; /**< Its responses said so. */
     bool isRemoved = false; /**< Its entry was removed from the store. */
+    bool isReported = false; /**< Known from another gateway, as this one has started since. */
+};
+
+/** @brief What gateways tell one that starts of a process that leaves or was removed. */
+struct ProcessReport {
+    std::string server; /**< Id of its backend server. */
+    KnownProcess process;
 };
 
 /**
@@ -37,8 +45,15 @@
     /** @brief Records the removal of a process from the fleet. @param id Id of its backend server. @param process Process. @param now Current time. */
     void onRemoved(const std::string &id, const KnownProcess &process, core::MonotonicTime now);
 
-    /** @brief Returns the removed process of a backend server; empty if none is remembered. */
-    [[nodiscard]] std::optional<KnownProcess> removedProcess(const std::string &id, core::MonotonicTime now) const;
+    /** @brief Records another gateway's report of a process that leaves or was removed; ignored if a later process, or the removal of the same one, is
+     * remembered. @param report Report about a backend server that is not in the fleet. @param now Current time. */
+    void onReported(const ProcessReport &report, core::MonotonicTime now);
+
+    /** @brief Returns the process of a backend server that is not in the fleet; empty if none is remembered. */
+    [[nodiscard]] std::optional<KnownProcess> rememberedProcess(const std::string &id, core::MonotonicTime now) const;
+
+    /** @brief Returns all remembered processes, to tell a gateway that starts. */
+    [[nodiscard]] std::vector<ProcessReport> rememberedProcesses(core::MonotonicTime now) const;
 
     /**
      * @brief Decides whether a listed entry is withheld; if so, it is kept until the server writes it again.
@@ -59,16 +74,17 @@
     void onListed(const std::string &id);
 
 private:
-    struct RemovedProcess {
+    struct RememberedProcess {
         KnownProcess process;
-        core::MonotonicTime removedAt{};
+        core::MonotonicTime since{}; /* its removal or report */
     };
 
+    void remember(const std::string &id, const KnownProcess &process, core::MonotonicTime now);
     [[nodiscard]] bool isStale(const world::BackendServer &entry, const KnownProcess &known, core::MonotonicTime now) const;
     [[nodiscard]] bool isWrittenAgain(const world::BackendServer &entry) const;
 
     std::optional<core::MonotonicTime> restoredAt_;
-    std::map<std::string, RemovedProcess> removed_; /* by id */
+    std::map<std::string, RememberedProcess> remembered_; /* by id; of servers that are not in the fleet */
     std::map<std::uint32_t, world::BackendServer> withheld_; /* by serverHash() of the id */
 };
 
--- a/test/gateway/fleetrestore.cpp
+++ b/test/gateway/fleetrestore.cpp
@@ -2,7 +2,9 @@
 
 #include <cyclamenspool/gateway/catalog.h>
 #include <cyclamenspool/gateway/fleet.h>
+#include <cyclamenspool/gateway/peermessages.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -568,3 +570,159 @@
     fleet.onServerListed(entryOf(10, 71), restored + 6s);
     CHECK(fleet.isUsed(restored + 6s));
 }
+
+namespace {
+
+/** @brief A gateway that starts after the restore, and one that has run since before and tells it what it knows. */
+struct StartedBeside {
+    RestoredFleet running;
+    RestoredFleet started;
+
+    /** @brief Lists s0 at the running gateway, then lets it leave or be removed, and restores the store. */
+    explicit StartedBeside(bool isRemoved)
+    {
+        running.onServerListed(entryOf(8, 80), start);
+        running.onServerListed(entryOf(9, 90, true), start + 1s);
+        if (isRemoved) {
+            running.onServerRemoved("s0", start + 2s);
+        }
+    }
+
+    void tell(core::MonotonicTime now)
+    {
+        wire::GatewayNews update;
+        gateway::addGoneProcesses(update, running.goneProcesses(now));
+        wire::GatewayNews received;
+        REQUIRE(received.ParseFromString(update.SerializeAsString()));
+        for (const auto &report : gateway::goneProcessesIn(received)) {
+            started.onPeerProcess(report, now);
+        }
+    }
+};
+
+} // namespace
+
+// Guards against requests of a gateway that starts to a server that has left in the lost seconds, whichever of the list and the peer's reply comes first.
+TEST_CASE("store restored: a gateway that starts and is told of a server that left or was removed does not use its older entry", "[gateway][restore]")
+{
+    const bool isRemoved = GENERATE(false, true);
+    const bool isListedFirst = GENERATE(false, true);
+    const bool hasNoticed = GENERATE(false, true);
+    CAPTURE(isRemoved, isListedFirst, hasNoticed);
+    StartedBeside gateways(isRemoved);
+    auto &started = gateways.started;
+    if (hasNoticed) {
+        gateways.running.restore();
+        gateways.running.onServerListed(entryOf(8, 80), restored);
+    }
+    if (isListedFirst) {
+        started.onServerListed(entryOf(8, 80), restored);
+    }
+    gateways.tell(restored);
+    CHECK_FALSE(started.isUsed(restored));
+    started.onServerListed(entryOf(8, 80), restored + 10ms);
+    started.onServerListed(entryOf(8, 80), restored + 20ms);
+    CHECK_FALSE(started.isUsed(restored + 20ms));
+    SECTION("it is told on")
+    {
+        RestoredFleet next;
+        for (const auto &report : started.goneProcesses(restored + 30ms)) {
+            next.onPeerProcess(report, restored + 30ms);
+        }
+        next.onServerListed(entryOf(8, 80), restored + 40ms);
+        CHECK_FALSE(next.isUsed(restored + 40ms));
+    }
+    SECTION("the leaving server writes again")
+    {
+        started.onServerListed(entryOf(10, 81, true), restored + 1s);
+        CHECK_FALSE(started.isUsed(restored + 1s));
+    }
+    SECTION("the server is alive and not leaving: the store shows a further write")
+    {
+        started.onServerListed(entryOf(10, 81), restored + 1s);
+        CHECK(started.isUsed(restored + 1s));
+    }
+    SECTION("the server has started again")
+    {
+        auto later = entryOf(1, 81);
+        later.startedUnixMs = born + 5000;
+        started.onServerListed(later, restored + 1s);
+        CHECK(started.isUsed(restored + 1s));
+    }
+}
+
+// Guards against a report about an earlier process, or a late one, that takes out a server that is in use.
+TEST_CASE("a report of a process that has gone changes nothing for a later process of the server, or for one that it does not know to be older",
+          "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    auto later = entryOf(1, 81);
+    later.startedUnixMs = born + 5000;
+    SECTION("listed before")
+    {
+        fleet.onServerListed(later, start);
+        fleet.onPeerProcess({"s0", {born, 9, true, false, true, false}}, start);
+        CHECK(fleet.isUsed(start));
+    }
+    SECTION("listed after")
+    {
+        fleet.onPeerProcess({"s0", {born, 9, true, false, true, false}}, start);
+        fleet.onServerListed(later, start);
+        CHECK(fleet.isUsed(start));
+        CHECK(fleet.goneProcesses(start).empty());
+    }
+    SECTION("no longer leaving")
+    {
+        fleet.onServerListed(entryOf(10, 91), start);
+        fleet.onPeerProcess({"s0", {born, 9, true, false, false, false}}, start);
+        CHECK(fleet.isUsed(start));
+    }
+    SECTION("a report of the earlier process after one of the later one")
+    {
+        fleet.onPeerProcess({"s0", {born + 5000, 2, true, false, false, false}}, start);
+        fleet.onPeerProcess({"s0", {born, 9, true, false, true, false}}, start);
+        fleet.onServerListed(later, start);
+        CHECK_FALSE(fleet.isUsed(start));
+    }
+}
+
+// Guards against a leaving that only responses have told, and that is lost with the message as the server is not listed yet.
+TEST_CASE("a gateway that starts keeps what a server's responses to others said of its leaving, whichever comes first", "[gateway][restore]")
+{
+    const bool isListedFirst = GENERATE(false, true);
+    RestoredFleet running;
+    running.onServerListed(entryOf(8, 80), start);
+    running.onPeerStatement({"s0", born, true, {}});
+    RestoredFleet started;
+    if (isListedFirst) {
+        started.onServerListed(entryOf(8, 80), start);
+    }
+    REQUIRE(running.goneProcesses(start).size() == 1);
+    started.onPeerProcess(running.goneProcesses(start).front(), start);
+    started.onServerListed(entryOf(8, 80), start + 1s);
+    CHECK(started.availability(start + 1s) == Availability::Leaving);
+}
+
+// Guards against replies that grow with all servers that ever left.
+TEST_CASE("a gateway that starts is told of at most 512 processes, those that leave first", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    fleet.onStoreAvailable(start);
+    for (int i = 0; i < 700; ++i) {
+        auto entry = entryOf(1, 1, i % 100 == 0);
+        entry.id = "s" + std::to_string(i);
+        fleet.onServerListed(entry, start);
+        if (!entry.leaving) {
+            fleet.onServerRemoved(entry.id, start);
+        }
+    }
+    const auto reports = fleet.goneProcesses(start);
+    CHECK(reports.size() == 512);
+    CHECK(std::count_if(reports.begin(),
+                        reports.end(),
+                        [](const auto &report) {
+                            return !report.process.isRemoved;
+                        })
+          == 7);
+    CHECK(fleet.goneProcesses(start + 6min).size() == 7);
+}
--- a/test/gateway/routinginquiry.cpp
+++ b/test/gateway/routinginquiry.cpp
@@ -35,12 +35,22 @@
     inquiry.onAnswered("b", 3);
     CHECK(inquiry.lowestVersion(start + 2ms) == 3);
     inquiry.onAnswered("c", 4);
-    inquiry.onAnswered("a", 2);
+    inquiry.onAnswered("a", 2); /* still catching up */
     CHECK(inquiry.lowestVersion(start + 3ms) == 4);
     inquiry.onFailed("b");
     CHECK(inquiry.lowestVersion(start + 4ms) == 4);
 }
 
+// Guards against a start by a peer's message that was not written for a gateway that starts, and lacks what such a one has to know.
+TEST_CASE("routing inquiry: only a reply ends the wait of a gateway that starts, any message names a version", "[gateway][era]")
+{
+    auto inquiry = startedInquiry();
+    inquiry.onNamed(3);
+    CHECK(inquiry.lowestVersion(start + 1ms) == none);
+    inquiry.onAnswered("a", 2);
+    CHECK(inquiry.lowestVersion(start + 2ms) == 3);
+}
+
 // Guards against gateways that wait for each other after all were killed, and against one that waits for a frozen peer or for a document that nobody has.
 TEST_CASE("routing inquiry: a gateway starts without a word of its peers once all have failed or know none, or after a second", "[gateway][era]")
 {
--- a/test/process/storerestore.cpp
+++ b/test/process/storerestore.cpp
@@ -185,6 +185,16 @@
     return isNamed("op/") && isNamed("servers/");
 }
 
+/** @brief Waits until the copies of all gateways are of an era of the store. @return False if some are not within 10 s. */
+bool waitForEra(const GatewayFleet &fleet, int era)
+{
+    return LocalFleet::waitUntil([&] {
+        return std::all_of(fleet.gateways.begin(), fleet.gateways.end(), [era](const auto &gateway) {
+            return isOfEra(gateway, era);
+        });
+    });
+}
+
 /** @brief Kills gateways, starts them again and waits until they are ready. @param indices Indices of the gateways. */
 void killAndStart(GatewayFleet &fleet, const std::vector<std::size_t> &indices)
 {
@@ -461,11 +471,7 @@
     const auto copy = loseRevocation(fleet);
     const Prober revoked(fleet, "revoked", "key-old");
     restore(fleet.store, copy, absence);
-    REQUIRE(LocalFleet::waitUntil([&fleet] {
-        return std::all_of(fleet.gateways.begin(), fleet.gateways.end(), [](const auto &gateway) {
-            return isOfEra(gateway, 2);
-        });
-    }));
+    REQUIRE(waitForEra(fleet, 2));
     killAndStart(fleet, {1, 2});
     CHECK(waitForKeyEverywhere(fleet, "key-1"));
     // The gateways that have learned it can pass it on in their turn.
@@ -477,6 +483,44 @@
     CHECK(revoked.accepted() == 0);
 }
 
+// Guards against a gateway that starts with the copy's entry of a server that its peers know to have left or been removed.
+TEST_CASE("a store restored from an older copy: a gateway that starts sends nothing to a server that left or was removed in the lost seconds",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    const bool isRemoved = GENERATE(false, true);
+    CAPTURE(zones, isRemoved);
+    GatewayFleet fleet(3, 2, zones);
+    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
+    std::this_thread::sleep_for(settleTime);
+    const auto copy = fleet.store.copy();
+    if (isRemoved) {
+        fleet.store.remove("servers/i-0");
+    } else {
+        fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
+    }
+    writeOthers(fleet.store);
+    std::this_thread::sleep_for(changeBound);
+    const int before = fleet.backendServers[0]->totalRunCount();
+    restore(fleet.store, copy, absence);
+    REQUIRE(waitForEra(fleet, 2));
+    {
+        const Prober valid(fleet, "valid", "key-1");
+        killAndStart(fleet, {1, 2});
+        killAndStart(fleet, {0});
+        std::this_thread::sleep_for(rewriteDelay);
+        CHECK(valid.accepted() > 0);
+    }
+    CHECK(fleet.backendServers[0]->totalRunCount() == before);
+    // What is written again counts everywhere.
+    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 1, "ready", "az-a", 2000));
+    fleet.store.put("servers/i-1", entryOf(*fleet.backendServers[1], 2, "draining"));
+    std::this_thread::sleep_for(changeBound);
+    const Prober valid(fleet, "again", "key-1");
+    CHECK(countRuns(fleet, 0, 500ms) > 0);
+    CHECK(valid.failed() == 0);
+}
+
 // Guards against gateways that wait for each other's word on a version that none of them has in force any more.
 TEST_CASE("a store restored from an older copy: gateways that all start after it serve by the restored version within two seconds", "[process][gateway][store]")
 {
