--- a/test/process/storerestore.cpp
+++ b/test/process/storerestore.cpp
@@ -172,6 +172,42 @@
     return copy;
 }
 
+/** @brief Writes the lost version 3 again, and version 4 with key-4. */
+void publishNext(GatewayFleet &fleet)
+{
+    fleet.publishRouting(3, "pool", {"key-1"});
+    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+}
+
+/** @brief Waits until runners and operator write again; meanwhile the store's revision passes the lost ones. */
+void passLostRevisions(FakeStore &store)
+{
+    std::this_thread::sleep_for(rewriteDelay / 2);
+    writeOthers(store, 2 * lostWrites);
+    std::this_thread::sleep_for(rewriteDelay / 2);
+}
+
+/** @brief Writes that the server i-0 leaves. @param isRemoved True if its entry is removed, false if it drains. */
+void leave(GatewayFleet &fleet, bool isRemoved)
+{
+    if (isRemoved) {
+        fleet.store.remove("servers/i-0");
+    } else {
+        fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
+    }
+}
+
+/** @brief Copies the store and lets the server i-0 leave, which is lost with the later writes. @param isRemoved As in leave(). @return Copy with the server. */
+FakeStore::Copy loseLeaving(GatewayFleet &fleet, bool isRemoved)
+{
+    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
+    std::this_thread::sleep_for(settleTime);
+    auto copy = fleet.store.copy();
+    leave(fleet, isRemoved);
+    writeOthers(fleet.store);
+    return copy;
+}
+
 /** @brief Returns whether a gateway's copies are those of an era of the store. */
 bool isOfEra(const GatewayFleet::Gateway &gateway, int era)
 {
@@ -232,8 +268,7 @@
     const Prober valid(fleet, "valid", "key-1");
     restore(fleet.store, copy, absence);
     std::this_thread::sleep_for(delay);
-    fleet.publishRouting(3, "pool", {"key-1"});
-    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    publishNext(fleet);
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
     CHECK(valid.failed() == 0);
 }
@@ -267,8 +302,7 @@
     const auto copy = loseRevocation(fleet);
     const Prober revoked(fleet, "revoked", "key-old");
     restore(fleet.store, copy, absence, 1, [&fleet] {
-        fleet.publishRouting(3, "pool", {"key-1"});
-        fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+        publishNext(fleet);
         writeOthers(fleet.store, 2 * lostWrites);
     });
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
@@ -304,26 +338,13 @@
     const bool isRemoved = GENERATE(false, true);
     CAPTURE(zones, isRemoved);
     GatewayFleet fleet(3, 2, zones);
-    const auto leave = [&] {
-        if (isRemoved) {
-            fleet.store.remove("servers/i-0");
-        } else {
-            fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
-        }
-    };
-    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
-    std::this_thread::sleep_for(settleTime);
-    const auto copy = fleet.store.copy();
-    leave();
-    writeOthers(fleet.store);
+    const auto copy = loseLeaving(fleet, isRemoved);
     const Prober valid(fleet, "valid", "key-1");
     std::this_thread::sleep_for(changeBound);
     const int before = fleet.backendServers[0]->totalRunCount();
     restore(fleet.store, copy, absence);
-    std::this_thread::sleep_for(rewriteDelay / 2);
-    writeOthers(fleet.store, 2 * lostWrites);
-    std::this_thread::sleep_for(rewriteDelay / 2);
-    leave();
+    passLostRevisions(fleet.store);
+    leave(fleet, isRemoved);
     std::this_thread::sleep_for(changeBound);
     CHECK(fleet.backendServers[0]->totalRunCount() == before);
     CHECK(valid.failed() == 0);
@@ -337,15 +358,7 @@
     const bool isRemoved = GENERATE(false, true);
     CAPTURE(zones, isRemoved);
     GatewayFleet fleet(3, 2, zones);
-    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
-    std::this_thread::sleep_for(settleTime);
-    const auto copy = fleet.store.copy();
-    if (isRemoved) {
-        fleet.store.remove("servers/i-0");
-    } else {
-        fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
-    }
-    writeOthers(fleet.store);
+    const auto copy = loseLeaving(fleet, isRemoved);
     std::this_thread::sleep_for(changeBound);
     restore(fleet.store, copy, absence);
     std::this_thread::sleep_for(rewriteDelay);
@@ -378,9 +391,7 @@
     REQUIRE(waitForKeyEverywhere(fleet, "key-1"));
     const Prober valid(fleet, "valid", "key-1");
     restore(fleet.store, copy, absence);
-    std::this_thread::sleep_for(rewriteDelay / 2);
-    writeOthers(fleet.store, 2 * lostWrites);
-    std::this_thread::sleep_for(rewriteDelay / 2);
+    passLostRevisions(fleet.store);
     writeServers(2);
     std::this_thread::sleep_for(changeBound);
     CHECK(valid.failed() == 0);
@@ -404,8 +415,7 @@
         restore(fleet.store, copy, absence);
     }
     std::this_thread::sleep_for(500ms);
-    fleet.publishRouting(3, "pool", {"key-1"});
-    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    publishNext(fleet);
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
     CHECK(revoked.accepted() == 0);
 }
@@ -427,8 +437,7 @@
     }
     restore(fleet.store, copy, absence);
     std::this_thread::sleep_for(500ms);
-    fleet.publishRouting(3, "pool", {"key-1"});
-    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    publishNext(fleet);
     fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2, "draining"));
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
     std::this_thread::sleep_for(changeBound);
@@ -455,8 +464,7 @@
     restore(fleet.store, copy, absence);
     killAndStart(fleet, {2});
     std::this_thread::sleep_for(rewriteDelay);
-    fleet.publishRouting(3, "pool", {"key-1"});
-    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    publishNext(fleet);
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
     CHECK(revoked.accepted() == 0);
 }
@@ -491,15 +499,7 @@
     const bool isRemoved = GENERATE(false, true);
     CAPTURE(zones, isRemoved);
     GatewayFleet fleet(3, 2, zones);
-    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
-    std::this_thread::sleep_for(settleTime);
-    const auto copy = fleet.store.copy();
-    if (isRemoved) {
-        fleet.store.remove("servers/i-0");
-    } else {
-        fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
-    }
-    writeOthers(fleet.store);
+    const auto copy = loseLeaving(fleet, isRemoved);
     std::this_thread::sleep_for(changeBound);
     const int before = fleet.backendServers[0]->totalRunCount();
     restore(fleet.store, copy, absence);
@@ -551,9 +551,7 @@
     const Prober valid(fleet, "valid", "key-1");
     const int before = fleet.backendServers[0]->totalRunCount();
     restore(fleet.store, copy, absence);
-    std::this_thread::sleep_for(rewriteDelay / 2);
-    writeOthers(fleet.store, 2 * lostWrites);
-    std::this_thread::sleep_for(rewriteDelay / 2);
+    passLostRevisions(fleet.store);
     fleet.store.put("op/evacuate/az-a", "{}");
     std::this_thread::sleep_for(changeBound);
     CHECK(fleet.backendServers[0]->totalRunCount() == before);
