--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -6,6 +6,7 @@
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/listdelta.h>
 #include <cyclamenspool/gateway/missedchange.h>
+#include <cyclamenspool/gateway/routinginquiry.h>
 #include <cyclamenspool/gateway/zonepulls.h>
 #include <cyclamenspool/wire/peerconnectionpool.h>
 #include <cyclamenspool/wire/peerserver.h>
@@ -31,6 +32,8 @@
 
 namespace cyclamenspool::gateway {
 
+struct StoreReport;
+
 /** @brief Status of another gateway, as the operator's status page shows it. */
 struct PeerStatus {
     std::string vm; /**< Name of its VM. */
@@ -114,6 +117,7 @@
         bool isReplyPending = false; /* an update was sent and its reply has not arrived */
         bool isSeed = false;
         bool isStoreUnavailable = false; /* as the peer itself reports */
+        bool isStarting = false; /* it has no routing in force yet, as it reports */
         bool hasFullPeerList = false; /* all peers were advertised to it; from then on a few per update, in rotation */
         std::string lastAdvertised; /* address of the peer advertised to it last; the rotation continues after it */
         std::uint64_t updateId = 0; /* latest update that this gateway sent first */
@@ -141,6 +145,7 @@
     void passOn(const std::vector<std::string> &addresses, const char *path, const std::string &message);
     [[nodiscard]] std::vector<std::string> liveMembers() const;
     void applyLoads(const wire::GatewayNews &update);
+    void applyGoneProcesses(const wire::GatewayNews &update);
     [[nodiscard]] std::optional<StoreUptime> storeUptime() const;
     void applyStoreUptime(const std::optional<StoreUptime> &uptime);
     [[nodiscard]] std::string buildZoneTotals(core::Milliseconds placementAge);
@@ -148,7 +153,10 @@
     [[nodiscard]] bool isLiveInOwnZone(const Peer &peer, core::MonotonicTime now) const;
     [[nodiscard]] std::size_t exchangePeerCount() const;
     [[nodiscard]] core::MonotonicTime lastSign(const Peer &peer) const;
-    void pullIfOutdated(const std::string &address, Catalog::Section section, const member::StorePosition &position);
+    void onPeerStore(const std::string &address, const StoreReport &report);
+    [[nodiscard]] bool pullIfOutdated(const std::string &address, Catalog::Section section, const member::StorePosition &position);
+    void pull(const std::string &address, Catalog::Section section);
+    void applyLowestRouting();
     [[nodiscard]] bool isOverdue(Catalog::Section section, const member::StorePosition &position, core::MonotonicTime now);
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message);
     void expirePeers(core::MonotonicTime now);
@@ -157,6 +165,7 @@
     [[nodiscard]] std::size_t advertisedCount(std::size_t members) const;
     void refreshSharedUpdate(core::MonotonicTime now);
     [[nodiscard]] std::string buildUpdate(Peer &recipient);
+    [[nodiscard]] StoreReport storeReport() const;
     [[nodiscard]] std::chrono::milliseconds updatePeriod() const;
     [[nodiscard]] std::chrono::milliseconds tickPeriod() const;
     [[nodiscard]] std::chrono::milliseconds unresponsiveTimeout() const;
@@ -178,6 +187,7 @@
         std::uint64_t era = 0; /* of the peer's copy */
     };
     std::map<Catalog::Section, Pull> lastPulls_;
+    RoutingInquiry routingInquiry_;
     std::map<Catalog::Section, MissedChange> missedChanges_;
     StoreCalls storeCalls_;
     std::uint64_t lastUpdateId_ = 0;
--- a/test/process/storerestore.cpp
+++ b/test/process/storerestore.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <string>
@@ -171,6 +172,81 @@
     return copy;
 }
 
+/** @brief Writes the lost version 3 again, and version 4 with key-4. */
+void publishNext(GatewayFleet &fleet)
+{
+    fleet.publishRouting(3, "pool", {"key-1"});
+    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+}
+
+/** @brief Waits until runners and operator write again; meanwhile the store's revision passes the lost ones. */
+void passLostRevisions(FakeStore &store)
+{
+    std::this_thread::sleep_for(rewriteDelay / 2);
+    writeOthers(store, 2 * lostWrites);
+    std::this_thread::sleep_for(rewriteDelay / 2);
+}
+
+/** @brief Writes that the server i-0 leaves. @param isRemoved True if its entry is removed, false if it drains. */
+void leave(GatewayFleet &fleet, bool isRemoved)
+{
+    if (isRemoved) {
+        fleet.store.remove("servers/i-0");
+    } else {
+        fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
+    }
+}
+
+/** @brief Copies the store and lets the server i-0 leave, which is lost with the later writes. @param isRemoved As in leave(). @return Copy with the server. */
+FakeStore::Copy loseLeaving(GatewayFleet &fleet, bool isRemoved)
+{
+    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
+    std::this_thread::sleep_for(settleTime);
+    auto copy = fleet.store.copy();
+    leave(fleet, isRemoved);
+    writeOthers(fleet.store);
+    return copy;
+}
+
+/** @brief Returns whether a gateway's copies are those of an era of the store. */
+bool isOfEra(const GatewayFleet::Gateway &gateway, int era)
+{
+    harness::HttpRequest call;
+    call.address = gateway.metricsAddress;
+    call.target = "/metrics";
+    const auto metrics = harness::sendRequest(call).body;
+    const auto isNamed = [&metrics, era](const std::string &section) {
+        return metrics.find("cyclamenspool_store_era{section=\"" + section + "\"} " + std::to_string(era) + '\n') != std::string::npos;
+    };
+    return isNamed("op/") && isNamed("servers/");
+}
+
+/** @brief Waits until the copies of all gateways are of an era of the store. @return False if some are not within 10 s. */
+bool waitForEra(const GatewayFleet &fleet, int era)
+{
+    return LocalFleet::waitUntil([&] {
+        return std::all_of(fleet.gateways.begin(), fleet.gateways.end(), [era](const auto &gateway) {
+            return isOfEra(gateway, era);
+        });
+    });
+}
+
+/** @brief Kills gateways, starts them again and waits until they are ready. @param indices Indices of the gateways. */
+void killAndStart(GatewayFleet &fleet, const std::vector<std::size_t> &indices)
+{
+    for (const auto i : indices) {
+        fleet.gateways[i].process.kill();
+    }
+    for (const auto i : indices) {
+        fleet.start(fleet.gateways[i]);
+    }
+    REQUIRE(LocalFleet::waitUntil([&] {
+        return std::all_of(indices.begin(), indices.end(), [&fleet](std::size_t i) {
+            return GatewayFleet::isReady(fleet.gateways[i]);
+        });
+    }));
+}
+
 /** @brief Returns the number of requests that reach a server during a time. */
 int countRuns(GatewayFleet &fleet, std::size_t server, std::chrono::milliseconds time)
 {
@@ -192,8 +268,7 @@
     const Prober valid(fleet, "valid", "key-1");
     restore(fleet.store, copy, absence);
     std::this_thread::sleep_for(delay);
-    fleet.publishRouting(3, "pool", {"key-1"});
-    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    publishNext(fleet);
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
     CHECK(valid.failed() == 0);
 }
@@ -227,8 +302,7 @@
     const auto copy = loseRevocation(fleet);
     const Prober revoked(fleet, "revoked", "key-old");
     restore(fleet.store, copy, absence, 1, [&fleet] {
-        fleet.publishRouting(3, "pool", {"key-1"});
-        fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+        publishNext(fleet);
         writeOthers(fleet.store, 2 * lostWrites);
     });
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
@@ -264,26 +338,13 @@
     const bool isRemoved = GENERATE(false, true);
     CAPTURE(zones, isRemoved);
     GatewayFleet fleet(3, 2, zones);
-    const auto leave = [&] {
-        if (isRemoved) {
-            fleet.store.remove("servers/i-0");
-        } else {
-            fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
-        }
-    };
-    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
-    std::this_thread::sleep_for(settleTime);
-    const auto copy = fleet.store.copy();
-    leave();
-    writeOthers(fleet.store);
+    const auto copy = loseLeaving(fleet, isRemoved);
     const Prober valid(fleet, "valid", "key-1");
     std::this_thread::sleep_for(changeBound);
     const int before = fleet.backendServers[0]->totalRunCount();
     restore(fleet.store, copy, absence);
-    std::this_thread::sleep_for(rewriteDelay / 2);
-    writeOthers(fleet.store, 2 * lostWrites);
-    std::this_thread::sleep_for(rewriteDelay / 2);
-    leave();
+    passLostRevisions(fleet.store);
+    leave(fleet, isRemoved);
     std::this_thread::sleep_for(changeBound);
     CHECK(fleet.backendServers[0]->totalRunCount() == before);
     CHECK(valid.failed() == 0);
@@ -297,15 +358,7 @@
     const bool isRemoved = GENERATE(false, true);
     CAPTURE(zones, isRemoved);
     GatewayFleet fleet(3, 2, zones);
-    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2));
-    std::this_thread::sleep_for(settleTime);
-    const auto copy = fleet.store.copy();
-    if (isRemoved) {
-        fleet.store.remove("servers/i-0");
-    } else {
-        fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 3, "draining"));
-    }
-    writeOthers(fleet.store);
+    const auto copy = loseLeaving(fleet, isRemoved);
     std::this_thread::sleep_for(changeBound);
     restore(fleet.store, copy, absence);
     std::this_thread::sleep_for(rewriteDelay);
@@ -338,9 +391,7 @@
     REQUIRE(waitForKeyEverywhere(fleet, "key-1"));
     const Prober valid(fleet, "valid", "key-1");
     restore(fleet.store, copy, absence);
-    std::this_thread::sleep_for(rewriteDelay / 2);
-    writeOthers(fleet.store, 2 * lostWrites);
-    std::this_thread::sleep_for(rewriteDelay / 2);
+    passLostRevisions(fleet.store);
     writeServers(2);
     std::this_thread::sleep_for(changeBound);
     CHECK(valid.failed() == 0);
@@ -364,8 +415,7 @@
         restore(fleet.store, copy, absence);
     }
     std::this_thread::sleep_for(500ms);
-    fleet.publishRouting(3, "pool", {"key-1"});
-    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    publishNext(fleet);
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
     CHECK(revoked.accepted() == 0);
 }
@@ -387,8 +437,7 @@
     }
     restore(fleet.store, copy, absence);
     std::this_thread::sleep_for(500ms);
-    fleet.publishRouting(3, "pool", {"key-1"});
-    fleet.publishRouting(4, "pool", {"key-1", "key-4"});
+    publishNext(fleet);
     fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 2, "draining"));
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
     std::this_thread::sleep_for(changeBound);
@@ -413,18 +462,79 @@
     const auto copy = loseRevocation(fleet);
     const Prober revoked(fleet, "revoked", "key-old");
     restore(fleet.store, copy, absence);
-    fleet.gateways[2].process.kill();
-    fleet.start(fleet.gateways[2]);
-    REQUIRE(LocalFleet::waitUntil([&fleet] {
-        return GatewayFleet::isReady(fleet.gateways[2]);
-    }));
+    killAndStart(fleet, {2});
     std::this_thread::sleep_for(rewriteDelay);
-    fleet.publishRouting(3, "pool", {"key-1"});
+    publishNext(fleet);
+    CHECK(waitForKeyEverywhere(fleet, "key-4"));
+    CHECK(revoked.accepted() == 0);
+}
+
+// As above, once no copy of the fleet holds version 3 any more; one gateway that has it in force is left.
+TEST_CASE("a store restored from an older copy: gateways that start once all copies are restored handle no request by a version that a peer has left behind",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 1, zones);
+    const auto copy = loseRevocation(fleet);
+    const Prober revoked(fleet, "revoked", "key-old");
+    restore(fleet.store, copy, absence);
+    REQUIRE(waitForEra(fleet, 2));
+    killAndStart(fleet, {1, 2});
+    CHECK(waitForKeyEverywhere(fleet, "key-1"));
+    // The gateways that have learned it can pass it on in their turn.
+    killAndStart(fleet, {0});
+    CHECK(waitForKeyEverywhere(fleet, "key-1"));
+    CHECK(revoked.accepted() == 0);
     fleet.publishRouting(4, "pool", {"key-1", "key-4"});
     CHECK(waitForKeyEverywhere(fleet, "key-4"));
     CHECK(revoked.accepted() == 0);
 }
 
+// Guards against a gateway that starts with the copy's entry of a server that its peers know to have left or been removed.
+TEST_CASE("a store restored from an older copy: a gateway that starts sends nothing to a server that left or was removed in the lost seconds",
+          "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    const bool isRemoved = GENERATE(false, true);
+    CAPTURE(zones, isRemoved);
+    GatewayFleet fleet(3, 2, zones);
+    const auto copy = loseLeaving(fleet, isRemoved);
+    std::this_thread::sleep_for(changeBound);
+    const int before = fleet.backendServers[0]->totalRunCount();
+    restore(fleet.store, copy, absence);
+    REQUIRE(waitForEra(fleet, 2));
+    {
+        const Prober valid(fleet, "valid", "key-1");
+        killAndStart(fleet, {1, 2});
+        killAndStart(fleet, {0});
+        std::this_thread::sleep_for(rewriteDelay);
+        CHECK(valid.accepted() > 0);
+    }
+    CHECK(fleet.backendServers[0]->totalRunCount() == before);
+    // What is written again counts everywhere.
+    fleet.store.put("servers/i-0", entryOf(*fleet.backendServers[0], 1, "ready", "az-a", 2000));
+    fleet.store.put("servers/i-1", entryOf(*fleet.backendServers[1], 2, "draining"));
+    std::this_thread::sleep_for(changeBound);
+    const Prober valid(fleet, "again", "key-1");
+    CHECK(countRuns(fleet, 0, 500ms) > 0);
+    CHECK(valid.failed() == 0);
+}
+
+// Guards against gateways that wait for each other's word on a version that none of them has in force any more.
+TEST_CASE("a store restored from an older copy: gateways that all start after it serve by the restored version within two seconds", "[process][gateway][store]")
+{
+    const auto [zones, absence] = generateCase();
+    CAPTURE(zones);
+    GatewayFleet fleet(3, 1, zones);
+    const auto copy = loseRevocation(fleet);
+    restore(fleet.store, copy, absence);
+    const auto killed = std::chrono::steady_clock::now();
+    killAndStart(fleet, {0, 1, 2});
+    CHECK(waitForKeyEverywhere(fleet, "key-old"));
+    CHECK(std::chrono::steady_clock::now() - killed < changeBound);
+}
+
 // Guards against an evacuation that ends because the copy lacks it, and against one that does not end any more.
 TEST_CASE("a store restored from an older copy: an evacuation begun in the lost seconds stays in force and ends when it is removed",
           "[process][gateway][store]")
@@ -441,9 +551,7 @@
     const Prober valid(fleet, "valid", "key-1");
     const int before = fleet.backendServers[0]->totalRunCount();
     restore(fleet.store, copy, absence);
-    std::this_thread::sleep_for(rewriteDelay / 2);
-    writeOthers(fleet.store, 2 * lostWrites);
-    std::this_thread::sleep_for(rewriteDelay / 2);
+    passLostRevisions(fleet.store);
     fleet.store.put("op/evacuate/az-a", "{}");
     std::this_thread::sleep_for(changeBound);
     CHECK(fleet.backendServers[0]->totalRunCount() == before);
