Routing in force: seeds that all start, and documents that cannot be read here

A gateway whose seeds all start at the same time put the store's version in force within milliseconds: each of them is refused or names no version, though peers that are no seeds run on a later one. It now waits for 0.3 s, shorter than connections wait for the first configuration, and asks a peer that calls in that time; for 1 s at most, as before.

A gateway that cannot read a document of a later software version pulled its peers' whole section every second while a rollout lasted. It now asks again after 1, 2, 4 and up to 60 s; two versions named in turn do not defeat that.

A list of processes that left is for gateways that start; one that runs ignores it, as its own copy may be later than the peer's. A process without a start time is not taken for a reported one. A stream whose session closes before it opens does not call a callback that was not set.

The tests of the first two use the new interface and were not run on the code before. One bound of an existing test follows the wait: 0.3 s instead of 2 ms until a gateway starts whose peers know no version.

--- a/src/cyclamenspool/gateway/fleet.cpp
+++ b/src/cyclamenspool/gateway/fleet.cpp
@@ -478,7 +478,7 @@
         process.isReported = true;
         const auto entry = known->second->entry;
         if (!staleEntries_.withhold(entry, process, now)) {
-            if (process.saysLeaving && entry.startedUnixMs == process.startedUnixMs) {
+            if (process.saysLeaving && entry.startedUnixMs != 0 && entry.startedUnixMs == process.startedUnixMs) {
                 known->second->statements.onReportedLeaving();
             }
             return;
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -389,7 +389,8 @@
 void PeerGossip::applyGoneProcesses(const wire::GatewayNews &update)
 {
     const auto reports = goneProcessesIn(update);
-    if (reports.empty()) {
+    // A gateway that runs knows better: the peer's copy may lag behind its own.
+    if (reports.empty() || catalog_.routingVersion() != 0) {
         return;
     }
     dispatcher_.withFleet([&reports](Fleet &fleet, core::MonotonicTime now) {
@@ -450,7 +451,9 @@
 {
     const auto now = std::chrono::steady_clock::now();
     const auto version = report.routingVersion.value_or(0);
-    routingInquiry_.onNamed(version);
+    if (routingInquiry_.onNamed(address, version, now)) {
+        sendUpdate(address, peers_[address], now);
+    }
     applyLowestRouting();
     const RoutingInquiry::Versions own{catalog_.knownRoutingVersion(), catalog_.routingVersion()};
     const bool hasLaterCopy = report.operatorPosition > catalog_.position(Catalog::Section::OperatorConfig);
--- a/src/cyclamenspool/gateway/routinginquiry.cpp
+++ b/src/cyclamenspool/gateway/routinginquiry.cpp
@@ -9,14 +9,18 @@
 namespace internal {
 
 constexpr core::Milliseconds answerTime{1000}; /* a frozen peer must not keep the gateway from starting */
+constexpr core::Milliseconds namingTime{300}; /* for a running peer to call if all asked ones start too; connections wait longer than that */
 constexpr core::Milliseconds documentTime{3000}; /* the peer that named the version may have failed since */
 constexpr core::Milliseconds startPullInterval{300};
-constexpr core::Milliseconds pullInterval{1000}; /* a document that cannot be read here is asked for again and again */
+constexpr core::Milliseconds pullInterval{1000}; /* doubled each time: a document of a later software version may not be readable here */
+constexpr core::Milliseconds maxPullInterval{60000};
+constexpr int maxDoublings = 6;
 
 } // namespace internal
 
 void RoutingInquiry::start(std::set<std::string> peers, core::MonotonicTime now)
 {
+    isAnyoneAsked_ = !peers.empty();
     unanswered_ = std::move(peers);
     startedAt_ = now;
 }
@@ -25,12 +29,13 @@
 {
     unanswered_.erase(peer);
     isTold_ = isTold_ || version.value_or(0) > 0;
-    onNamed(version.value_or(0));
+    highestNamed_ = std::max(highestNamed_, version.value_or(0));
 }
 
-void RoutingInquiry::onNamed(std::uint64_t version) noexcept
+bool RoutingInquiry::onNamed(const std::string &peer, std::uint64_t version, core::MonotonicTime now)
 {
     highestNamed_ = std::max(highestNamed_, version);
+    return version > 0 && isWaiting(now) && unanswered_.insert(peer).second;
 }
 
 void RoutingInquiry::onFailed(const std::string &peer)
@@ -38,9 +43,16 @@
     unanswered_.erase(peer);
 }
 
+bool RoutingInquiry::isWaiting(core::MonotonicTime now) const noexcept
+{
+    const bool isAnswerMissing = !unanswered_.empty() && now < startedAt_ + internal::answerTime;
+    const bool mayPeerCall = isAnyoneAsked_ && now < startedAt_ + internal::namingTime;
+    return !isTold_ && (isAnswerMissing || mayPeerCall);
+}
+
 std::uint64_t RoutingInquiry::lowestVersion(core::MonotonicTime now) const noexcept
 {
-    if (!isTold_ && !unanswered_.empty() && now < startedAt_ + internal::answerTime) {
+    if (isWaiting(now)) {
         return std::numeric_limits<std::uint64_t>::max();
     }
     return now < startedAt_ + internal::documentTime ? highestNamed_ : 0;
@@ -49,13 +61,16 @@
 bool RoutingInquiry::isPullDue(std::uint64_t version, const Versions &own, bool hasLaterCopy, core::MonotonicTime now) const noexcept
 {
     const bool isStarting = own.inForce == 0;
-    const bool isAskedFor = version <= pulledVersion_ && now < pulledAt_ + (isStarting ? internal::startPullInterval : internal::pullInterval);
+    const auto doubled = internal::pullInterval * (1 << std::clamp(pulls_ - 1, 0, internal::maxDoublings));
+    const auto interval = isStarting ? internal::startPullInterval : std::min(doubled, internal::maxPullInterval);
+    const bool isAskedFor = version <= pulledVersion_ && now < pulledAt_ + interval;
     return version > own.known && (isStarting || !hasLaterCopy) && !isAskedFor;
 }
 
 void RoutingInquiry::onPull(std::uint64_t version, core::MonotonicTime now) noexcept
 {
-    pulledVersion_ = version;
+    pulls_ = version > pulledVersion_ ? 1 : pulls_ + 1;
+    pulledVersion_ = std::max(pulledVersion_, version);
     pulledAt_ = now;
 }
 
--- a/src/cyclamenspool/gateway/routinginquiry.h
+++ b/src/cyclamenspool/gateway/routinginquiry.h
@@ -14,8 +14,8 @@
  * thread safe.
  *
  * The store, and with it each gateway's copy, may have been restored from an older copy, so that only gateways that have run since before know the version in
- * force. A gateway that starts waits until a peer that has a version in force has replied, or no peer is left that may, for at most 1 s; and then for the
- * highest version that was named, for at most 3 s from its start.
+ * force. A gateway that starts waits until a peer that has a version in force has replied, or no peer is left that may, for 0.3 s at least, in which peers that
+ * run may call it, and for at most 1 s; and then for the highest version that was named, for at most 3 s from its start.
  */
 class RoutingInquiry
 {
@@ -29,8 +29,14 @@
     /** @brief Begins the wait of a gateway that starts; without it there is nothing to wait for. @param peers Addresses of the peers that are asked. */
     void start(std::set<std::string> peers, core::MonotonicTime now);
 
-    /** @brief Handles any message of a peer. @param version Version in force there; 0: none yet, or not named. */
-    void onNamed(std::uint64_t version) noexcept;
+    /**
+     * @brief Handles any message of a peer.
+     * @param peer Its address.
+     * @param version Version in force there; 0: none yet, or not named.
+     * @param now Current time.
+     * @return True if this gateway, which starts, has to ask the peer now.
+     */
+    [[nodiscard]] bool onNamed(const std::string &peer, std::uint64_t version, core::MonotonicTime now);
 
     /** @brief Handles a peer's reply to a message of this gateway. @param peer Its address. @param version Version in force there; 0: none yet; empty: not
      * named. */
@@ -43,7 +49,8 @@
     [[nodiscard]] std::uint64_t lowestVersion(core::MonotonicTime now) const noexcept;
 
     /**
-     * @brief Returns whether to ask a peer for its document: at once for a version that was not asked for yet, again after 0.3 s, or 1 s once any is in force.
+     * @brief Returns whether to ask a peer for its document: at once for a version that was not asked for yet, again after 0.3 s, or once any is in
+     * force after 1 s, 2 s and so on up to 60 s.
      * @param version Version in force at the peer.
      * @param own Versions here.
      * @param hasLaterCopy True if the peer's copy of the store is later than the own one: a running gateway gets that copy, and the version with it.
@@ -55,12 +62,16 @@
     void onPull(std::uint64_t version, core::MonotonicTime now) noexcept;
 
 private:
+    [[nodiscard]] bool isWaiting(core::MonotonicTime now) const noexcept;
+
     std::set<std::string> unanswered_;
+    bool isAnyoneAsked_ = false;
     core::MonotonicTime startedAt_{};
     bool isTold_ = false; /* by a peer with a version in force */
     std::uint64_t highestNamed_ = 0;
     core::MonotonicTime pulledAt_{};
     std::uint64_t pulledVersion_ = 0;
+    int pulls_ = 0; /* since the first one for that version */
 };
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/wire/sessionstreams.cpp
+++ b/src/cyclamenspool/wire/sessionstreams.cpp
@@ -91,7 +91,7 @@
 void Session::openStream(const std::string &path, const std::string &message, StreamCallbacks callbacks, const std::shared_ptr<ClientStream> &handle)
 {
     const auto failure = tryOpenStream(path, message, callbacks, *handle);
-    if (!failure.empty()) {
+    if (!failure.empty() && callbacks.onEnd) {
         callbacks.onEnd({false, false, failure});
     }
 }
--- a/test/gateway/routinginquiry.cpp
+++ b/test/gateway/routinginquiry.cpp
@@ -45,12 +45,29 @@
 TEST_CASE("routing inquiry: only a reply ends the wait of a gateway that starts, any message names a version", "[gateway][era]")
 {
     auto inquiry = startedInquiry();
-    inquiry.onNamed(3);
+    static_cast<void>(inquiry.onNamed("c", 3, start));
     CHECK(inquiry.lowestVersion(start + 1ms) == none);
     inquiry.onAnswered("a", 2);
     CHECK(inquiry.lowestVersion(start + 2ms) == 3);
 }
 
+// Guards against a start with what a restored store holds, since all seeds start at the same time and know no better.
+TEST_CASE("routing inquiry: a running peer that calls a gateway whose seeds all start is asked", "[gateway][era]")
+{
+    auto inquiry = startedInquiry();
+    inquiry.onAnswered("a", 0);
+    inquiry.onFailed("b");
+    CHECK(inquiry.lowestVersion(start + 299ms) == none);
+    CHECK_FALSE(inquiry.onNamed("c", 0, start + 299ms));
+    CHECK(inquiry.onNamed("c", 7, start + 299ms));
+    CHECK_FALSE(inquiry.onNamed("c", 7, start + 299ms)); /* asked already */
+    CHECK(inquiry.lowestVersion(start + 301ms) == none);
+    inquiry.onAnswered("c", 7);
+    CHECK(inquiry.lowestVersion(start + 302ms) == 7);
+    CHECK_FALSE(inquiry.onNamed("d", 8, start + 303ms));
+    CHECK_FALSE(RoutingInquiry().onNamed("c", 7, start));
+}
+
 // Guards against gateways that wait for each other after all were killed, and against one that waits for a frozen peer or for a document that nobody has.
 TEST_CASE("routing inquiry: a gateway starts without a word of its peers once all have failed or know none, or after a second", "[gateway][era]")
 {
@@ -64,7 +81,8 @@
     SECTION("the other one starts too")
     {
         inquiry.onAnswered("b", 0);
-        CHECK(inquiry.lowestVersion(start + 2ms) == 0);
+        CHECK(inquiry.lowestVersion(start + 299ms) == none); /* a running peer may call */
+        CHECK(inquiry.lowestVersion(start + 300ms) == 0);
     }
     SECTION("the other one does not answer")
     {
@@ -102,3 +120,23 @@
     CHECK_FALSE(inquiry.isPullDue(3, {2, 0}, false, start + 299ms));
     CHECK(inquiry.isPullDue(3, {2, 0}, false, start + 300ms));
 }
+
+// Guards against a document of a later software version that each older gateway of a large fleet asks for every second.
+TEST_CASE("routing inquiry: a running gateway asks ever more rarely for a version that it cannot read", "[gateway][era]")
+{
+    RoutingInquiry inquiry;
+    auto now = start;
+    int pulls = 0;
+    for (; now < start + 600s; now += 100ms) {
+        for (const std::uint64_t version : {21, 20}) {
+            if (inquiry.isPullDue(version, {2, 2}, false, now)) {
+                inquiry.onPull(version, now);
+                ++pulls;
+            }
+        }
+    }
+    CHECK(pulls <= 16); /* after 0, 1, 3, 7, 15, 31, 63 s, then every 60 s */
+    CHECK(inquiry.isPullDue(22, {2, 2}, false, now));
+    inquiry.onPull(22, now);
+    CHECK(inquiry.isPullDue(22, {2, 2}, false, now + 1s));
+}
