--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -2,7 +2,6 @@
 
 #include <cyclamenspool/http/refusal.h>
 #include <cyclamenspool/telemetry/log.h>
-#include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/socketstate.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -10,7 +9,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -31,7 +29,7 @@
 namespace internal {
 
 constexpr std::size_t firstReadBytes = 4096; /* buffer of the read that waits for a request under the idle timeout */
-constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
+constexpr std::chrono::milliseconds cancelRetryInterval{5};
 constexpr std::chrono::milliseconds acknowledgementPollInterval{5};
 constexpr std::chrono::milliseconds acknowledgementTimeout{1000}; /* for the last response of a connection */
 
@@ -76,8 +74,24 @@
     if (isHeadRequest_) {
         response.content_length(body.size());
     }
+    boost::system::error_code error;
+    beginWrite();
+    co_await bhttp::async_write(stream_, response, asio::redirect_error(asio::use_awaitable, error));
+    endWrite(error);
+}
+
+void Responder::beginWrite()
+{
+    isStarted_ = true;
     stream_.expires_after(timeout_);
-    co_await bhttp::async_write(stream_, response, asio::use_awaitable);
+}
+
+void Responder::endWrite(const boost::system::error_code &error)
+{
+    if (error) {
+        isCallerGone_ = true;
+        throw boost::system::system_error(error);
+    }
 }
 
 asio::awaitable<void> Responder::beginChunked(int status, const Headers &headers)
@@ -90,8 +104,10 @@
     bhttp::response_serializer<bhttp::empty_body> serializer(response);
     isUnfinished_ = true;
     setResetOnClose(!isChunked_);
-    stream_.expires_after(timeout_);
-    co_await bhttp::async_write_header(stream_, serializer, asio::use_awaitable);
+    boost::system::error_code error;
+    beginWrite();
+    co_await bhttp::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, error));
+    endWrite(error);
 }
 
 asio::awaitable<void> Responder::writeChunk(const std::string &data)
@@ -99,19 +115,23 @@
     if (data.empty() || isHeadRequest_) {
         co_return;
     }
-    stream_.expires_after(timeout_);
+    boost::system::error_code error;
+    beginWrite();
     if (isChunked_) {
-        co_await asio::async_write(stream_, bhttp::make_chunk(asio::buffer(data)), asio::use_awaitable);
+        co_await asio::async_write(stream_, bhttp::make_chunk(asio::buffer(data)), asio::redirect_error(asio::use_awaitable, error));
     } else {
-        co_await asio::async_write(stream_, asio::buffer(data), asio::use_awaitable);
+        co_await asio::async_write(stream_, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
     }
+    endWrite(error);
 }
 
 asio::awaitable<void> Responder::endChunked()
 {
     if (isChunked_ && !isHeadRequest_) {
-        stream_.expires_after(timeout_);
-        co_await asio::async_write(stream_, bhttp::make_chunk_last(), asio::use_awaitable);
+        boost::system::error_code error;
+        beginWrite();
+        co_await asio::async_write(stream_, bhttp::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+        endWrite(error);
     }
     isUnfinished_ = false;
     setResetOnClose(false);
@@ -149,54 +169,47 @@
     bool isResponseUnfinished = false;
     bool isUnread = false; /* to be closed without reading what the caller may have sent */
     /* Guarded by the server's lock: */
+
+    /** @brief Returns the id of the request; gives it one if the handler did not. */
+    const std::string &nameRequest()
+    {
+        if (requestId.empty()) {
+            requestId = makeRequestId();
+        }
+        return requestId;
+    }
+
     bool isRequestOpen = false;
     std::string requestId;
 };
 
+/** @brief Time limit of one read of a request; shared with the timer's handler, which may run after the read. */
+struct Server::ReadTimeout {
+    ReadTimeout(const asio::any_io_executor &executor, std::chrono::milliseconds limit)
+        : timer(executor, limit)
+    {
+    }
+
+    asio::steady_timer timer;
+    bool isReading = true;
+    bool isLate = false;
+};
+
 Server::Server(asio::io_context &context, const std::string &address, const ServerLimits &limits, RequestHandler handler, RefusalHandler refuse)
     : context_(context)
-    , acceptor_(asio::make_strand(context), wire::parseEndpoint(address))
-    , endpoint_(acceptor_.local_endpoint())
+    , strand_(context.get_executor())
+    , listener_(strand_,
+                address,
+                [this] {
+                    return wire::Listener::Destination{asio::make_strand(context_), [this](asio::ip::tcp::socket socket) {
+                                                           addConnection(std::move(socket));
+                                                       }};
+                })
     , limits_(limits)
     , handler_(std::move(handler))
     , refuse_(std::move(refuse))
 {
-    asio::co_spawn(acceptor_.get_executor(), acceptConnections(), asio::detached);
-}
-
-asio::awaitable<void> Server::acceptConnections()
-{
-    while (!isClosing_) {
-        boost::system::error_code error;
-        auto socket = co_await acceptor_.async_accept(asio::make_strand(context_), asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
-            addConnection(std::move(socket));
-        } else if (!isClosing_) {
-            telemetry::logRateLimited("accept_failed", {{"reason", error.message()}});
-            asio::steady_timer pause(acceptor_.get_executor(), internal::acceptRetryPause);
-            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
-        }
-    }
-    acceptQueued();
-}
-
-void Server::acceptQueued()
-{
-    boost::system::error_code error;
-    acceptor_.non_blocking(true, error);
-    while (!error) {
-        asio::ip::tcp::socket socket(asio::make_strand(context_));
-        acceptor_.accept(socket, error);
-        if (!error) {
-            addConnection(std::move(socket));
-        }
-    }
-    acceptor_.close(error);
-    {
-        const std::lock_guard lock(mutex_);
-        isListening_ = false;
-    }
-    callIfQuiet();
+    listener_.start();
 }
 
 void Server::addConnection(asio::ip::tcp::socket socket)
@@ -205,6 +218,7 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
     const auto executor = socket.get_executor();
+    openConnections_.add();
     std::shared_ptr<Connection> connection;
     {
         const std::lock_guard lock(mutex_);
@@ -218,24 +232,10 @@
 {
     {
         const std::lock_guard lock(mutex_);
+        counts_.closedUnread += connection.isUnread ? 1 : 0;
         connections_.erase(connection.id);
     }
-    callIfQuiet();
-}
-
-void Server::callIfQuiet()
-{
-    std::function<void()> handler;
-    {
-        const std::lock_guard lock(mutex_);
-        if (isListening_ || !connections_.empty()) {
-            return;
-        }
-        handler = std::exchange(onQuiet_, nullptr);
-    }
-    if (handler) {
-        handler();
-    }
+    openConnections_.remove();
 }
 
 void Server::takeRequest(Connection &connection)
@@ -266,8 +266,13 @@
         return;
     }
     ++counts_.cut;
-    const auto id = connection.requestId.empty() ? makeRequestId() : connection.requestId;
-    telemetry::logEvent("request_cut", boost::json::object{{"request", id}, {"reason", reason}, {"caller", connection.caller}});
+    telemetry::logEvent("request_cut", boost::json::object{{"request", connection.nameRequest()}, {"reason", reason}, {"caller", connection.caller}});
+}
+
+std::string Server::idOfRequest(Connection &connection)
+{
+    const std::lock_guard lock(mutex_);
+    return connection.nameRequest();
 }
 
 void Server::cutOpenRequests()
@@ -293,6 +298,8 @@
         endRequest(*connection, &RequestCounts::abandoned);
     } catch (const std::exception &error) {
         failure = error.what();
+    } catch (...) {
+        failure = "unknown exception";
     }
     if (!failure.empty()) {
         telemetry::logRateLimited("http_handler_failed", {{"reason", failure}});
@@ -333,10 +340,10 @@
         if (!error) {
             break;
         }
-        if (error != asio::error::would_block || now >= idleEnd) {
+        if (error != asio::error::would_block) {
             co_return false;
         }
-        if (isClosing_ && wire::unacknowledgedBytes(socket) == 0) {
+        if (now >= idleEnd || (isClosing_ && wire::unacknowledgedBytes(socket) == 0)) {
             connection->isUnread = true;
             co_return false;
         }
@@ -357,6 +364,20 @@
     co_return true;
 }
 
+void Server::cancelWhenLate(const std::shared_ptr<Connection> &connection, const std::shared_ptr<ReadTimeout> &timeout)
+{
+    timeout->timer.async_wait([connection, timeout](const boost::system::error_code &error) {
+        if (error || !timeout->isReading) {
+            return;
+        }
+        timeout->isLate = true;
+        connection->stream.cancel();
+        // Once more if the read was between two operations on the socket, where there is nothing to cancel.
+        timeout->timer.expires_after(internal::cancelRetryInterval);
+        cancelWhenLate(connection, timeout);
+    });
+}
+
 asio::awaitable<bool> Server::serveRequest(const std::shared_ptr<Connection> &connection)
 {
     if (!co_await awaitRequest(connection)) {
@@ -369,20 +390,11 @@
     boost::system::error_code error;
     stream.expires_never();
     // Uses a separate timer, because a timeout of the stream itself closes the socket and the caller would get no response.
-    bool isLate = false;
-    asio::steady_timer timer(stream.get_executor(), limits_.readTimeout);
-    timer.async_wait([&stream, &isLate](const boost::system::error_code &timerError) {
-        if (!timerError) {
-            isLate = true;
-            stream.cancel();
-        }
-    });
+    const auto timeout = std::make_shared<ReadTimeout>(stream.get_executor(), limits_.readTimeout);
+    cancelWhenLate(connection, timeout);
     co_await bhttp::async_read(stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    const bool isTimerPending = timer.cancel() > 0;
-    // An expired timer whose handler has not run yet: lets it run while the variables that it refers to exist.
-    if (!isTimerPending && !isLate) {
-        co_await asio::post(stream.get_executor(), asio::use_awaitable);
-    }
+    timeout->isReading = false;
+    timeout->timer.cancel();
     if (error == bhttp::error::end_of_stream) {
         endRequest(*connection, &RequestCounts::abandoned);
         co_return false;
@@ -393,8 +405,8 @@
         unreadable.version(11);
         Responder responder(stream, unreadable, limits_.writeTimeout, isDraining_);
         responder.closeAfterResponse();
-        const auto kind = isLate ? core::ErrorKind::SlowCaller : internal::errorKindOf(error);
-        const std::string detail = isLate ? "the request was incomplete at the read timeout" : error.message();
+        const auto kind = timeout->isLate ? core::ErrorKind::SlowCaller : internal::errorKindOf(error);
+        const std::string detail = timeout->isLate ? "the request was incomplete at the read timeout" : error.message();
         co_await refuse_(kind, detail, responder);
         endRequest(*connection, &RequestCounts::refused);
         co_return false;
@@ -406,35 +418,59 @@
         connection->requestId = id;
     });
     stream.expires_never();
-    std::exception_ptr failure;
+    std::string failure;
     try {
         co_await handler_(request, responder);
+    } catch (const std::exception &error) {
+        failure = error.what();
     } catch (...) {
-        failure = std::current_exception();
+        failure = "unknown exception";
+    }
+    co_return co_await endResponse(*connection, responder, std::move(failure));
+}
+
+asio::awaitable<bool> Server::endResponse(Connection &connection, Responder &responder, std::string failure)
+{
+    connection.isResponseUnfinished = responder.isUnfinished();
+    if (responder.isCallerGone()) {
+        endRequest(connection, &RequestCounts::abandoned);
+        co_return false;
     }
-    connection->isResponseUnfinished = responder.isUnfinished();
-    if (failure) {
-        std::rethrow_exception(failure);
+    if (failure.empty() && !responder.isStarted()) {
+        failure = "no response was sent";
+    }
+    if (!failure.empty()) {
+        const auto id = idOfRequest(connection);
+        telemetry::logRateLimited("http_handler_failed", {{"request", id}, {"reason", failure}});
+        if (responder.isUnfinished()) {
+            cutRequest(connection, failure);
+            co_return false;
+        }
+        responder.closeAfterResponse();
+        if (!responder.isStarted()) {
+            co_await sendRefusal(makeRefusal(id, core::ErrorKind::Internal, "the request's handler failed"), responder);
+        }
     }
-    endRequest(*connection, responder.isRefused() ? &RequestCounts::refused : &RequestCounts::answered);
-    co_return responder.isKeepAlive();
+    endRequest(connection, responder.isRefused() ? &RequestCounts::refused : &RequestCounts::answered);
+    co_return responder.isKeepAlive() && !responder.isUnfinished();
 }
 
 void Server::close(std::function<void()> onQuiet)
 {
+    openConnections_.onQuiet(std::move(onQuiet));
     std::vector<std::shared_ptr<Connection>> connections;
     {
         const std::lock_guard lock(mutex_);
-        onQuiet_ = std::move(onQuiet);
         isDraining_ = true;
         isClosing_ = true;
         for (const auto &[id, connection] : connections_) {
             connections.push_back(connection);
         }
     }
-    asio::post(acceptor_.get_executor(), [this] {
-        boost::system::error_code ignored;
-        acceptor_.cancel(ignored);
+    asio::post(strand_, [this] {
+        listener_.close([this] {
+            openConnections_.endAccepting();
+        });
     });
     for (const auto &connection : connections) {
         asio::post(connection->stream.get_executor(), [connection] {
--- a/test/http/server.cpp
+++ b/test/http/server.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <string>
+#include <thread>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
@@ -51,8 +52,8 @@
 class DrivenServer
 {
 public:
-    explicit DrivenServer(http::RequestHandler handler)
-        : server(context, "127.0.0.1:0", http::ServerLimits(), std::move(handler), http::refuseWithNewId)
+    explicit DrivenServer(http::RequestHandler handler, const http::ServerLimits &limits = {})
+        : server(context, "127.0.0.1:0", limits, std::move(handler), http::refuseWithNewId)
     {
     }
 
@@ -220,3 +221,101 @@
     CHECK(counts.cut == 1);
     CHECK(counts.answered == 0);
 }
+
+// Guards against a handler that fails over a request that was read: its connection closed in order, without a response.
+TEST_CASE("a request whose handler fails before the first byte is answered with status 500", "[http]")
+{
+    enum class Failure : int { Exception, SystemError, Other, Silence };
+    const auto failure = GENERATE(Failure::Exception, Failure::SystemError, Failure::Other, Failure::Silence);
+    CAPTURE(static_cast<int>(failure));
+    DrivenServer driven([failure](const http::Request &, http::Responder &responder) -> boost::asio::awaitable<void> {
+        responder.setRequestId("the-id");
+        switch (failure) {
+        case Failure::Exception:
+            throw std::runtime_error("failed");
+        case Failure::SystemError: // As of a call that has nothing to do with the caller's connection.
+            throw boost::system::system_error(boost::asio::error::no_descriptors);
+        case Failure::Other:
+            throw 1;
+        case Failure::Silence:
+            co_return;
+        }
+    });
+    auto socket = driven.connect();
+    send(socket, getRequest);
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(seen.bytes.find("HTTP/1.1 500") == 0);
+    CHECK(seen.bytes.find("X-Request-Id: the-id") != std::string::npos);
+    CHECK(seen.bytes.find("Connection: close") != std::string::npos);
+    CHECK(seen.isEnded);
+    const auto counts = driven.server.counts();
+    CHECK(counts.taken == 1);
+    CHECK(counts.answered == 1);
+    int quietCalls = 0;
+    driven.server.close([&] {
+        ++quietCalls;
+    });
+    driven.drive(50ms);
+    CHECK(quietCalls == 1);
+}
+
+// Guards against a response that was begun and is taken for complete, because its handler failed.
+TEST_CASE("a request whose handler fails within its response is cut and counted", "[http]")
+{
+    DrivenServer driven([](const http::Request &, http::Responder &responder) -> boost::asio::awaitable<void> {
+        co_await responder.beginChunked(200, {});
+        throw std::runtime_error("failed");
+    });
+    auto socket = driven.connect();
+    send(socket, getRequest);
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(seen.bytes.find("HTTP/1.1 200") == 0);
+    CHECK(seen.bytes.find("0\r\n\r\n") == std::string::npos);
+    CHECK((seen.isEnded || seen.isReset));
+    CHECK(driven.server.counts().cut == 1);
+}
+
+// Guards against an idle timeout that ends a connection in order, so that a request which crosses the end looks as if it was read.
+TEST_CASE("a connection is closed unread at the idle timeout", "[http]")
+{
+    const bool isKept = GENERATE(false, true);
+    CAPTURE(isKept);
+    http::ServerLimits limits;
+    limits.idleTimeout = 30ms;
+    DrivenServer driven(answer, limits);
+    auto socket = driven.connect();
+    if (isKept) {
+        send(socket, getRequest);
+    }
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(seen.answers() == (isKept ? 1 : 0));
+    CHECK(seen.isReset);
+    CHECK_FALSE(seen.isEnded);
+    CHECK(driven.server.counts().taken == driven.server.counts().answered);
+    driven.drive(5ms);
+    CHECK(driven.server.counts().closedUnread == 1);
+}
+
+// Guards against a read timeout that expires between two reads of one request and cancels neither: the request stays open for good.
+TEST_CASE("an incomplete request is refused at the read timeout at whatever step it expires", "[http]")
+{
+    const int steps = GENERATE(range(0, 20));
+    CAPTURE(steps);
+    http::ServerLimits limits;
+    limits.readTimeout = 10ms;
+    DrivenServer driven(answer, limits);
+    auto socket = driven.connect();
+    send(socket, getRequest.substr(0, 16) + "X-Long: " + std::string(6000, 'x')); // More than the first read takes.
+    for (int step = 0; step < steps; ++step) {
+        driven.context.poll_one();
+        driven.context.restart();
+    }
+    std::this_thread::sleep_for(2 * limits.readTimeout);
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(seen.bytes.find("HTTP/1.1 408") == 0);
+    CHECK(driven.server.counts().refused == 1);
+}
