http::Server answers 500 if a handler sends no response

Seen by reading, shown by a test: a handler that threw before its first byte closed its caller's connection in order, so that a request was read and given up; the line named no request. An exception that is not a std::exception left the connection on the server's list for good, so that a planned stop waited for the shutdown limit; a system_error of a call that has nothing to do with the caller (no free descriptors) counted as "the caller disconnected"; a handler that returned without a response left the caller waiting, counted as answered.

Cause: the outcome was read from the type of an exception. Now the responder says what happened: nothing written (500 with the request's id, connection closed, line `http_handler_failed` with the id), caller gone (a write failed), response begun and not ended (cut), or complete.

--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -76,8 +76,24 @@
     if (isHeadRequest_) {
         response.content_length(body.size());
     }
+    boost::system::error_code error;
+    beginWrite();
+    co_await bhttp::async_write(stream_, response, asio::redirect_error(asio::use_awaitable, error));
+    endWrite(error);
+}
+
+void Responder::beginWrite()
+{
+    isStarted_ = true;
     stream_.expires_after(timeout_);
-    co_await bhttp::async_write(stream_, response, asio::use_awaitable);
+}
+
+void Responder::endWrite(const boost::system::error_code &error)
+{
+    if (error) {
+        isCallerGone_ = true;
+        throw boost::system::system_error(error);
+    }
 }
 
 asio::awaitable<void> Responder::beginChunked(int status, const Headers &headers)
@@ -90,8 +106,10 @@
     bhttp::response_serializer<bhttp::empty_body> serializer(response);
     isUnfinished_ = true;
     setResetOnClose(!isChunked_);
-    stream_.expires_after(timeout_);
-    co_await bhttp::async_write_header(stream_, serializer, asio::use_awaitable);
+    boost::system::error_code error;
+    beginWrite();
+    co_await bhttp::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, error));
+    endWrite(error);
 }
 
 asio::awaitable<void> Responder::writeChunk(const std::string &data)
@@ -99,19 +117,23 @@
     if (data.empty() || isHeadRequest_) {
         co_return;
     }
-    stream_.expires_after(timeout_);
+    boost::system::error_code error;
+    beginWrite();
     if (isChunked_) {
-        co_await asio::async_write(stream_, bhttp::make_chunk(asio::buffer(data)), asio::use_awaitable);
+        co_await asio::async_write(stream_, bhttp::make_chunk(asio::buffer(data)), asio::redirect_error(asio::use_awaitable, error));
     } else {
-        co_await asio::async_write(stream_, asio::buffer(data), asio::use_awaitable);
+        co_await asio::async_write(stream_, asio::buffer(data), asio::redirect_error(asio::use_awaitable, error));
     }
+    endWrite(error);
 }
 
 asio::awaitable<void> Responder::endChunked()
 {
     if (isChunked_ && !isHeadRequest_) {
-        stream_.expires_after(timeout_);
-        co_await asio::async_write(stream_, bhttp::make_chunk_last(), asio::use_awaitable);
+        boost::system::error_code error;
+        beginWrite();
+        co_await asio::async_write(stream_, bhttp::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+        endWrite(error);
     }
     isUnfinished_ = false;
     setResetOnClose(false);
@@ -149,6 +171,16 @@
     bool isResponseUnfinished = false;
     bool isUnread = false; /* to be closed without reading what the caller may have sent */
     /* Guarded by the server's lock: */
+
+    /** @brief Returns the id of the request; gives it one if the handler did not. */
+    const std::string &nameRequest()
+    {
+        if (requestId.empty()) {
+            requestId = makeRequestId();
+        }
+        return requestId;
+    }
+
     bool isRequestOpen = false;
     std::string requestId;
 };
@@ -266,8 +298,13 @@
         return;
     }
     ++counts_.cut;
-    const auto id = connection.requestId.empty() ? makeRequestId() : connection.requestId;
-    telemetry::logEvent("request_cut", boost::json::object{{"request", id}, {"reason", reason}, {"caller", connection.caller}});
+    telemetry::logEvent("request_cut", boost::json::object{{"request", connection.nameRequest()}, {"reason", reason}, {"caller", connection.caller}});
+}
+
+std::string Server::idOfRequest(Connection &connection)
+{
+    const std::lock_guard lock(mutex_);
+    return connection.nameRequest();
 }
 
 void Server::cutOpenRequests()
@@ -293,6 +330,8 @@
         endRequest(*connection, &RequestCounts::abandoned);
     } catch (const std::exception &error) {
         failure = error.what();
+    } catch (...) {
+        failure = "unknown exception";
     }
     if (!failure.empty()) {
         telemetry::logRateLimited("http_handler_failed", {{"reason", failure}});
@@ -406,18 +445,41 @@
         connection->requestId = id;
     });
     stream.expires_never();
-    std::exception_ptr failure;
+    std::string failure;
     try {
         co_await handler_(request, responder);
+    } catch (const std::exception &error) {
+        failure = error.what();
     } catch (...) {
-        failure = std::current_exception();
+        failure = "unknown exception";
     }
-    connection->isResponseUnfinished = responder.isUnfinished();
-    if (failure) {
-        std::rethrow_exception(failure);
+    co_return co_await endResponse(*connection, responder, std::move(failure));
+}
+
+asio::awaitable<bool> Server::endResponse(Connection &connection, Responder &responder, std::string failure)
+{
+    connection.isResponseUnfinished = responder.isUnfinished();
+    if (responder.isCallerGone()) {
+        endRequest(connection, &RequestCounts::abandoned);
+        co_return false;
+    }
+    if (failure.empty() && !responder.isStarted()) {
+        failure = "no response was sent";
+    }
+    if (!failure.empty()) {
+        const auto id = idOfRequest(connection);
+        telemetry::logRateLimited("http_handler_failed", {{"request", id}, {"reason", failure}});
+        if (responder.isUnfinished()) {
+            cutRequest(connection, failure);
+            co_return false;
+        }
+        responder.closeAfterResponse();
+        if (!responder.isStarted()) {
+            co_await sendRefusal(makeRefusal(id, core::ErrorKind::Internal, "the request's handler failed"), responder);
+        }
     }
-    endRequest(*connection, responder.isRefused() ? &RequestCounts::refused : &RequestCounts::answered);
-    co_return responder.isKeepAlive();
+    endRequest(connection, responder.isRefused() ? &RequestCounts::refused : &RequestCounts::answered);
+    co_return responder.isKeepAlive() && !responder.isUnfinished();
 }
 
 void Server::close(std::function<void()> onQuiet)
--- a/src/cyclamenspool/http/server.h
+++ b/src/cyclamenspool/http/server.h
@@ -107,6 +107,18 @@
         return keepAlive_;
     }
 
+    /** @brief Returns whether a part of a response was passed to the connection. */
+    [[nodiscard]] bool isStarted() const noexcept
+    {
+        return isStarted_;
+    }
+
+    /** @brief Returns whether a write has failed: the caller disconnected or the write timed out. */
+    [[nodiscard]] bool isCallerGone() const noexcept
+    {
+        return isCallerGone_;
+    }
+
     /** @brief Returns whether a started response has not ended, so that the connection's end must not look like the response's. */
     [[nodiscard]] bool isUnfinished() const noexcept
     {
@@ -114,6 +126,8 @@
     }
 
 private:
+    void beginWrite();
+    void endWrite(const boost::system::error_code &error);
     void setResetOnClose(bool isReset);
     static void setHeaders(boost::beast::http::fields &fields, const Headers &headers);
 
@@ -124,6 +138,8 @@
     bool keepAlive_;
     bool isHeadRequest_;
     bool isChunked_;
+    bool isStarted_ = false;
+    bool isCallerGone_ = false;
     bool isUnfinished_ = false; /* a response was begun and not ended */
     bool isRefused_ = false;
 };
@@ -148,7 +164,7 @@
      * @param context Context that runs the connections, each on a strand of its own.
      * @param address IP address and port.
      * @param limits Size and time limits.
-     * @param handler Called for each request.
+     * @param handler Called for each request. If it sends no response, for example because it throws, the caller gets status 500.
      * @param refuse Called for a request that is malformed, too large or too slow; the connection closes after it.
      * @throws std::invalid_argument The address is malformed.
      * @throws boost::system::system_error The address cannot be bound.
@@ -191,10 +207,12 @@
     boost::asio::awaitable<void> serveConnection(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<bool> awaitRequest(const std::shared_ptr<Connection> &connection);
     boost::asio::awaitable<bool> serveRequest(const std::shared_ptr<Connection> &connection);
+    boost::asio::awaitable<bool> endResponse(Connection &connection, Responder &responder, std::string failure);
     boost::asio::awaitable<void> endConnection(Connection &connection);
     void takeRequest(Connection &connection);
     void endRequest(Connection &connection, std::uint64_t RequestCounts::*outcome);
     void cutRequest(Connection &connection, const std::string &reason);
+    [[nodiscard]] std::string idOfRequest(Connection &connection);
     void countCut(Connection &connection, const std::string &reason); /* under the lock */
 
     boost::asio::io_context &context_;
--- a/test/http/server.cpp
+++ b/test/http/server.cpp
@@ -220,3 +220,58 @@
     CHECK(counts.cut == 1);
     CHECK(counts.answered == 0);
 }
+
+// Guards against a handler that fails over a request that was read: its connection closed in order, without a response.
+TEST_CASE("a request whose handler fails before the first byte is answered with status 500", "[http]")
+{
+    enum class Failure : int { Exception, SystemError, Other, Silence };
+    const auto failure = GENERATE(Failure::Exception, Failure::SystemError, Failure::Other, Failure::Silence);
+    CAPTURE(static_cast<int>(failure));
+    DrivenServer driven([failure](const http::Request &, http::Responder &responder) -> boost::asio::awaitable<void> {
+        responder.setRequestId("the-id");
+        switch (failure) {
+        case Failure::Exception:
+            throw std::runtime_error("failed");
+        case Failure::SystemError: // As of a call that has nothing to do with the caller's connection.
+            throw boost::system::system_error(boost::asio::error::no_descriptors);
+        case Failure::Other:
+            throw 1;
+        case Failure::Silence:
+            co_return;
+        }
+    });
+    auto socket = driven.connect();
+    send(socket, getRequest);
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(seen.bytes.find("HTTP/1.1 500") == 0);
+    CHECK(seen.bytes.find("X-Request-Id: the-id") != std::string::npos);
+    CHECK(seen.bytes.find("Connection: close") != std::string::npos);
+    CHECK(seen.isEnded);
+    const auto counts = driven.server.counts();
+    CHECK(counts.taken == 1);
+    CHECK(counts.answered == 1);
+    int quietCalls = 0;
+    driven.server.close([&] {
+        ++quietCalls;
+    });
+    driven.drive(50ms);
+    CHECK(quietCalls == 1);
+}
+
+// Guards against a response that was begun and is taken for complete, because its handler failed.
+TEST_CASE("a request whose handler fails within its response is cut and counted", "[http]")
+{
+    DrivenServer driven([](const http::Request &, http::Responder &responder) -> boost::asio::awaitable<void> {
+        co_await responder.beginChunked(200, {});
+        throw std::runtime_error("failed");
+    });
+    auto socket = driven.connect();
+    send(socket, getRequest);
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(seen.bytes.find("HTTP/1.1 200") == 0);
+    CHECK(seen.bytes.find("0\r\n\r\n") == std::string::npos);
+    CHECK((seen.isEnded || seen.isReset));
+    CHECK(driven.server.counts().cut == 1);
+}
