--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -372,10 +372,10 @@
         if (!error) {
             break;
         }
-        if (error != asio::error::would_block || now >= idleEnd) {
+        if (error != asio::error::would_block) {
             co_return false;
         }
-        if (isClosing_ && wire::unacknowledgedBytes(socket) == 0) {
+        if (now >= idleEnd || (isClosing_ && wire::unacknowledgedBytes(socket) == 0)) {
             connection->isUnread = true;
             co_return false;
         }
--- a/test/http/server.cpp
+++ b/test/http/server.cpp
@@ -51,8 +51,8 @@
 class DrivenServer
 {
 public:
-    explicit DrivenServer(http::RequestHandler handler)
-        : server(context, "127.0.0.1:0", http::ServerLimits(), std::move(handler), http::refuseWithNewId)
+    explicit DrivenServer(http::RequestHandler handler, const http::ServerLimits &limits = {})
+        : server(context, "127.0.0.1:0", limits, std::move(handler), http::refuseWithNewId)
     {
     }
 
@@ -275,3 +275,23 @@
     CHECK((seen.isEnded || seen.isReset));
     CHECK(driven.server.counts().cut == 1);
 }
+
+// Guards against an idle timeout that ends a connection in order, so that a request which crosses the end looks as if it was read.
+TEST_CASE("a connection is closed unread at the idle timeout", "[http]")
+{
+    const bool isKept = GENERATE(false, true);
+    CAPTURE(isKept);
+    http::ServerLimits limits;
+    limits.idleTimeout = 30ms;
+    DrivenServer driven(answer, limits);
+    auto socket = driven.connect();
+    if (isKept) {
+        send(socket, getRequest);
+    }
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(seen.answers() == (isKept ? 1 : 0));
+    CHECK(seen.isReset);
+    CHECK_FALSE(seen.isEnded);
+    CHECK(driven.server.counts().taken == driven.server.counts().answered);
+}
