http::Server: the read timeout ends a request whose reads it falls between

A request of which a part had been read could stay open for good: the timer cancelled the read once, and a read between two operations on the socket (the first completed, its handler not run) has nothing to cancel. The connection then stays until the caller closes, and a planned stop waits until the shutdown limit and cuts it without a response.

The timer's handler also referred to variables of the coroutine. The coroutine waited for it with a post to its strand, which keeps the order with one thread only: with several, the expired timer's handler can be on its way to the strand on another thread. Found by reading.

Change: the state of the time limit is shared with the handler, which cancels every 5 ms until the read has ended.

--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -32,6 +32,7 @@
 
 constexpr std::size_t firstReadBytes = 4096; /* buffer of the read that waits for a request under the idle timeout */
 constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
+constexpr std::chrono::milliseconds cancelRetryInterval{5};
 constexpr std::chrono::milliseconds acknowledgementPollInterval{5};
 constexpr std::chrono::milliseconds acknowledgementTimeout{1000}; /* for the last response of a connection */
 
@@ -185,6 +186,18 @@
     std::string requestId;
 };
 
+/** @brief Time limit of one read of a request; shared with the timer's handler, which may run after the read. */
+struct Server::ReadTimeout {
+    ReadTimeout(const asio::any_io_executor &executor, std::chrono::milliseconds limit)
+        : timer(executor, limit)
+    {
+    }
+
+    asio::steady_timer timer;
+    bool isReading = true;
+    bool isLate = false;
+};
+
 Server::Server(asio::io_context &context, const std::string &address, const ServerLimits &limits, RequestHandler handler, RefusalHandler refuse)
     : context_(context)
     , acceptor_(asio::make_strand(context), wire::parseEndpoint(address))
@@ -396,6 +409,20 @@
     co_return true;
 }
 
+void Server::cancelWhenLate(const std::shared_ptr<Connection> &connection, const std::shared_ptr<ReadTimeout> &timeout)
+{
+    timeout->timer.async_wait([connection, timeout](const boost::system::error_code &error) {
+        if (error || !timeout->isReading) {
+            return;
+        }
+        timeout->isLate = true;
+        connection->stream.cancel();
+        // Once more if the read was between two operations on the socket, where there is nothing to cancel.
+        timeout->timer.expires_after(internal::cancelRetryInterval);
+        cancelWhenLate(connection, timeout);
+    });
+}
+
 asio::awaitable<bool> Server::serveRequest(const std::shared_ptr<Connection> &connection)
 {
     if (!co_await awaitRequest(connection)) {
@@ -408,20 +435,11 @@
     boost::system::error_code error;
     stream.expires_never();
     // Uses a separate timer, because a timeout of the stream itself closes the socket and the caller would get no response.
-    bool isLate = false;
-    asio::steady_timer timer(stream.get_executor(), limits_.readTimeout);
-    timer.async_wait([&stream, &isLate](const boost::system::error_code &timerError) {
-        if (!timerError) {
-            isLate = true;
-            stream.cancel();
-        }
-    });
+    const auto timeout = std::make_shared<ReadTimeout>(stream.get_executor(), limits_.readTimeout);
+    cancelWhenLate(connection, timeout);
     co_await bhttp::async_read(stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    const bool isTimerPending = timer.cancel() > 0;
-    // An expired timer whose handler has not run yet: lets it run while the variables that it refers to exist.
-    if (!isTimerPending && !isLate) {
-        co_await asio::post(stream.get_executor(), asio::use_awaitable);
-    }
+    timeout->isReading = false;
+    timeout->timer.cancel();
     if (error == bhttp::error::end_of_stream) {
         endRequest(*connection, &RequestCounts::abandoned);
         co_return false;
@@ -432,8 +450,8 @@
         unreadable.version(11);
         Responder responder(stream, unreadable, limits_.writeTimeout, isDraining_);
         responder.closeAfterResponse();
-        const auto kind = isLate ? core::ErrorKind::SlowCaller : internal::errorKindOf(error);
-        const std::string detail = isLate ? "the request was incomplete at the read timeout" : error.message();
+        const auto kind = timeout->isLate ? core::ErrorKind::SlowCaller : internal::errorKindOf(error);
+        const std::string detail = timeout->isLate ? "the request was incomplete at the read timeout" : error.message();
         co_await refuse_(kind, detail, responder);
         endRequest(*connection, &RequestCounts::refused);
         co_return false;
--- a/src/cyclamenspool/http/server.h
+++ b/src/cyclamenspool/http/server.h
@@ -198,6 +198,7 @@
 
 private:
     struct Connection;
+    struct ReadTimeout;
 
     boost::asio::awaitable<void> acceptConnections();
     void acceptQueued();
@@ -206,6 +207,7 @@
     void callIfQuiet();
     boost::asio::awaitable<void> serveConnection(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<bool> awaitRequest(const std::shared_ptr<Connection> &connection);
+    static void cancelWhenLate(const std::shared_ptr<Connection> &connection, const std::shared_ptr<ReadTimeout> &timeout);
     boost::asio::awaitable<bool> serveRequest(const std::shared_ptr<Connection> &connection);
     boost::asio::awaitable<bool> endResponse(Connection &connection, Responder &responder, std::string failure);
     boost::asio::awaitable<void> endConnection(Connection &connection);
--- a/test/http/server.cpp
+++ b/test/http/server.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <string>
+#include <thread>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
@@ -295,3 +296,24 @@
     CHECK_FALSE(seen.isEnded);
     CHECK(driven.server.counts().taken == driven.server.counts().answered);
 }
+
+// Guards against a read timeout that expires between two reads of one request and cancels neither: the request stays open for good.
+TEST_CASE("an incomplete request is refused at the read timeout at whatever step it expires", "[http]")
+{
+    const int steps = GENERATE(range(0, 20));
+    CAPTURE(steps);
+    http::ServerLimits limits;
+    limits.readTimeout = 10ms;
+    DrivenServer driven(answer, limits);
+    auto socket = driven.connect();
+    send(socket, getRequest.substr(0, 16) + "X-Long: " + std::string(6000, 'x')); // More than the first read takes.
+    for (int step = 0; step < steps; ++step) {
+        driven.context.poll_one();
+        driven.context.restart();
+    }
+    std::this_thread::sleep_for(2 * limits.readTimeout);
+    Seen seen;
+    driven.receive(socket, seen);
+    CHECK(seen.bytes.find("HTTP/1.1 408") == 0);
+    CHECK(driven.server.counts().refused == 1);
+}
