--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -263,6 +263,7 @@
 {
     {
         const std::lock_guard lock(mutex_);
+        counts_.closedUnread += connection.isUnread ? 1 : 0;
         connections_.erase(connection.id);
     }
     callIfQuiet();
--- a/src/cyclamenspool/http/server.h
+++ b/src/cyclamenspool/http/server.h
@@ -35,13 +35,14 @@
     std::chrono::milliseconds writeTimeout{10000}; /**< For each write of a response. */
 };
 
-/** @brief Numbers of requests since the start of a server; taken is the sum of the others and of the open ones. */
+/** @brief Numbers of requests since the start of a server; taken is the sum of the outcomes and of the open ones. */
 struct RequestCounts {
     std::uint64_t taken = 0; /**< At least one byte was read. */
     std::uint64_t answered = 0; /**< A complete response was written. */
     std::uint64_t refused = 0; /**< A complete response was written, which says that the request was not run. */
     std::uint64_t abandoned = 0; /**< The caller disconnected or stopped reading before the end of the response. */
     std::uint64_t cut = 0; /**< The server ended the connection before the end of the response. */
+    std::uint64_t closedUnread = 0; /**< Connections that the server reset without a request, as it closes or at the idle timeout; not part of taken. */
 };
 
 /** @brief Writes the response to one request. Each write throws boost::system::system_error if the caller disconnected or the write timed out. */
@@ -203,7 +204,7 @@
     boost::asio::awaitable<void> acceptConnections();
     void acceptQueued();
     void addConnection(boost::asio::ip::tcp::socket socket);
-    void removeConnection(const Connection &connection);
+    void removeConnection(const Connection &connection); /* once it is closed */
     void callIfQuiet();
     boost::asio::awaitable<void> serveConnection(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<bool> awaitRequest(const std::shared_ptr<Connection> &connection);
--- a/src/cyclamenspool/node/node.cpp
+++ b/src/cyclamenspool/node/node.cpp
@@ -139,6 +139,7 @@
 {
     if (draining_.exchange(true)) {
         telemetry::logEvent("stopped_at_once", "second termination signal");
+        static_cast<void>(logDrained());
         telemetry::closeLog(internal::forcedExitCode);
         std::_Exit(internal::forcedExitCode);
     }
@@ -216,6 +217,7 @@
                                             {"refused", counts.refused},
                                             {"abandoned", counts.abandoned},
                                             {"cut", counts.cut},
+                                            {"closed_unread", counts.closedUnread},
                                             {"cut_streams", cutStreams_.load()}});
     return true;
 }
--- a/test/http/server.cpp
+++ b/test/http/server.cpp
@@ -295,6 +295,8 @@
     CHECK(seen.isReset);
     CHECK_FALSE(seen.isEnded);
     CHECK(driven.server.counts().taken == driven.server.counts().answered);
+    driven.drive(5ms);
+    CHECK(driven.server.counts().closedUnread == 1);
 }
 
 // Guards against a read timeout that expires between two reads of one request and cancels neither: the request stays open for good.
--- a/test/process/drain.cpp
+++ b/test/process/drain.cpp
@@ -448,3 +448,30 @@
     CHECK(drained[0].at("cut").to_number<int>() == 1);
     CHECK(sumOf(drained[0], {"taken"}) == sumOf(drained[0], {"answered", "refused", "abandoned", "cut"}));
 }
+
+// Guards against an exit at a second signal that no line says has cut a request.
+TEST_CASE("a request that a second signal cuts has a line in the log", "[process][drain]")
+{
+    const auto log = logPath();
+    auto shape = oneRouterShape();
+    shape.settings["log_file"] = log;
+    LocalFleet fleet(shape);
+    auto &process = fleet.routers[0].process;
+    auto partRequest = std::async(std::launch::async, [&] {
+        return harness::exchangeRaw(fleet.routers[0].httpAddress, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n", false, seconds(5));
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    process.signal(SIGTERM);
+    REQUIRE(LocalFleet::waitUntil([&] {
+        return linesOf(log, "shutdown_begun").size() == 1;
+    }));
+    process.signal(SIGTERM);
+    CHECK(process.wait(seconds(5)) == 1);
+    CHECK(partRequest.get().empty());
+    const auto cuts = linesOf(log, "request_cut").size();
+    const auto drained = linesOf(log, "drained");
+    std::filesystem::remove(log);
+    CHECK(cuts == 1);
+    REQUIRE(drained.size() == 1);
+    CHECK(drained[0].at("cut").to_number<int>() == 1);
+}
