Agent: a stream whose handler fails is reset

The same class as a handler of http::Server that fails: the exception was logged and the stream stayed open without a reply, so that the router waited for the request's deadline and a planned stop of the agent for the shutdown limit. The stream is now reset (INTERNAL_ERROR); the router takes its outcome for unknown. An exception that is not a std::exception does not pass through nghttp2 any more.

--- a/src/cyclamenspool/wire/sessionstreams.cpp
+++ b/src/cyclamenspool/wire/sessionstreams.cpp
@@ -28,15 +28,19 @@
     return nv;
 }
 
-/** @brief Calls a handler from within nghttp2, through which no exception may pass: it is logged. */
+/** @brief Calls a handler from within nghttp2, through which no exception may pass: it is logged. @return False if the handler has failed. */
 template<typename Handler>
-void callHandler(const Handler &handler)
+bool callHandler(const Handler &handler)
 {
     try {
         handler();
+        return true;
     } catch (const std::exception &error) {
         telemetry::logRateLimited("handler_failed", {{"reason", error.what()}});
+    } catch (...) {
+        telemetry::logRateLimited("handler_failed", {{"reason", "unknown exception"}});
     }
+    return false;
 }
 
 } // namespace internal
@@ -185,9 +189,12 @@
         if (isServer_) {
             stream.receiveBuffer.clear();
             stream.receiveBuffer.shrink_to_fit();
-            internal::callHandler([&] {
+            const bool isHandled = internal::callHandler([&] {
                 handler_(std::make_shared<ServerStream>(shared_from_this(), id), stream.path, std::move(message));
             });
+            if (!isHandled) {
+                nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id, NGHTTP2_INTERNAL_ERROR);
+            }
             return;
         }
         if (stream.callbacks.onMessage) {
--- a/test/wire/peerserver.cpp
+++ b/test/wire/peerserver.cpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,9 @@
                  wire::SessionLimits(),
                  [this](const std::shared_ptr<wire::ServerStream> &stream, const std::string &, const std::string &message) {
                      handled.push_back(message);
+                     if (message == "fail") {
+                         throw std::runtime_error("failed");
+                     }
                      auto timer = std::make_shared<boost::asio::steady_timer>(context, 5ms);
                      timer->async_wait([timer, stream](const boost::system::error_code &) {
                          stream->send("reply", true);
@@ -112,3 +116,22 @@
         CHECK(peers.end->isComplete);
     }
 }
+
+// Guards against a stream that stays open for good because its handler failed: its caller waits for the deadline, a planned stop for the shutdown limit.
+TEST_CASE("a stream whose handler fails ends, and its server can close", "[wire]")
+{
+    DrivenPeers peers;
+    peers.submit("fail");
+    peers.driveToEnd();
+    REQUIRE(peers.end.has_value());
+    CHECK(peers.handled.size() == 1);
+    CHECK(peers.replies == 0);
+    CHECK(peers.end->maybeProcessed);
+    CHECK_FALSE(peers.end->isComplete);
+    bool isQuiet = false;
+    peers.server.close([&] {
+        isQuiet = true;
+    });
+    peers.context.run_for(200ms);
+    CHECK(isQuiet);
+}
