One listener for gateway, http::Server and peer server; one count of open connections

The accept loop, the pause after a failed accept and the loop that empties the accept queue existed three times; the report "every connection has ended" twice. They are now wire::Listener and wire::OpenConnections. No change of behaviour is meant; the queue of http::Server and of the peer server is now emptied within close() instead of in the handler of the cancelled accept, as the gateway does.

--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -22,7 +22,6 @@
 constexpr std::chrono::milliseconds peerDiscoveryTime{1500}; /* longest wait for a first peer before the process reports ready */
 constexpr std::chrono::milliseconds configurationWait{400}; /* connections are not accepted for up to this time while the first configuration is missing */
 constexpr std::chrono::milliseconds configurationPollPeriod{5};
-constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
 constexpr std::chrono::milliseconds settingsPollPeriod{5000}; /* the settings file may change without a SIGHUP */
 constexpr std::chrono::milliseconds drainCheckPeriod{100};
 constexpr std::string_view statusPath = "/status"; /* every other path of the metrics address returns the metrics */
@@ -48,7 +47,6 @@
     , workers_(internal::makeWorkers(dispatcher_, settings_.workers))
     , catalog_(dispatcher_)
     , gossip_(control(), settings_, dispatcher_, catalog_)
-    , acceptor_(control())
     , storeChecks_(control(), settings_.storeAddress, catalog_, storeCheckCallbacks())
     , signals_(control(), SIGTERM, SIGINT, SIGHUP)
     , acceptTimer_(control())
@@ -103,11 +101,9 @@
 
 void GatewayNode::listen()
 {
-    const auto endpoint = wire::parseEndpoint(settings_.callerAddress);
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    acceptor_.bind(endpoint);
-    acceptor_.listen();
+    listener_.emplace(control().get_executor(), settings_.callerAddress, [this] {
+        return nextDestination();
+    });
     acceptWhenConfigured();
     const auto onReady = [this](const http::Request &request, http::Responder &responder) {
         return sendReadiness(request, responder);
@@ -131,7 +127,7 @@
     const auto elapsed = std::chrono::steady_clock::now() - startTime_;
     const bool isRoutingKeptBack = catalog_.knownRoutingVersion() > catalog_.routingVersion();
     if ((catalog_.isComplete() && !isRoutingKeptBack) || elapsed > internal::configurationWait) {
-        accept();
+        listener_->start();
         return;
     }
     acceptTimer_.expires_after(internal::configurationPollPeriod);
@@ -142,28 +138,12 @@
     });
 }
 
-void GatewayNode::accept()
+wire::Listener::Destination GatewayNode::nextDestination()
 {
     auto &worker = *workers_[nextWorker_++ % workers_.size()];
-    acceptor_.async_accept(worker.context(), [this, &worker](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
-        if (error && !acceptor_.is_open()) {
-            return;
-        }
-        if (error) {
-            telemetry::logRateLimited("accept_failed", {{"reason", error.message()}});
-            acceptTimer_.expires_after(internal::acceptRetryPause);
-            acceptTimer_.async_wait([this](const boost::system::error_code &waitError) {
-                if (!waitError && acceptor_.is_open()) {
-                    accept();
-                }
-            });
-            return;
-        }
-        startSession(worker, std::move(socket));
-        if (acceptor_.is_open()) {
-            accept();
-        }
-    });
+    return {worker.context().get_executor(), [&worker](asio::ip::tcp::socket socket) {
+                startSession(worker, std::move(socket));
+            }};
 }
 
 void GatewayNode::startSession(Worker &worker, asio::ip::tcp::socket socket)
@@ -175,21 +155,6 @@
     });
 }
 
-void GatewayNode::closeAcceptor()
-{
-    boost::system::error_code error;
-    acceptor_.non_blocking(true, error);
-    // Closing the acceptor resets the connections that wait in its queue, so they are accepted first.
-    while (!error) {
-        auto &worker = *workers_[nextWorker_++ % workers_.size()];
-        auto socket = acceptor_.accept(worker.context(), error);
-        if (!error) {
-            startSession(worker, std::move(socket));
-        }
-    }
-    acceptor_.close(error);
-}
-
 void GatewayNode::watchSection(Catalog::Section section)
 {
     platform::StoreCallbacks callbacks;
@@ -385,8 +350,8 @@
     const auto now = std::chrono::steady_clock::now();
     const auto plan = planShutdown(drainStart_, currentSettings_.gracePeriod);
     const bool areRequestsToEnd = now >= plan.endRequests && !areRequestsEnded_;
-    if (areRequestsToEnd && acceptor_.is_open()) {
-        closeAcceptor();
+    if (areRequestsToEnd) {
+        listener_->close();
     }
     for (const auto &worker : workers_) {
         worker->setShutdownPlan(plan);
@@ -400,13 +365,13 @@
     areRequestsEnded_ = now >= plan.endRequests; /* a reload may have moved that time */
     // A connection counts from its accept, on this thread, to its end, so that none can follow once there is none and the acceptor is closed.
     const bool isDone = now >= plan.refuse && openConnections() == 0;
-    if ((isDone && !acceptor_.is_open()) || now >= plan.exit) {
+    if ((isDone && !listener_->isOpen()) || now >= plan.exit) {
         telemetry::logRateLimited("drained", {{"open_connections", openConnections()}});
         stop();
         return;
     }
-    if (isDone && acceptor_.is_open()) {
-        closeAcceptor();
+    if (isDone) {
+        listener_->close();
     }
     drainTimer_.expires_after(internal::drainCheckPeriod);
     drainTimer_.async_wait([this](const boost::system::error_code &error) {
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -10,6 +10,7 @@
 #include <cyclamenspool/gateway/worker.h>
 #include <cyclamenspool/http/server.h>
 #include <cyclamenspool/platform/storeclient.h>
+#include <cyclamenspool/wire/listener.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -41,9 +42,8 @@
 private:
     void listen();
     void acceptWhenConfigured();
-    void accept();
+    [[nodiscard]] wire::Listener::Destination nextDestination();
     static void startSession(Worker &worker, boost::asio::ip::tcp::socket socket);
-    void closeAcceptor();
     void watchSection(Catalog::Section section);
     [[nodiscard]] platform::StoreClient &storeClient(Catalog::Section section);
     [[nodiscard]] StoreCalls storeCalls();
@@ -78,14 +78,14 @@
     std::vector<std::unique_ptr<Worker>> workers_; /* the first one also runs the control thread's work */
     Catalog catalog_;
     PeerGossip gossip_;
-    boost::asio::ip::tcp::acceptor acceptor_;
+    std::optional<wire::Listener> listener_; /* from listen() on */
     std::size_t nextWorker_ = 0;
     std::vector<std::unique_ptr<platform::StoreClient>> storeClients_;
     StoreChecks storeChecks_;
     std::unique_ptr<http::Server> readyServer_;
     std::unique_ptr<http::Server> operatorServer_;
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer acceptTimer_; /* polls for the first configuration, later delays a retry */
+    boost::asio::steady_timer acceptTimer_; /* polls for the first configuration */
     boost::asio::steady_timer settingsTimer_;
     boost::asio::steady_timer drainTimer_;
     core::MonotonicTime startTime_;
--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -2,7 +2,6 @@
 
 #include <cyclamenspool/http/refusal.h>
 #include <cyclamenspool/telemetry/log.h>
-#include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/socketstate.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -10,7 +9,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -31,7 +29,6 @@
 namespace internal {
 
 constexpr std::size_t firstReadBytes = 4096; /* buffer of the read that waits for a request under the idle timeout */
-constexpr std::chrono::milliseconds acceptRetryPause{50}; /* after a failed accept, for example without free descriptors */
 constexpr std::chrono::milliseconds cancelRetryInterval{5};
 constexpr std::chrono::milliseconds acknowledgementPollInterval{5};
 constexpr std::chrono::milliseconds acknowledgementTimeout{1000}; /* for the last response of a connection */
@@ -200,48 +197,19 @@
 
 Server::Server(asio::io_context &context, const std::string &address, const ServerLimits &limits, RequestHandler handler, RefusalHandler refuse)
     : context_(context)
-    , acceptor_(asio::make_strand(context), wire::parseEndpoint(address))
-    , endpoint_(acceptor_.local_endpoint())
+    , strand_(context.get_executor())
+    , listener_(strand_,
+                address,
+                [this] {
+                    return wire::Listener::Destination{asio::make_strand(context_), [this](asio::ip::tcp::socket socket) {
+                                                           addConnection(std::move(socket));
+                                                       }};
+                })
     , limits_(limits)
     , handler_(std::move(handler))
     , refuse_(std::move(refuse))
 {
-    asio::co_spawn(acceptor_.get_executor(), acceptConnections(), asio::detached);
-}
-
-asio::awaitable<void> Server::acceptConnections()
-{
-    while (!isClosing_) {
-        boost::system::error_code error;
-        auto socket = co_await acceptor_.async_accept(asio::make_strand(context_), asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
-            addConnection(std::move(socket));
-        } else if (!isClosing_) {
-            telemetry::logRateLimited("accept_failed", {{"reason", error.message()}});
-            asio::steady_timer pause(acceptor_.get_executor(), internal::acceptRetryPause);
-            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
-        }
-    }
-    acceptQueued();
-}
-
-void Server::acceptQueued()
-{
-    boost::system::error_code error;
-    acceptor_.non_blocking(true, error);
-    while (!error) {
-        asio::ip::tcp::socket socket(asio::make_strand(context_));
-        acceptor_.accept(socket, error);
-        if (!error) {
-            addConnection(std::move(socket));
-        }
-    }
-    acceptor_.close(error);
-    {
-        const std::lock_guard lock(mutex_);
-        isListening_ = false;
-    }
-    callIfQuiet();
+    listener_.start();
 }
 
 void Server::addConnection(asio::ip::tcp::socket socket)
@@ -250,6 +218,7 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
     const auto executor = socket.get_executor();
+    openConnections_.add();
     std::shared_ptr<Connection> connection;
     {
         const std::lock_guard lock(mutex_);
@@ -266,22 +235,7 @@
         counts_.closedUnread += connection.isUnread ? 1 : 0;
         connections_.erase(connection.id);
     }
-    callIfQuiet();
-}
-
-void Server::callIfQuiet()
-{
-    std::function<void()> handler;
-    {
-        const std::lock_guard lock(mutex_);
-        if (isListening_ || !connections_.empty()) {
-            return;
-        }
-        handler = std::exchange(onQuiet_, nullptr);
-    }
-    if (handler) {
-        handler();
-    }
+    openConnections_.remove();
 }
 
 void Server::takeRequest(Connection &connection)
@@ -503,19 +457,20 @@
 
 void Server::close(std::function<void()> onQuiet)
 {
+    openConnections_.onQuiet(std::move(onQuiet));
     std::vector<std::shared_ptr<Connection>> connections;
     {
         const std::lock_guard lock(mutex_);
-        onQuiet_ = std::move(onQuiet);
         isDraining_ = true;
         isClosing_ = true;
         for (const auto &[id, connection] : connections_) {
             connections.push_back(connection);
         }
     }
-    asio::post(acceptor_.get_executor(), [this] {
-        boost::system::error_code ignored;
-        acceptor_.cancel(ignored);
+    asio::post(strand_, [this] {
+        listener_.close([this] {
+            openConnections_.endAccepting();
+        });
     });
     for (const auto &connection : connections) {
         asio::post(connection->stream.get_executor(), [connection] {
--- a/src/cyclamenspool/http/server.h
+++ b/src/cyclamenspool/http/server.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <cyclamenspool/core/errorkind.h>
+#include <cyclamenspool/wire/listener.h>
+#include <cyclamenspool/wire/openconnections.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -194,18 +197,15 @@
     /** @brief Returns the address that connections are accepted on, with the port that the system chose if it was 0. */
     [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const
     {
-        return endpoint_;
+        return listener_.endpoint();
     }
 
 private:
     struct Connection;
     struct ReadTimeout;
 
-    boost::asio::awaitable<void> acceptConnections();
-    void acceptQueued();
     void addConnection(boost::asio::ip::tcp::socket socket);
     void removeConnection(const Connection &connection); /* once it is closed */
-    void callIfQuiet();
     boost::asio::awaitable<void> serveConnection(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<bool> awaitRequest(const std::shared_ptr<Connection> &connection);
     static void cancelWhenLate(const std::shared_ptr<Connection> &connection, const std::shared_ptr<ReadTimeout> &timeout);
@@ -219,19 +219,18 @@
     void countCut(Connection &connection, const std::string &reason); /* under the lock */
 
     boost::asio::io_context &context_;
-    boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::ip::tcp::endpoint endpoint_;
+    boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+    wire::Listener listener_; /* on the strand */
     ServerLimits limits_;
     RequestHandler handler_;
     RefusalHandler refuse_;
     std::atomic<bool> isDraining_{false};
     std::atomic<bool> isClosing_{false};
+    wire::OpenConnections openConnections_;
     mutable std::mutex mutex_; /* guards the members below and the request of each connection; no other lock but the log's is taken while it is held */
     std::map<std::uint64_t, std::shared_ptr<Connection>> connections_;
     std::uint64_t nextConnection_ = 1;
     RequestCounts counts_;
-    bool isListening_ = true;
-    std::function<void()> onQuiet_;
 };
 
 } // namespace cyclamenspool::http
--- a/src/cyclamenspool/wire/fwd.h
+++ b/src/cyclamenspool/wire/fwd.h
@@ -6,4 +6,6 @@
 class ClientStream;
 class PeerConnectionPool;
 class PeerServer;
+class Listener;
+class OpenConnections;
 } // namespace cyclamenspool::wire
--- a/src/cyclamenspool/wire/peerserver.h
+++ b/src/cyclamenspool/wire/peerserver.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include <cyclamenspool/wire/listener.h>
+#include <cyclamenspool/wire/openconnections.h>
 #include <cyclamenspool/wire/session.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 
-#include <cstddef>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -41,29 +42,21 @@
     /** @brief Returns the address that sessions are accepted on, with the port that the system chose if it was 0. */
     [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const
     {
-        return endpoint_;
+        return listener_.endpoint();
     }
 
 private:
-    void accept();
-    void acceptQueued();
     void addSession(Session::Socket socket);
-    void onSessionClosed();
-    void callIfQuiet();
     [[nodiscard]] std::vector<std::shared_ptr<Session>> openSessions();
 
     boost::asio::io_context &context_;
     SessionLimits limits_;
     RequestHandler handler_;
-    boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::ip::tcp::endpoint endpoint_;
-    boost::asio::steady_timer retryTimer_;
-    bool isClosing_ = false; /* on the acceptor's strand */
-    std::mutex mutex_; /* guards the members below; no other lock is taken while it is held */
+    boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+    Listener listener_; /* on the strand */
+    OpenConnections openConnections_;
+    std::mutex mutex_; /* guards the sessions; no other lock is taken while it is held */
     std::vector<std::weak_ptr<Session>> sessions_;
-    std::size_t openSessions_ = 0; /* from the acceptance to the end of the connection */
-    bool isListening_ = true;
-    std::function<void()> onQuiet_;
 };
 
 } // namespace cyclamenspool::wire
