http::Server: no reset at the idle timeout over a response on its way

A connection that is idle for 60 s is reset since, also if the caller has not acknowledged the end of the last response; the reset discards that end.

--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -344,7 +344,8 @@
             co_return false;
         }
         if (now >= idleEnd || (isClosing_ && wire::unacknowledgedBytes(socket) == 0)) {
-            connection->isUnread = true;
+            // A reset would discard what the caller has not acknowledged of the last response.
+            connection->isUnread = wire::unacknowledgedBytes(socket) == 0;
             co_return false;
         }
         const auto nextCheck = now + internal::acknowledgementPollInterval;
