--- a/src/cyclamenspool/http/server.h
+++ b/src/cyclamenspool/http/server.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <cyclamenspool/core/errorkind.h>
+#include <cyclamenspool/wire/listener.h>
+#include <cyclamenspool/wire/openconnections.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -35,13 +38,14 @@
     std::chrono::milliseconds writeTimeout{10000}; /**< For each write of a response. */
 };
 
-/** @brief Numbers of requests since the start of a server; taken is the sum of the others and of the open ones. */
+/** @brief Numbers of requests since the start of a server; taken is the sum of the outcomes and of the open ones. */
 struct RequestCounts {
     std::uint64_t taken = 0; /**< At least one byte was read. */
     std::uint64_t answered = 0; /**< A complete response was written. */
     std::uint64_t refused = 0; /**< A complete response was written, which says that the request was not run. */
     std::uint64_t abandoned = 0; /**< The caller disconnected or stopped reading before the end of the response. */
     std::uint64_t cut = 0; /**< The server ended the connection before the end of the response. */
+    std::uint64_t closedUnread = 0; /**< Connections that the server reset without a request, as it closes or at the idle timeout; not part of taken. */
 };
 
 /** @brief Writes the response to one request. Each write throws boost::system::system_error if the caller disconnected or the write timed out. */
@@ -107,6 +111,18 @@
         return keepAlive_;
     }
 
+    /** @brief Returns whether a part of a response was passed to the connection. */
+    [[nodiscard]] bool isStarted() const noexcept
+    {
+        return isStarted_;
+    }
+
+    /** @brief Returns whether a write has failed: the caller disconnected or the write timed out. */
+    [[nodiscard]] bool isCallerGone() const noexcept
+    {
+        return isCallerGone_;
+    }
+
     /** @brief Returns whether a started response has not ended, so that the connection's end must not look like the response's. */
     [[nodiscard]] bool isUnfinished() const noexcept
     {
@@ -114,6 +130,8 @@
     }
 
 private:
+    void beginWrite();
+    void endWrite(const boost::system::error_code &error);
     void setResetOnClose(bool isReset);
     static void setHeaders(boost::beast::http::fields &fields, const Headers &headers);
 
@@ -124,6 +142,8 @@
     bool keepAlive_;
     bool isHeadRequest_;
     bool isChunked_;
+    bool isStarted_ = false;
+    bool isCallerGone_ = false;
     bool isUnfinished_ = false; /* a response was begun and not ended */
     bool isRefused_ = false;
 };
@@ -148,7 +168,7 @@
      * @param context Context that runs the connections, each on a strand of its own.
      * @param address IP address and port.
      * @param limits Size and time limits.
-     * @param handler Called for each request.
+     * @param handler Called for each request. If it sends no response, for example because it throws, the caller gets status 500.
      * @param refuse Called for a request that is malformed, too large or too slow; the connection closes after it.
      * @throws std::invalid_argument The address is malformed.
      * @throws boost::system::system_error The address cannot be bound.
@@ -177,40 +197,40 @@
     /** @brief Returns the address that connections are accepted on, with the port that the system chose if it was 0. */
     [[nodiscard]] boost::asio::ip::tcp::endpoint endpoint() const
     {
-        return endpoint_;
+        return listener_.endpoint();
     }
 
 private:
     struct Connection;
+    struct ReadTimeout;
 
-    boost::asio::awaitable<void> acceptConnections();
-    void acceptQueued();
     void addConnection(boost::asio::ip::tcp::socket socket);
-    void removeConnection(const Connection &connection);
-    void callIfQuiet();
+    void removeConnection(const Connection &connection); /* once it is closed */
     boost::asio::awaitable<void> serveConnection(std::shared_ptr<Connection> connection);
     boost::asio::awaitable<bool> awaitRequest(const std::shared_ptr<Connection> &connection);
+    static void cancelWhenLate(const std::shared_ptr<Connection> &connection, const std::shared_ptr<ReadTimeout> &timeout);
     boost::asio::awaitable<bool> serveRequest(const std::shared_ptr<Connection> &connection);
+    boost::asio::awaitable<bool> endResponse(Connection &connection, Responder &responder, std::string failure);
     boost::asio::awaitable<void> endConnection(Connection &connection);
     void takeRequest(Connection &connection);
     void endRequest(Connection &connection, std::uint64_t RequestCounts::*outcome);
     void cutRequest(Connection &connection, const std::string &reason);
+    [[nodiscard]] std::string idOfRequest(Connection &connection);
     void countCut(Connection &connection, const std::string &reason); /* under the lock */
 
     boost::asio::io_context &context_;
-    boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::ip::tcp::endpoint endpoint_;
+    boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+    wire::Listener listener_; /* on the strand */
     ServerLimits limits_;
     RequestHandler handler_;
     RefusalHandler refuse_;
     std::atomic<bool> isDraining_{false};
     std::atomic<bool> isClosing_{false};
+    wire::OpenConnections openConnections_;
     mutable std::mutex mutex_; /* guards the members below and the request of each connection; no other lock but the log's is taken while it is held */
     std::map<std::uint64_t, std::shared_ptr<Connection>> connections_;
     std::uint64_t nextConnection_ = 1;
     RequestCounts counts_;
-    bool isListening_ = true;
-    std::function<void()> onQuiet_;
 };
 
 } // namespace cyclamenspool::http
