--- a/src/cyclamenspool/http/server.cpp
+++ b/src/cyclamenspool/http/server.cpp
@@ -168,9 +168,8 @@
     bool isWaiting = false; /* for the first byte of a request */
     bool isResponseUnfinished = false;
     bool isUnread = false; /* to be closed without reading what the caller may have sent */
-    /* Guarded by the server's lock: */
 
-    /** @brief Returns the id of the request; gives it one if the handler did not. */
+    /** @brief Returns the id of the request; gives it one if the handler did not. Under the server's lock. */
     const std::string &nameRequest()
     {
         if (requestId.empty()) {
@@ -179,6 +178,7 @@
         return requestId;
     }
 
+    /* Guarded by the server's lock: */
     bool isRequestOpen = false;
     std::string requestId;
 };
