--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -212,7 +212,7 @@
     close();
 }
 
-std::optional<Request> readRequest(Connection &connection, Clock::time_point deadline)
+std::optional<Request> readRequestHead(Connection &connection, Clock::time_point deadline)
 {
     if (!connection.readUntil("\r\n\r\n", deadline)) {
         return std::nullopt;
@@ -222,12 +222,26 @@
     std::istringstream line(head.substr(0, head.find("\r\n")));
     line >> request.method >> request.target;
     request.fields = parseFields(head);
+    return request;
+}
+
+bool readRequestBody(Connection &connection, Request &request, Clock::time_point deadline)
+{
     const auto length = valueOf(request.fields, "content-length");
     const std::size_t count = length.empty() ? 0 : std::stoul(length);
     if (!connection.readBytes(count, deadline)) {
-        return std::nullopt;
+        return false;
     }
     request.body = connection.take(count);
+    return true;
+}
+
+std::optional<Request> readRequest(Connection &connection, Clock::time_point deadline)
+{
+    auto request = readRequestHead(connection, deadline);
+    if (!request || !readRequestBody(connection, *request, deadline)) {
+        return std::nullopt;
+    }
     return request;
 }
 
@@ -284,10 +298,13 @@
     return response;
 }
 
-Server::Server(Handler handler)
+Server::Server(Handler handler, int receiveBytes)
     : handler_(std::move(handler))
 {
     descriptor_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (receiveBytes > 0) {
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
+    }
     const auto address = loopback(0);
     if (::bind(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || ::listen(descriptor_, 512) != 0) {
         throw std::runtime_error("no port is free");
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -82,6 +82,12 @@
     std::string body;
 };
 
+/** @brief Reads the head of a request. @return Empty if the connection ends or the time is over before. */
+std::optional<Request> readRequestHead(Connection &connection, Clock::time_point deadline);
+
+/** @brief Reads the body of a request whose head was read, if it has a Content-Length. @return False if the connection ends or the time is over before. */
+bool readRequestBody(Connection &connection, Request &request, Clock::time_point deadline);
+
 /** @brief Reads a request with Content-Length or without a body. @return Empty if the connection ends or the time is over before. */
 std::optional<Request> readRequest(Connection &connection, Clock::time_point deadline);
 
@@ -103,7 +109,8 @@
 {
 public:
     using Handler = std::function<void(Connection &)>;
-    explicit Server(Handler handler);
+    /** @param receiveBytes Receive buffer of its connections; 0: as the system has it. */
+    explicit Server(Handler handler, int receiveBytes = 0);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
