--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -14,6 +14,7 @@
 #include <poll.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -575,12 +576,18 @@
     }
 }
 
+void endWithParent()
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 void Gateway::start()
 {
     const auto settings = directory_ + "/" + options_.node + ".yaml";
     const auto log = directory_ + "/" + options_.node + ".log";
     process_ = ::fork();
     if (process_ == 0) {
+        endWithParent();
         ::setenv("CYCLAMENSPOOL_CONFIG", settings.c_str(), 1);
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(output, STDOUT_FILENO);
@@ -609,6 +616,36 @@
     return false;
 }
 
+std::vector<std::unique_ptr<Gateway>> startGateways(const std::string &directory, int count, const std::string &storeAddress)
+{
+    std::vector<int> controlPorts;
+    std::vector<std::string> seeds;
+    for (int i = 0; i < count; ++i) {
+        controlPorts.push_back(freePort());
+        seeds.push_back("127.0.0.1:" + std::to_string(controlPorts.back()));
+    }
+    std::vector<std::unique_ptr<Gateway>> gateways;
+    for (int i = 0; i < count; ++i) {
+        const std::string zone = std::string("bkk-") + static_cast<char>('a' + i);
+        const Gateway::Options options{"edge-" + zone + "-1", zone, storeAddress, seeds, controlPorts[static_cast<std::size_t>(i)]};
+        gateways.push_back(std::make_unique<Gateway>(directory, options));
+        gateways.back()->start();
+    }
+    for (const auto &gateway : gateways) {
+        if (!gateway->waitUntilReady(Milliseconds(10000))) {
+            throw std::runtime_error("a gateway is not ready");
+        }
+    }
+    return gateways;
+}
+
+std::string configuration(const std::string &routes, const std::string &services)
+{
+    return R"({"version":7,"routes":[)" + routes + R"(],"services":[)" + services
+        + R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+          R"("tenants":[{"name":"desk","api_keys":["key-1"],"priority":1}]})";
+}
+
 Record::Record(const std::string &file)
     : file_(std::fopen(file.c_str(), "w"))
 {
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -208,6 +208,9 @@
     std::thread thread_;
 };
 
+/** @brief In a new process: makes it end with the driver, however that ends. */
+void endWithParent();
+
 /** @brief A gateway, started as the deploy file says, with its template filled as the platform fills it. */
 class Gateway
 {
@@ -247,6 +250,16 @@
     pid_t process_ = -1;
 };
 
+/**
+ * @brief Starts gateways that know each other as seeds, one in each of the zones bkk-a, bkk-b and so on.
+ * @param directory Folder for their settings and logs.
+ * @throws std::runtime_error If one is not ready within 10 s.
+ */
+std::vector<std::unique_ptr<Gateway>> startGateways(const std::string &directory, int count, const std::string &storeAddress);
+
+/** @brief Returns the operator's configuration for the host desk.example and the key key-1. @param routes JSON objects. @param services JSON objects. */
+std::string configuration(const std::string &routes, const std::string &services);
+
 /** @brief The file record.txt: one line for each thing that was sent, answered or run. */
 class Record
 {
