--- /dev/null
+++ b/src/cyclamenspool/gateway/scheduling/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace cyclamenspool::gateway::scheduling {
+
+struct Decision;
+
+} // namespace cyclamenspool::gateway::scheduling
