Tests: the bytes of a malformed input have the length of their literal

Cause: the test gave the length 56 for a literal of 45 bytes and sent what lies behind it in memory. Change: the literal carries its own length. The 45 bytes that were meant are sent as before.

--- a/test/process/gatewayfaults.cpp
+++ b/test/process/gatewayfaults.cpp
@@ -18,6 +18,7 @@
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
+using namespace std::string_literals;
 using harness::chunk;
 using harness::formatResponseWithDigest;
 using harness::GatewayFleet;
@@ -403,7 +404,7 @@
 {
     GatewayFleet fleet(2, 1);
     const auto &gateway = fleet.gateways[0];
-    const std::string garbage("\x00\xff\x16\x03\x01 GET \r\n\r\n PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff\xff\xff", 56);
+    const auto garbage = "\x00\xff\x16\x03\x01 GET \r\n\r\n PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff\xff\xff"s;
     for (const auto &address : {gateway.callerAddress, gateway.peerAddress, gateway.readyAddress, gateway.metricsAddress}) {
         static_cast<void>(harness::exchangeRaw(address, garbage, true, 300ms));
     }
