--- a/test/process/ports.cpp
+++ b/test/process/ports.cpp
@@ -23,3 +23,15 @@
         CHECK(addresses.insert(address).second);
     }
 }
+
+TEST_CASE("ports of tests that run at the same time differ", "[process][harness]")
+{
+    harness::PortBlocks first;
+    harness::PortBlocks second;
+    std::set<std::string> addresses;
+    for (int i = 0; i < 300; ++i) {
+        CHECK(addresses.insert(first.findFreeAddress()).second);
+        CHECK(addresses.insert(second.findFreeAddress()).second);
+        CHECK(addresses.insert(harness::findFreeAddress()).second);
+    }
+}
