Gateway: a head that holds parts of two responses is no response

Cause: a response that breaks off in its head and the next one behind it on a connection are one head to the parser: status of the first, id, digest and body of the second.

Change: a status line inside the reason phrase or a value (http/headcheck), or two different ids or digests, fails the call as outcome_unknown and closes the connection; http/client does the same for the head. Two lengths, a length beside chunks, and a status line that begins inside a name, a status code or a line end were parser errors already; the tests now say so.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/gateway/backendcall.h>
 
+#include <cyclamenspool/http/headcheck.h>
 #include <cyclamenspool/http/messageend.h>
 #include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/tcpkeepalive.h>
@@ -199,6 +200,12 @@
     areHeadersParsed_ = true;
     const auto &response = parser_->get();
     const auto head = platform::readResponseHead(response.result_int(), response.base());
+    const auto reason = response.reason();
+    // Nothing of such a head can be believed, also not that it belongs to another request or is interim.
+    if (head.isContradictory || http::holdsSecondHead({reason.data(), reason.size()}, response.base())) {
+        fail("the response's head holds parts of two responses");
+        return false;
+    }
     const auto encoding = response[bhttp::field::transfer_encoding];
     // The end of the body is unknown with any other transfer coding, and the coding is not removed.
     if (!encoding.empty() && !boost::beast::iequals(encoding, "chunked")) {
--- a/src/cyclamenspool/http/client.cpp
+++ b/src/cyclamenspool/http/client.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/http/client.h>
 
+#include <cyclamenspool/http/headcheck.h>
 #include <cyclamenspool/wire/endpoint.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -81,6 +82,10 @@
         if (error) {
             throw ClientError(request.address + ": " + error.message(), true);
         }
+        const auto reason = parser->get().reason();
+        if (holdsSecondHead({reason.data(), reason.size()}, parser->get().base())) {
+            throw ClientError(request.address + ": the response's head holds parts of two responses", true);
+        }
         if (parser->get().result_int() >= static_cast<unsigned>(bhttp::status::ok)) {
             co_return;
         }
--- a/src/cyclamenspool/platform/headers.cpp
+++ b/src/cyclamenspool/platform/headers.cpp
@@ -4,6 +4,7 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -124,6 +125,14 @@
     return {value.data(), value.size()};
 }
 
+bool hasDifferentValues(const Fields &fields, std::string_view name)
+{
+    const auto [first, last] = fields.equal_range(name);
+    return std::any_of(first, last, [value = valueOf(fields, name)](const auto &field) {
+        return std::string_view(field.value().data(), field.value().size()) != value;
+    });
+}
+
 void readTokens(std::string_view text, RequestHead &head)
 {
     const auto words = split(text, ',');
@@ -258,6 +267,7 @@
 ResponseHead readResponseHead(unsigned status, const Fields &fields)
 {
     ResponseHead head;
+    head.isContradictory = internal::hasDifferentValues(fields, internal::requestIdHeader) || internal::hasDifferentValues(fields, internal::digestHeader);
     head.requestId = internal::valueOf(fields, internal::requestIdHeader);
     head.hasDigest = !internal::valueOf(fields, internal::digestHeader).empty();
     head.isNotExecuted = !internal::valueOf(fields, internal::notExecutedHeader).empty() || status == internal::misdirectedRequest;
--- a/src/cyclamenspool/platform/headers.h
+++ b/src/cyclamenspool/platform/headers.h
@@ -66,6 +66,7 @@
     bool isNotExecuted = false; /**< The backend server reports that it did not run the request. */
     bool isEventStream = false; /**< The body is a stream of server-sent events, or its type is not given. */
     bool isEncoded = false; /**< The body has a content encoding, so it is not the bytes that the backend server wrote. */
+    bool isContradictory = false; /**< The request id or the digest is given more than once, with different values. */
     std::optional<ReportedLoad> load; /**< Empty: absent or malformed. */
     ServerStatement statement;
     std::optional<std::chrono::seconds> idleTimeout; /**< Time after which the backend server closes an idle connection; empty: not given. */
--- a/test/gateway/backendcall.cpp
+++ b/test/gateway/backendcall.cpp
@@ -214,6 +214,63 @@
     }
 }
 
+// Guards against a response that is read together with the beginning of another one which broke off before it on the connection.
+TEST_CASE("a response behind a part of another one's head is none", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto earlierResponse = GENERATE(as<std::string>(), "", earlier);
+    const auto status = GENERATE(as<std::string>(), "200 OK", "204 No Content", "500 Internal Server Error", "421 Misdirected Request", "103 Early Hints");
+    const auto ownStatus = GENERATE(as<std::string>(), "200 OK", "500 Internal Server Error");
+    const std::string stray = "HTTP/1.1 " + status
+        + "\r\nDate: Sat, 05 Dec 2026 12:00:00 GMT\r\nCyclamenspool-Request-Id: r0\r\nCyclamenspool-Response-Seal: s0\r\nContent-Length: 2\r\n\r\n";
+    const std::string own = "HTTP/1.1 " + ownStatus + "\r\nCyclamenspool-Request-Id: r1\r\nCyclamenspool-Response-Seal: s1\r\nContent-Length: 4\r\n\r\nbody";
+    for (std::size_t cut = 1; cut < stray.size(); ++cut) {
+        INFO("bytes " << cut << " of " << stray << own);
+        const auto seen = broken.callBrokenOff({earlierResponse, stray.substr(0, cut) + own, BreakOff::Fin});
+        CHECK(seen.endCount == 1);
+        CHECK(seen.headCount == 0);
+        CHECK_FALSE(seen.isComplete);
+    }
+}
+
+// Guards against a response that is taken for the request's own, or for a complete one, by the first of two statements that differ.
+TEST_CASE("a response whose head contradicts itself is none", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto extra = GENERATE(as<std::string>(),
+                                "Content-Length: 3\r\n",
+                                "Transfer-Encoding: chunked\r\n",
+                                "Cyclamenspool-Request-Id: r2\r\n",
+                                "Cyclamenspool-Response-Seal: s2\r\n",
+                                "X-Note: HTTP/1.1 200 OK\r\n",
+                                "X-Note: xHTTP/1.0 500\r\n");
+    const bool isFirst = GENERATE(false, true);
+    INFO(extra << ", first " << isFirst);
+    const std::string fields = "Cyclamenspool-Request-Id: r1\r\nCyclamenspool-Response-Seal: s1\r\nContent-Length: 4\r\n";
+    const auto seen = broken.callBrokenOff({"", "HTTP/1.1 200 OK\r\n" + (isFirst ? extra + fields : fields + extra) + "\r\nbody", BreakOff::Fin});
+    CHECK(seen.endCount == 1);
+    CHECK(seen.headCount == 0);
+    CHECK_FALSE(seen.isComplete);
+}
+
+TEST_CASE("a response whose head says the same twice, or names HTTP, is the server's own", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto extra = GENERATE(as<std::string>(),
+                                "Cyclamenspool-Request-Id: r1\r\n",
+                                "Cyclamenspool-Response-Seal: s1\r\n",
+                                "Via: HTTP/1.1 proxy\r\n",
+                                "X-Link: /HTTP/1.1\r\n",
+                                "Set-Cookie: a=1\r\nSet-Cookie: a=2\r\n");
+    INFO(extra);
+    const auto seen = broken.callBrokenOff(
+        {earlier,
+         "HTTP/1.1 200 HTTP is fine\r\nCyclamenspool-Request-Id: r1\r\nCyclamenspool-Response-Seal: s1\r\nContent-Length: 4\r\n" + extra + "\r\nbody",
+         BreakOff::Fin});
+    CHECK(seen.isComplete);
+    CHECK(seen.body == "body");
+}
+
 // Guards against a request that is cut on a connection that was established in time, as the event loop was late.
 TEST_CASE("a request is sent and answered although a late event loop finds the time limit of its connect expired", "[gateway][late]")
 {
