Gateway: a backend server that sends before it reads is not cut off

Cause: Linux ends a connection by TCP_USER_TIMEOUT if the peer's window stays closed for so long, although the peer acknowledges each probe.

Change: once bytes of the response arrive while a part of the request is unacknowledged, BackendCall lifts the user time-out and watches itself (wire/deliverywatch): nothing received and nothing acknowledged for 2.5 s fails the call. Once all is acknowledged, the user time-out is set again; a connection that still holds a part of the request at the end of the response is not reused. Cost: one ioctl at the first bytes of a response; no timer in the usual case.

A server whose window is closed and that sends nothing at all for 2.5 s is still taken for gone.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -3,6 +3,7 @@
 #include <cyclamenspool/http/headcheck.h>
 #include <cyclamenspool/http/messageend.h>
 #include <cyclamenspool/wire/endpoint.h>
+#include <cyclamenspool/wire/socketstate.h>
 #include <cyclamenspool/wire/tcpkeepalive.h>
 
 #include <boost/asio/write.hpp>
@@ -20,6 +21,8 @@
 constexpr std::chrono::milliseconds defaultIdleTimeout{4000}; /* if the response does not announce one */
 constexpr double idleFraction = 0.7; /* of the backend server's idle timeout, so that a connection is not reused just as the server closes it */
 constexpr wire::TcpKeepAlive backendKeepAlive{std::chrono::milliseconds(2500), std::chrono::seconds(1), 2};
+constexpr std::chrono::milliseconds deliveryCheckPeriod{100};
+constexpr std::size_t maxWriteBytes = 64UL * 1024;
 constexpr std::size_t maxDiscardedBytes = 256UL * 1024; /* of responses before the request's own one; beyond it they may never end */
 constexpr std::size_t maxUnparsedBytes = 64UL * 1024; /* of one header or chunk header */
 constexpr unsigned minFinalStatus = 200; /* lower codes are interim responses */
@@ -55,6 +58,7 @@
     , handler_(&handler)
     , socket_(connectionPool.context())
     , connectTimer_(connectionPool.context())
+    , deliveryTimer_(connectionPool.context())
 {
 }
 
@@ -107,13 +111,74 @@
 {
     resetParser();
     read();
+    isWriting_ = true;
     auto self = shared_from_this();
-    asio::async_write(socket_, asio::buffer(request_.bytes), [self](const boost::system::error_code &error, std::size_t) {
+    const auto countWritten = [self](const boost::system::error_code &error, std::size_t count) -> std::size_t {
+        self->writtenBytes_ = count;
+        return error ? 0 : internal::maxWriteBytes;
+    };
+    asio::async_write(socket_, asio::buffer(request_.bytes), countWritten, [self](const boost::system::error_code &error, std::size_t) {
         // A failed write is not an error yet: the read fails as well, or it receives a response that the server sent before it had the whole request.
+        self->isWriting_ = false;
         self->isRequestSent_ = !error;
     });
 }
 
+std::size_t BackendCall::undeliveredBytes()
+{
+    return (isWriting_ ? request_.bytes.size() - writtenBytes_ : 0) + wire::unacknowledgedBytes(socket_);
+}
+
+void BackendCall::watchDelivery()
+{
+    if (isDelivered_) {
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (isDeliveryWatched_) {
+        delivery_.onReceived(now);
+    } else if (undeliveredBytes() == 0) {
+        isDelivered_ = true;
+    } else {
+        // The server sends before it has read the request, so its closed window is no sign that it is gone.
+        isDeliveryWatched_ = true;
+        wire::setUserTimeout(socket_, std::chrono::milliseconds(0));
+        delivery_.onReceived(now);
+        armDeliveryTimer();
+    }
+}
+
+void BackendCall::armDeliveryTimer()
+{
+    auto self = shared_from_this();
+    deliveryTimer_.expires_after(internal::deliveryCheckPeriod);
+    deliveryTimer_.async_wait([self](const boost::system::error_code &error) {
+        if (!error && self->handler_ != nullptr) {
+            self->checkDelivery();
+        }
+    });
+}
+
+void BackendCall::checkDelivery()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto undelivered = undeliveredBytes();
+    if (undelivered == 0) {
+        isDelivered_ = true;
+        isDeliveryWatched_ = false;
+        wire::setUserTimeout(socket_, internal::backendKeepAlive.userTimeout);
+        return;
+    }
+    if (isPaused_) {
+        delivery_.onReceived(now); /* what the server sends meanwhile is not read */
+    }
+    if (!delivery_.isPending(undelivered, now, internal::backendKeepAlive.userTimeout)) {
+        fail("the backend server neither sent nor read for " + std::to_string(internal::backendKeepAlive.userTimeout.count()) + " ms");
+        return;
+    }
+    armDeliveryTimer();
+}
+
 void BackendCall::resetParser()
 {
     parser_.emplace();
@@ -147,6 +212,7 @@
         return;
     }
     buffer_.commit(count);
+    watchDelivery();
     parse();
 }
 
@@ -266,8 +332,9 @@
 
 void BackendCall::finish()
 {
-    // Bytes after a complete response belong to no request, so the connection is closed.
-    const bool isReusable = isRequestSent_ && !mustClose_ && buffer_.size() == 0 && parser_->get().keep_alive();
+    deliveryTimer_.cancel();
+    // Bytes after a complete response belong to no request, so the connection is closed. So is one whose request is not read yet: it may never be.
+    const bool isReusable = isRequestSent_ && !isDeliveryWatched_ && !mustClose_ && buffer_.size() == 0 && parser_->get().keep_alive();
     auto *handler = std::exchange(handler_, nullptr);
     if (isReusable) {
         const auto timeout = idleTimeout_ ? std::chrono::milliseconds(*idleTimeout_) : internal::defaultIdleTimeout;
@@ -283,6 +350,7 @@
 void BackendCall::fail(const std::string &reason)
 {
     auto *handler = std::exchange(handler_, nullptr);
+    deliveryTimer_.cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
     handler->onResponseError(reason);
@@ -298,6 +366,7 @@
 {
     handler_ = nullptr;
     connectTimer_.cancel();
+    deliveryTimer_.cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
 }
--- a/src/cyclamenspool/gateway/backendcall.h
+++ b/src/cyclamenspool/gateway/backendcall.h
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/gateway/backendconnectionpool.h>
 #include <cyclamenspool/platform/headers.h>
+#include <cyclamenspool/wire/deliverywatch.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -105,6 +106,10 @@
 
     void connect();
     void send();
+    void watchDelivery();
+    void armDeliveryTimer();
+    void checkDelivery();
+    [[nodiscard]] std::size_t undeliveredBytes(); /* of the request, as far as it is known */
     void read();
     void onRead(const boost::system::error_code &error, std::size_t count);
     void parse();
@@ -122,6 +127,8 @@
     BackendCallHandler *handler_;
     BackendConnectionPool::Socket socket_;
     boost::asio::steady_timer connectTimer_;
+    boost::asio::steady_timer deliveryTimer_;
+    wire::DeliveryWatch delivery_; /* of the request, while isDeliveryWatched_ */
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     std::optional<std::chrono::seconds> idleTimeout_;
@@ -132,7 +139,11 @@
     bool isConnectionReused_ = false;
     std::size_t discardedBytes_ = 0; /* of responses that are interim or belong to other requests */
     bool isConnecting_ = false;
+    std::size_t writtenBytes_ = 0; /* of the request */
+    bool isWriting_ = false;
     bool isRequestSent_ = false;
+    bool isDelivered_ = false; /* the server had received the request when bytes of the response came */
+    bool isDeliveryWatched_ = false; /* in place of the kernel's user time-out */
     bool isClosedByServer_ = false;
     bool isReading_ = false;
     bool isPaused_ = false;
--- a/src/cyclamenspool/wire/deliverywatch.h
+++ b/src/cyclamenspool/wire/deliverywatch.h
@@ -15,6 +15,12 @@
 class DeliveryWatch
 {
 public:
+    /** @brief Counts bytes received from the peer as progress. @param now Current time. */
+    void onReceived(core::MonotonicTime now) noexcept
+    {
+        lastProgressAt_ = now;
+    }
+
     /**
      * @brief Returns whether to keep the connection open; called again and again until it need not be.
      * @param unacknowledgedBytes Bytes that the peer has not acknowledged, see unacknowledgedBytes().
--- a/src/cyclamenspool/wire/tcpkeepalive.cpp
+++ b/src/cyclamenspool/wire/tcpkeepalive.cpp
@@ -21,7 +21,13 @@
     socket.set_option(internal::TcpOption<TCP_KEEPIDLE>(period), ignored);
     socket.set_option(internal::TcpOption<TCP_KEEPINTVL>(period), ignored);
     socket.set_option(internal::TcpOption<TCP_KEEPCNT>(keepAlive.maxProbes), ignored);
-    socket.set_option(internal::TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(keepAlive.userTimeout.count())), ignored);
+    setUserTimeout(socket, keepAlive.userTimeout);
+}
+
+void setUserTimeout(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
+{
+    boost::system::error_code ignored;
+    socket.set_option(internal::TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(timeout.count())), ignored);
 }
 
 } // namespace cyclamenspool::wire
--- a/src/cyclamenspool/wire/tcpkeepalive.h
+++ b/src/cyclamenspool/wire/tcpkeepalive.h
@@ -17,4 +17,12 @@
  * @param socket Open socket; errors are ignored, its next read reports them. @param keepAlive Time-outs. */
 void setTcpKeepAlive(boost::asio::ip::tcp::socket &socket, const TcpKeepAlive &keepAlive);
 
+/**
+ * @brief Sets the user time-out alone.
+ *
+ * Linux also ends a connection by it if the peer's window stays closed for so long, although the peer acknowledges each probe of the window.
+ *
+ * @param socket Open socket; errors are ignored, its next read reports them. @param timeout Time-out; 0: that of the system, many minutes. */
+void setUserTimeout(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout);
+
 } // namespace cyclamenspool::wire
--- a/test/gateway/backendcall.cpp
+++ b/test/gateway/backendcall.cpp
@@ -8,7 +8,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <atomic>
 #include <chrono>
+#include <functional>
 #include <thread>
 
 using namespace cyclamenspool;
@@ -297,3 +299,143 @@
     CHECK(handler.body == "ok");
     CHECK(handler.isComplete);
 }
+
+namespace {
+
+/** @brief Backend server with a small receive buffer, which sends a stream before it reads the body of the request; on a thread of its own. */
+class EarlyServer
+{
+public:
+    using Script = std::function<void(boost::asio::ip::tcp::socket &)>;
+
+    /** @brief Listens, and plays a script with the first connection. */
+    explicit EarlyServer(Script script)
+    {
+        acceptor_.open(boost::asio::ip::tcp::v4());
+        acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(8192));
+        acceptor_.bind({boost::asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen();
+        thread_ = std::thread([this, script = std::move(script)] {
+            auto socket = acceptor_.accept();
+            script(socket);
+        });
+    }
+    ~EarlyServer()
+    {
+        thread_.join();
+    }
+    EarlyServer(const EarlyServer &) = delete;
+    EarlyServer &operator=(const EarlyServer &) = delete;
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    /** @brief Sends the head of a chunked response to the request "r1". */
+    static void sendHead(boost::asio::ip::tcp::socket &socket)
+    {
+        send(socket, "HTTP/1.1 200 OK\r\nCyclamenspool-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    static void send(boost::asio::ip::tcp::socket &socket, const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    }
+
+private:
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor acceptor_{context_};
+    std::thread thread_;
+};
+
+BackendRequest longRequest(const std::string &address)
+{
+    constexpr std::size_t bodyBytes = 72000;
+    BackendRequest request;
+    request.serverId = "i-1";
+    request.address = address;
+    request.requestId = "r1";
+    request.bytes = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'b');
+    return request;
+}
+
+constexpr auto noticeTime = 2500ms; /* after which a server that is gone is noticed */
+
+} // namespace
+
+// Guards against a sound server whose response is cut as it does not take the request's body meanwhile.
+TEST_CASE("a backend server that sends for long before it reads the request is heard to the end", "[gateway][early]")
+{
+    constexpr int pieces = 18;
+    std::size_t readBytes = 0;
+    EarlyServer server([&readBytes](boost::asio::ip::tcp::socket &socket) {
+        EarlyServer::sendHead(socket);
+        for (int i = 0; i < pieces; ++i) {
+            std::this_thread::sleep_for(200ms);
+            EarlyServer::send(socket, "1\r\nx\r\n");
+        }
+        std::string received(100000, '\0');
+        boost::system::error_code error;
+        while (!error && readBytes < 72000) {
+            readBytes += socket.read_some(boost::asio::buffer(received), error);
+        }
+        EarlyServer::send(socket, "0\r\n\r\n");
+    });
+    boost::asio::io_context context{1};
+    BackendConnectionPool pool(context);
+    RecordingHandler handler;
+    const auto request = longRequest(server.address());
+    const auto call = std::make_shared<BackendCall>(pool, request, handler);
+    call->start();
+    const auto limit = std::chrono::steady_clock::now() + 6s;
+    while (handler.endCount == 0 && std::chrono::steady_clock::now() < limit) {
+        context.run_one_for(100ms);
+    }
+    call->cancel();
+    CHECK(handler.error.empty());
+    CHECK(handler.isComplete);
+    CHECK(handler.body == std::string(pieces, 'x'));
+    CHECK(readBytes >= 72000);
+}
+
+// Guards against a server that is noticed late, or never, since its window is closed.
+TEST_CASE("a backend server that neither sends nor reads is noticed, also in the middle of its response", "[gateway][early]")
+{
+    const int pieces = GENERATE(0, 6);
+    INFO("pieces " << pieces);
+    std::atomic<bool> isNoticed{false};
+    EarlyServer server([&isNoticed, pieces](boost::asio::ip::tcp::socket &socket) {
+        if (pieces > 0) {
+            EarlyServer::sendHead(socket);
+        }
+        for (int i = 0; i < pieces; ++i) {
+            std::this_thread::sleep_for(200ms);
+            EarlyServer::send(socket, "1\r\nx\r\n");
+        }
+        const auto limit = std::chrono::steady_clock::now() + 8s;
+        while (!isNoticed && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(10ms);
+        }
+    });
+    boost::asio::io_context context{1};
+    BackendConnectionPool pool(context);
+    RecordingHandler handler;
+    const auto call = std::make_shared<BackendCall>(pool, longRequest(server.address()), handler);
+    call->start();
+    auto lastProgressAt = std::chrono::steady_clock::now();
+    std::size_t seenBytes = 0;
+    while (handler.endCount == 0 && std::chrono::steady_clock::now() < lastProgressAt + 6s) {
+        context.run_one_for(100ms);
+        lastProgressAt = handler.body.size() > seenBytes ? std::chrono::steady_clock::now() : lastProgressAt;
+        seenBytes = handler.body.size();
+    }
+    const auto took = std::chrono::steady_clock::now() - lastProgressAt;
+    isNoticed = true;
+    call->cancel();
+    CHECK(handler.endCount == 1);
+    CHECK_FALSE(handler.isComplete);
+    CHECK(handler.body == std::string(static_cast<std::size_t>(pieces), 'x'));
+    CHECK(took < noticeTime + 700ms);
+}
