Gateway: the end of a connection without a length is checked, and passed on as no more than it is

Cause: a successful response without a length or chunks that ended with its connection was complete, and reached its caller with a Content-Length or a last chunk of the gateway's own.

Change: such a response counts as complete only if its server still accepts a connection then (gateway/serverpresence): a process that ends closes its listening socket with its connections. If not, the attempt has failed: another server where the route may be repeated, otherwise 502, or a reset if a part was relayed. Its caller gets it without a length or chunks, with Connection: close, and any other end of that connection is a reset. A stream that began in chunks and whose rest has no proven end is closed without the last chunk. http/client can take such a response, for the tests' callers.

--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -251,6 +251,10 @@
 void Exchange::finishAttempt(Outcome outcome)
 {
     call_.reset();
+    if (presence_ != nullptr) {
+        presence_->cancel();
+        presence_.reset();
+    }
     if (inFlight_ != nullptr) {
         inFlight_->finish(outcome);
         inFlight_.reset();
@@ -304,7 +308,7 @@
         return;
     }
     if (isEndPending_) {
-        completeResponse();
+        checkPresence(false);
         return;
     }
     if (isRelayStarted()) {
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -6,6 +6,7 @@
 #include <cyclamenspool/gateway/callersession.h>
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/eventscanner.h>
+#include <cyclamenspool/gateway/serverpresence.h>
 #include <cyclamenspool/platform/headers.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -60,7 +61,7 @@
 private:
     /** @brief How the response body is relayed to the caller. */
     enum class RelayMode : int {
-        Buffered, /**< Collected, then written with a Content-Length. */
+        Buffered, /**< Collected, then written with a Content-Length, unless the backend server gave neither a length nor chunks. */
         Streamed, /**< Written as it arrives. */
         EventStream, /**< Written in complete events, so that another backend server can continue the stream. */
     };
@@ -75,6 +76,8 @@
     void recordServerLoss();
     void recordAnswer();
     bool askForRest(); /* at another backend server, after an end that proves nothing; false if none can be asked */
+    void checkPresence(bool isRestKnown);
+    void onPresence(bool isPresent);
     void completeResponse();
     void relay(const std::string &bytes);
     void finishStream();
@@ -102,6 +105,10 @@
     {
         return isHeadWritten_;
     }
+    [[nodiscard]] bool isRelayChunked() const noexcept
+    {
+        return request_.version() >= 11 && !isUnframed_;
+    }
 
     Worker &worker_;
     CallerSession *session_; /* null once the response has ended or the caller has disconnected */
@@ -128,7 +135,10 @@
     EventScanner eventScanner_{std::string()};
     EventBoundary relayedBoundary_; /* of the bytes that were relayed; only if RelayMode::Streamed */
     BodyEnd bodyEnd_ = BodyEnd::None; /* of the last response */
+    bool isUnframed_ = false; /* the response began without a length or chunks, and ends with the caller's connection too */
     bool isEndPending_ = false; /* a stream's connection had ended, and its rest is asked for; nothing of it has come */
+    std::string endedAddress_; /* of the backend server whose end is pending */
+    std::shared_ptr<ServerPresence> presence_;
     bool isHeadWritten_ = false; /* to the caller */
     bool isAnswerRecorded_ = false; /* of the current attempt, by recordAnswer() */
     bool isReadingPaused_ = false;
--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -97,6 +97,7 @@
     const bool isStream = route.kind == world::RouteKind::Streaming && internal::isSuccess(status);
     const bool hasBody = request_.method() != bhttp::verb::head && !internal::hasNoBody(status);
     isEventStream_ = isStream && hasBody && head.isEventStream;
+    isUnframed_ = hasBody && bodyEnd_ == BodyEnd::ConnectionClose;
     relayMode_ = !isStream ? RelayMode::Buffered : (route.resumable && isEventStream_ ? RelayMode::EventStream : RelayMode::Streamed);
 }
 
@@ -140,7 +141,7 @@
     if (bytes.empty()) {
         return;
     }
-    const bool isChunked = request_.version() >= 11;
+    const bool isChunked = isRelayChunked();
     std::string out;
     if (!isHeadWritten_) {
         isHeadWritten_ = true;
@@ -186,7 +187,9 @@
 {
     std::string out = responseHead_;
     const bool isHeadRequest = request_.method() == bhttp::verb::head;
-    if (!isHeadRequest && !internal::hasNoBody(responseStatus_)) {
+    if (isUnframed_) {
+        session_->beginUnframedResponse();
+    } else if (!isHeadRequest && !internal::hasNoBody(responseStatus_)) {
         out += "Content-Length: " + std::to_string(responseBody_.size()) + "\r\n";
     }
     out += session_->decideKeepAlive() ? "\r\n" : "Connection: close\r\n\r\n";
@@ -204,7 +207,7 @@
         sendBuffered();
         return;
     }
-    if (request_.version() >= 11) {
+    if (isRelayChunked()) {
         session_->write("0\r\n\r\n");
     }
     finish(answeredOutcome, std::to_string(responseStatus_));
--- a/src/cyclamenspool/gateway/unprovedend.cpp
+++ b/src/cyclamenspool/gateway/unprovedend.cpp
@@ -4,8 +4,11 @@
 
 EndCheck checkOf(const ResponseEnd &end) noexcept
 {
-    const bool isRestWanted = end.bodyEnd == BodyEnd::ConnectionClose && end.isResumable && !end.isEmptyRest;
-    return isRestWanted && end.isAttemptLeft ? EndCheck::OtherServer : EndCheck::None;
+    if (end.bodyEnd != BodyEnd::ConnectionClose) {
+        return EndCheck::Framing;
+    }
+    const bool isRestWanted = end.isResumable && !end.isEmptyRest;
+    return isRestWanted && end.isAttemptLeft ? EndCheck::OtherServer : EndCheck::Presence;
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/unprovedend.h
+++ b/src/cyclamenspool/gateway/unprovedend.h
@@ -14,8 +14,9 @@
 
 /** @brief How the end of a response is checked. */
 enum class EndCheck : int {
-    None, /**< A length or the last chunk proves it, or nothing does. */
+    Framing, /**< A length or the last chunk proves it. */
     OtherServer, /**< Another backend server is asked for the rest of the stream. */
+    Presence, /**< The backend server's process must still run: a crash ends its connections like a regular end. */
 };
 
 /** @brief Returns how the end of a response is checked before it counts as complete. */
--- a/src/cyclamenspool/http/client.cpp
+++ b/src/cyclamenspool/http/client.cpp
@@ -138,7 +138,7 @@
     if (callbacks.onResponseHead) {
         callbacks.onResponseHead(internal::headOf(*parser));
     }
-    const bool hasLength = parser->chunked() || parser->content_length().has_value();
+    const bool hasLength = request.acceptsUnframed || parser->chunked() || parser->content_length().has_value();
     if (!hasLength && parser->get().result_int() != static_cast<unsigned>(bhttp::status::no_content)) {
         throw ClientError(request.address + ": response has neither Content-Length nor chunked encoding", true);
     }
--- a/src/cyclamenspool/http/client.h
+++ b/src/cyclamenspool/http/client.h
@@ -19,6 +19,7 @@
     Headers headers;
     std::string body;
     std::chrono::milliseconds timeout{5000}; /**< Limit for connecting, for sending the request, and for each read of the response. */
+    bool acceptsUnframed = false; /**< Takes a response without a length or chunks, whose body the end of the connection ends. */
 };
 
 /** @brief Status and headers of a response. */
--- a/test/harness/httprequest.cpp
+++ b/test/harness/httprequest.cpp
@@ -29,6 +29,7 @@
     converted.headers = request.headers;
     converted.body = request.body;
     converted.timeout = request.timeout;
+    converted.acceptsUnframed = true;
     return converted;
 }
 
--- a/test/harness/platformfakes.h
+++ b/test/harness/platformfakes.h
@@ -48,6 +48,9 @@
     /** @brief Resets every open connection (TCP RST). */
     void resetConnections();
 
+    /** @brief Stops to listen: further connections are refused, as if the process had ended; on any thread, also a handler's. */
+    void refuseConnections();
+
 private:
     void listen();
     void serve(PlainSocket &socket);
@@ -57,6 +60,7 @@
     boost::asio::io_context context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<bool> stopping_{false};
+    std::atomic<bool> isRefusing_{false};
     std::mutex mutex_;
     std::list<PlainSocket> sockets_;
     std::vector<std::thread> threads_;
@@ -230,6 +234,12 @@
         server_.resetConnections();
     }
 
+    /** @brief Refuses further connections, as if the process had ended; on any thread, also a handler's. */
+    void refuseConnections()
+    {
+        server_.refuseConnections();
+    }
+
 private:
     bool respond(const PlainRequest &request, PlainSocket &socket);
 
--- a/test/process/unframed.cpp
+++ b/test/process/unframed.cpp
@@ -209,6 +209,144 @@
     CHECK(ended.body == body);
 }
 
+namespace {
+
+/** @brief Lets a server end its next response as a process that is killed does: no connection is accepted any more, and the open one ends with a FIN. */
+void crashInResponse(harness::FakeBackendServer &server, const std::string &body, std::size_t bytes)
+{
+    server.setHandler([&server, body, bytes](const PlainRequest &request, PlainSocket &socket) {
+        server.refuseConnections();
+        return sendUnframed(request, socket, body, bytes, ConnectionEnd::Fin);
+    });
+}
+
+/** @brief Lets servers answer whole, without a length: with a body, or with the rest of a stream. */
+void answerUnframed(harness::FakeBackendServer &server, const std::string &body)
+{
+    server.setHandler([body](const PlainRequest &request, PlainSocket &socket) {
+        const std::string last(request["Last-Event-Id"]);
+        const auto rest = last.empty() ? body : eventsFrom(std::stoi(last) + 1);
+        return sendUnframed(request, socket, rest, rest.size(), ConnectionEnd::Fin);
+    });
+}
+
+/** @brief Sends an HTTP/1.1 request on a connection that the caller would keep, and returns all bytes up to its end. */
+std::string callRaw(const std::string &address, const std::string &path)
+{
+    return harness::exchangeRaw(address,
+                                "POST " + path
+                                    + " HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-1\r\nCyclamenspool-Request-Id: raw\r\n"
+                                      "Cyclamenspool-Deadline-Ms: 2500\r\nContent-Length: 0\r\n\r\n",
+                                false,
+                                2s);
+}
+
+} // namespace
+
+// Guards against a crash in the middle of a response without a length whose FIN is taken for the response's end.
+TEST_CASE("a response without a length that ends as its server crashes does not look complete", "[process][gateway][unframed]")
+{
+    const auto events = eventsFrom(1);
+    const auto whole = GENERATE(false, true); /* a server that has sent all, and is gone before it could be asked, proves nothing either */
+    const auto cut = whole ? events.size() : serverSentEvent(1).size();
+    const unsigned version = GENERATE(oldVersion, currentVersion);
+    GatewayFleet fleet(1, 1);
+    INFO("whole " << whole << ", HTTP version " << version);
+    SECTION("buffered, not to be repeated")
+    {
+        crashInResponse(*fleet.backendServers[0], events, cut);
+        const auto seen = callWithVersion(fleet.gateways[0].callerAddress, "/once/x", "r1", version);
+        CHECK(seen.status == 502);
+        CHECK(fleet.backendServers[0]->runCount("r1") == 1);
+    }
+    SECTION("too long to be buffered")
+    {
+        crashInResponse(*fleet.backendServers[0], std::string(500000, 'x'), whole ? 500000 : 400000);
+        const auto seen = callWithVersion(fleet.gateways[0].callerAddress, "/once/x", "r1", version);
+        CHECK_FALSE((seen.status == 200 && seen.isComplete));
+    }
+    SECTION("stream that cannot be resumed")
+    {
+        crashInResponse(*fleet.backendServers[0], events, cut);
+        const auto seen = callWithVersion(fleet.gateways[0].callerAddress, "/stream/x", "r1", version);
+        CHECK(seen.status == 200);
+        CHECK_FALSE(seen.isComplete);
+    }
+    SECTION("resumable stream without another server")
+    {
+        crashInResponse(*fleet.backendServers[0], events, cut);
+        const auto seen = callWithVersion(fleet.gateways[0].callerAddress, "/resumed/x", "r1", version);
+        CHECK(seen.status == 200);
+        CHECK_FALSE(seen.isComplete);
+    }
+}
+
+// Guards against a request that could be repeated and is failed, or answered with a part, as its server crashed.
+TEST_CASE("a repeatable request whose server crashes in a response without a length gets the whole one of another server", "[process][gateway][unframed]")
+{
+    const auto events = eventsFrom(1);
+    const auto path = GENERATE(as<std::string>(), "/again/x", "/resumed/x");
+    const unsigned version = GENERATE(oldVersion, currentVersion);
+    GatewayFleet fleet(1, 2);
+    INFO(path << ", HTTP version " << version);
+    std::atomic<bool> isCrashed{false};
+    for (auto &server : fleet.backendServers) {
+        server->setHandler([&isCrashed, &server, &events](const PlainRequest &request, PlainSocket &socket) {
+            const bool isFirst = !isCrashed.exchange(true);
+            if (isFirst) {
+                server->refuseConnections();
+            }
+            const std::string last(request["Last-Event-Id"]);
+            const auto rest = last.empty() ? events : eventsFrom(std::stoi(last) + 1);
+            return sendUnframed(request, socket, rest, isFirst ? serverSentEvent(1).size() : rest.size(), ConnectionEnd::Fin);
+        });
+    }
+    const auto seen = callWithVersion(fleet.gateways[0].callerAddress, path, "r1", version);
+    CHECK(seen.status == 200);
+    CHECK(seen.isComplete);
+    CHECK(seen.body == events);
+    CHECK(fleet.backendServers[0]->runCount("r1") + fleet.backendServers[1]->runCount("r1") == 2);
+}
+
+// Guards against a length or last chunk of the gateway's own, which would make the end of the server's connection look certain.
+TEST_CASE("a response without a length has none for its caller either, and ends with the connection", "[process][gateway][unframed]")
+{
+    const auto path = GENERATE(as<std::string>(), "/once/x", "/again/x", "/stream/x", "/resumed/x");
+    INFO(path);
+    const auto events = eventsFrom(1);
+    GatewayFleet fleet(1, 1);
+    answerUnframed(*fleet.backendServers[0], events);
+    const auto received = callRaw(fleet.gateways[0].callerAddress, path);
+    const auto head = received.substr(0, received.find("\r\n\r\n") + 4);
+    CHECK(head.find("HTTP/1.1 200") == 0);
+    CHECK(head.find("Content-Length") == std::string::npos);
+    CHECK(head.find("Transfer-Encoding") == std::string::npos);
+    CHECK(head.find("\r\nConnection: close\r\n") != std::string::npos);
+    CHECK(received.substr(head.size()) == events);
+}
+
+// Guards against a stream that began in chunks and whose rest has an end that proves nothing.
+TEST_CASE("a stream in chunks whose rest comes without a length ends with the last chunk only if no event was left", "[process][gateway][unframed]")
+{
+    const bool isRestEmpty = GENERATE(false, true);
+    INFO("rest empty " << isRestEmpty);
+    GatewayFleet fleet(1, 2);
+    for (auto &server : fleet.backendServers) {
+        server->setHandler([isRestEmpty](const PlainRequest &request, PlainSocket &socket) {
+            if (!request["Last-Event-Id"].empty()) {
+                return sendUnframed(request, socket, isRestEmpty ? "" : eventsFrom(2), isRestEmpty ? 0 : eventsFrom(2).size(), ConnectionEnd::Fin);
+            }
+            const auto sent = isRestEmpty ? eventsFrom(1) : serverSentEvent(1);
+            harness::writeAll(socket, harness::responseHeadFor(request) + harness::chunk(sent));
+            return false;
+        });
+    }
+    const auto seen = callWithVersion(fleet.gateways[0].callerAddress, "/resumed/x", "r1", currentVersion);
+    CHECK(seen.status == 200);
+    CHECK(seen.body == eventsFrom(1));
+    CHECK(seen.isComplete == isRestEmpty);
+}
+
 // Guards against a failed handler whose HTTP/1.0 caller takes the end of its connection for the end of the response.
 TEST_CASE("a response that a failed handler leaves unfinished never looks complete", "[process][unframed]")
 {
