--- a/test/gateway/backendcall.cpp
+++ b/test/gateway/backendcall.cpp
@@ -8,7 +8,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <atomic>
 #include <chrono>
+#include <functional>
 #include <thread>
 
 using namespace cyclamenspool;
@@ -214,6 +216,63 @@
     }
 }
 
+// Guards against a response that is read together with the beginning of another one which broke off before it on the connection.
+TEST_CASE("a response behind a part of another one's head is none", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto earlierResponse = GENERATE(as<std::string>(), "", earlier);
+    const auto status = GENERATE(as<std::string>(), "200 OK", "204 No Content", "500 Internal Server Error", "421 Misdirected Request", "103 Early Hints");
+    const auto ownStatus = GENERATE(as<std::string>(), "200 OK", "500 Internal Server Error");
+    const std::string stray = "HTTP/1.1 " + status
+        + "\r\nDate: Sat, 05 Dec 2026 12:00:00 GMT\r\nCyclamenspool-Request-Id: r0\r\nCyclamenspool-Response-Seal: s0\r\nContent-Length: 2\r\n\r\n";
+    const std::string own = "HTTP/1.1 " + ownStatus + "\r\nCyclamenspool-Request-Id: r1\r\nCyclamenspool-Response-Seal: s1\r\nContent-Length: 4\r\n\r\nbody";
+    for (std::size_t cut = 1; cut < stray.size(); ++cut) {
+        INFO("bytes " << cut << " of " << stray << own);
+        const auto seen = broken.callBrokenOff({earlierResponse, stray.substr(0, cut) + own, BreakOff::Fin});
+        CHECK(seen.endCount == 1);
+        CHECK(seen.headCount == 0);
+        CHECK_FALSE(seen.isComplete);
+    }
+}
+
+// Guards against a response that is taken for the request's own, or for a complete one, by the first of two statements that differ.
+TEST_CASE("a response whose head contradicts itself is none", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto extra = GENERATE(as<std::string>(),
+                                "Content-Length: 3\r\n",
+                                "Transfer-Encoding: chunked\r\n",
+                                "Cyclamenspool-Request-Id: r2\r\n",
+                                "Cyclamenspool-Response-Seal: s2\r\n",
+                                "X-Note: HTTP/1.1 200 OK\r\n",
+                                "X-Note: xHTTP/1.0 500\r\n");
+    const bool isFirst = GENERATE(false, true);
+    INFO(extra << ", first " << isFirst);
+    const std::string fields = "Cyclamenspool-Request-Id: r1\r\nCyclamenspool-Response-Seal: s1\r\nContent-Length: 4\r\n";
+    const auto seen = broken.callBrokenOff({"", "HTTP/1.1 200 OK\r\n" + (isFirst ? extra + fields : fields + extra) + "\r\nbody", BreakOff::Fin});
+    CHECK(seen.endCount == 1);
+    CHECK(seen.headCount == 0);
+    CHECK_FALSE(seen.isComplete);
+}
+
+TEST_CASE("a response whose head says the same twice, or names HTTP, is the server's own", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto extra = GENERATE(as<std::string>(),
+                                "Cyclamenspool-Request-Id: r1\r\n",
+                                "Cyclamenspool-Response-Seal: s1\r\n",
+                                "Via: HTTP/1.1 proxy\r\n",
+                                "X-Link: /HTTP/1.1\r\n",
+                                "Set-Cookie: a=1\r\nSet-Cookie: a=2\r\n");
+    INFO(extra);
+    const auto seen = broken.callBrokenOff(
+        {earlier,
+         "HTTP/1.1 200 HTTP is fine\r\nCyclamenspool-Request-Id: r1\r\nCyclamenspool-Response-Seal: s1\r\nContent-Length: 4\r\n" + extra + "\r\nbody",
+         BreakOff::Fin});
+    CHECK(seen.isComplete);
+    CHECK(seen.body == "body");
+}
+
 // Guards against a request that is cut on a connection that was established in time, as the event loop was late.
 TEST_CASE("a request is sent and answered although a late event loop finds the time limit of its connect expired", "[gateway][late]")
 {
@@ -240,3 +299,143 @@
     CHECK(handler.body == "ok");
     CHECK(handler.isComplete);
 }
+
+namespace {
+
+/** @brief Backend server with a small receive buffer, which sends a stream before it reads the body of the request; on a thread of its own. */
+class EarlyServer
+{
+public:
+    using Script = std::function<void(boost::asio::ip::tcp::socket &)>;
+
+    /** @brief Listens, and plays a script with the first connection. */
+    explicit EarlyServer(Script script)
+    {
+        acceptor_.open(boost::asio::ip::tcp::v4());
+        acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(8192));
+        acceptor_.bind({boost::asio::ip::address_v4::loopback(), 0});
+        acceptor_.listen();
+        thread_ = std::thread([this, script = std::move(script)] {
+            auto socket = acceptor_.accept();
+            script(socket);
+        });
+    }
+    ~EarlyServer()
+    {
+        thread_.join();
+    }
+    EarlyServer(const EarlyServer &) = delete;
+    EarlyServer &operator=(const EarlyServer &) = delete;
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    /** @brief Sends the head of a chunked response to the request "r1". */
+    static void sendHead(boost::asio::ip::tcp::socket &socket)
+    {
+        send(socket, "HTTP/1.1 200 OK\r\nCyclamenspool-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    static void send(boost::asio::ip::tcp::socket &socket, const std::string &bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    }
+
+private:
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor acceptor_{context_};
+    std::thread thread_;
+};
+
+BackendRequest longRequest(const std::string &address)
+{
+    constexpr std::size_t bodyBytes = 72000;
+    BackendRequest request;
+    request.serverId = "i-1";
+    request.address = address;
+    request.requestId = "r1";
+    request.bytes = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'b');
+    return request;
+}
+
+constexpr auto noticeTime = 2500ms; /* after which a server that is gone is noticed */
+
+} // namespace
+
+// Guards against a sound server whose response is cut as it does not take the request's body meanwhile.
+TEST_CASE("a backend server that sends for long before it reads the request is heard to the end", "[gateway][early]")
+{
+    constexpr int pieces = 18;
+    std::size_t readBytes = 0;
+    EarlyServer server([&readBytes](boost::asio::ip::tcp::socket &socket) {
+        EarlyServer::sendHead(socket);
+        for (int i = 0; i < pieces; ++i) {
+            std::this_thread::sleep_for(200ms);
+            EarlyServer::send(socket, "1\r\nx\r\n");
+        }
+        std::string received(100000, '\0');
+        boost::system::error_code error;
+        while (!error && readBytes < 72000) {
+            readBytes += socket.read_some(boost::asio::buffer(received), error);
+        }
+        EarlyServer::send(socket, "0\r\n\r\n");
+    });
+    boost::asio::io_context context{1};
+    BackendConnectionPool pool(context);
+    RecordingHandler handler;
+    const auto request = longRequest(server.address());
+    const auto call = std::make_shared<BackendCall>(pool, request, handler);
+    call->start();
+    const auto limit = std::chrono::steady_clock::now() + 6s;
+    while (handler.endCount == 0 && std::chrono::steady_clock::now() < limit) {
+        context.run_one_for(100ms);
+    }
+    call->cancel();
+    CHECK(handler.error.empty());
+    CHECK(handler.isComplete);
+    CHECK(handler.body == std::string(pieces, 'x'));
+    CHECK(readBytes >= 72000);
+}
+
+// Guards against a server that is noticed late, or never, since its window is closed.
+TEST_CASE("a backend server that neither sends nor reads is noticed, also in the middle of its response", "[gateway][early]")
+{
+    const int pieces = GENERATE(0, 6);
+    INFO("pieces " << pieces);
+    std::atomic<bool> isNoticed{false};
+    EarlyServer server([&isNoticed, pieces](boost::asio::ip::tcp::socket &socket) {
+        if (pieces > 0) {
+            EarlyServer::sendHead(socket);
+        }
+        for (int i = 0; i < pieces; ++i) {
+            std::this_thread::sleep_for(200ms);
+            EarlyServer::send(socket, "1\r\nx\r\n");
+        }
+        const auto limit = std::chrono::steady_clock::now() + 8s;
+        while (!isNoticed && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(10ms);
+        }
+    });
+    boost::asio::io_context context{1};
+    BackendConnectionPool pool(context);
+    RecordingHandler handler;
+    const auto call = std::make_shared<BackendCall>(pool, longRequest(server.address()), handler);
+    call->start();
+    auto lastProgressAt = std::chrono::steady_clock::now();
+    std::size_t seenBytes = 0;
+    while (handler.endCount == 0 && std::chrono::steady_clock::now() < lastProgressAt + 6s) {
+        context.run_one_for(100ms);
+        lastProgressAt = handler.body.size() > seenBytes ? std::chrono::steady_clock::now() : lastProgressAt;
+        seenBytes = handler.body.size();
+    }
+    const auto took = std::chrono::steady_clock::now() - lastProgressAt;
+    isNoticed = true;
+    call->cancel();
+    CHECK(handler.endCount == 1);
+    CHECK_FALSE(handler.isComplete);
+    CHECK(handler.body == std::string(static_cast<std::size_t>(pieces), 'x'));
+    CHECK(took < noticeTime + 700ms);
+}
