--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -64,7 +64,9 @@
 {
     if (isOpen_) {
         isAwaitingHeaders_ = false;
+        timeToHeaders_ = internal::now() - placedAt_;
         dispatcher_.onHeadersReceived(*server_, serverEntry_.service, workspace_, placedAt_);
+        dispatcher_.wakeNext(serverEntry_.service);
     }
 }
 
@@ -87,7 +89,11 @@
         if (isAwaitingHeaders_) {
             dispatcher_.onEndedWithoutHeaders(serverEntry_.service, workspace_);
         }
+        if (objective_.count() > 0) {
+            dispatcher_.onRequestMeasured(serverEntry_.service, outcome, timeToHeaders_, objective_);
+        }
         dispatcher_.endRequest(*server_, outcome);
+        dispatcher_.wakeNext(serverEntry_.service);
     }
 }
 
@@ -121,6 +127,7 @@
         routes_ = table;
     }
     meter_.retainRoutes(table->routing().routes);
+    wakeAll();
     return true;
 }
 
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -10,10 +10,12 @@
 #include <cyclamenspool/gateway/promptquarantine.h>
 #include <cyclamenspool/gateway/requestmeter.h>
 #include <cyclamenspool/gateway/routetable.h>
+#include <cyclamenspool/gateway/scheduling/servicequeue.h>
 #include <cyclamenspool/gateway/scheduling/verdict.h>
 #include <cyclamenspool/gateway/servicebacklog.h>
 #include <cyclamenspool/platform/headers.h>
 #include <cyclamenspool/policy/slidingwindowcounter.h>
+#include <cyclamenspool/telemetry/histogram.h>
 
 #include <boost/json/object.hpp>
 
@@ -79,6 +81,12 @@
     /** @brief Returns whether the backend server is unresponsive to the requests of this gateway. */
     [[nodiscard]] bool isServerUnresponsive() const;
 
+    /** @brief Sets the target for the response headers of a request to a service without prompts, whose response time then adapts the service's limit. */
+    void setObjective(core::Milliseconds objective) noexcept
+    {
+        objective_ = objective;
+    }
+
     /** @brief Ends the request and records its outcome; later calls have no effect. */
     void finish(Outcome outcome);
 
@@ -94,10 +102,48 @@
     world::BackendServer serverEntry_;
     std::string workspace_;
     core::MonotonicTime placedAt_;
+    core::MonotonicTime::duration timeToHeaders_{};
+    core::Milliseconds objective_{0}; /* zero: not set */
     bool isAwaitingHeaders_ = true;
     bool isOpen_ = true;
 };
 
+/** @brief Guard of a request that waits at this gateway; gives up its place on destruction. */
+class HeldRequest
+{
+public:
+    /** @brief Creates the guard of a request that the dispatcher has just held. @param dispatcher Must outlive the guard. @param service Its service. */
+    HeldRequest(Dispatcher &dispatcher, std::string service, scheduling::Ticket ticket);
+    ~HeldRequest();
+    HeldRequest(const HeldRequest &) = delete;
+    HeldRequest &operator=(const HeldRequest &) = delete;
+
+    /** @brief Returns the service whose queue holds the request. */
+    [[nodiscard]] const std::string &service() const noexcept
+    {
+        return service_;
+    }
+
+    /** @brief Returns its ticket in that queue. */
+    [[nodiscard]] scheduling::Ticket ticket() const noexcept
+    {
+        return ticket_;
+    }
+
+private:
+    Dispatcher &dispatcher_;
+    std::string service_;
+    scheduling::Ticket ticket_;
+};
+
+/** @brief How a request can wait at this gateway. */
+struct HoldOffer {
+    std::string requestId; /**< For the log. */
+    core::MonotonicTime arrivedAt{};
+    scheduling::Wake wake; /**< Resumes the request; called on any thread, without a lock. */
+    std::unique_ptr<HeldRequest> earlier; /**< Hold that ends with this attempt; null: none. */
+};
+
 /** @brief Guard of a placed request, or the reason why it was refused. */
 struct PlacementResult {
     std::unique_ptr<InFlightRequest> inFlight;
@@ -106,6 +152,23 @@
     const char *reason = ""; /**< Reason of the choice or of the refusal, for the log. */
     core::Milliseconds availableIn{0}; /**< As in Placement. */
     scheduling::Decision decision;
+    std::unique_ptr<HeldRequest> held; /**< Set if the request waits; see Dispatcher::placeOrHold(). */
+    core::Milliseconds recheckIn{0}; /**< Of a waiting request: time after which it is placed anew if it was not woken. */
+};
+
+/** @brief Counts of the requests that waited at this gateway, since the start. */
+struct HoldCounts {
+    std::uint64_t held = 0; /**< Holds; a request that is decided anew may count again. */
+    std::uint64_t sent = 0; /**< Requests that were sent after they were held. */
+    std::uint64_t rejected = 0; /**< Requests that were refused as they would have waited too long. */
+    telemetry::Histogram waits; /**< Of the sent ones, from the arrival to the send. */
+};
+
+/** @brief Queue of a service for operators. */
+struct QueueView {
+    std::string service;
+    std::size_t waiting = 0;
+    std::optional<int> limit; /**< Requests of this gateway in flight; empty: none. */
 };
 
 /** @brief Counts of requests and their outcomes since the start. */
@@ -180,6 +243,23 @@
      */
     [[nodiscard]] PlacementResult place(const Admission &admission, const std::vector<std::string> &tried, core::Milliseconds callerWait);
 
+    /**
+     * @brief As place(), but a request that can't be sent yet may wait: the result's `held` is set then.
+     *
+     * Requests to services without prompts wait under the service's limit, see scheduling::ServiceQueue; others, when place() returns Verdict::Hold. The owner
+     * of a waiting request calls this again with `held` when it is woken or after `recheckIn`, and destroys `held` if the request ends otherwise.
+     */
+    [[nodiscard]] PlacementResult placeOrHold(const Admission &admission,
+                                              const std::vector<std::string> &tried,
+                                              core::Milliseconds callerWait,
+                                              HoldOffer offer);
+
+    /** @brief Returns the queues of the services that have a limit or waiting requests. */
+    [[nodiscard]] std::vector<QueueView> queues() const;
+
+    /** @brief Returns a copy of the counts of waiting requests. */
+    [[nodiscard]] HoldCounts holdCounts() const;
+
     /** @brief Records the histories that a peer has sent to backend servers. @param placements Histories. @param isOwnZone True if the peer is in the own
      * zone; other zones then get them from this gateway too. */
     void onPeerHistoryPlacements(const std::vector<HistoryPlacement> &placements, bool isOwnZone);
@@ -223,6 +303,7 @@
 
 private:
     friend class InFlightRequest;
+    friend class HeldRequest;
 
     /** @brief Requests and retries to a service within the retry window. */
     struct ServiceCounts {
@@ -235,6 +316,8 @@
         policy::SlidingWindowCounter requests;
         policy::SlidingWindowCounter retries;
         ServiceBacklog backlog;
+        scheduling::ServiceQueue queue;
+        bool usesPromptCache = false; /* of the latest request that waited; its queue has no limit then */
     };
 
     /** @brief History placement of a gateway of the own zone, with its time at this gateway. */
@@ -243,6 +326,22 @@
         core::MonotonicTime recordedAt{};
     };
 
+    [[nodiscard]] scheduling::QueueVerdict decideInQueue(const Admission &admission,
+                                                         core::Milliseconds callerWait,
+                                                         HoldOffer &offer,
+                                                         std::unique_ptr<HeldRequest> &held);
+    [[nodiscard]] scheduling::QueueVerdict holdPrompt(const Admission &admission,
+                                                      const PlacementResult &placement,
+                                                      core::Milliseconds callerWait,
+                                                      HoldOffer &offer,
+                                                      std::unique_ptr<HeldRequest> &held);
+    void holdLocked(const Admission &admission, scheduling::QueueVerdict &verdict, HoldOffer &offer, std::unique_ptr<HeldRequest> &held);
+    void releaseHold(const std::string &service, scheduling::Ticket ticket);
+    void onRequestMeasured(const std::string &service, Outcome outcome, core::MonotonicTime::duration timeToHeaders, core::Milliseconds objective);
+    void recordSentAfterHold(const Admission &admission, core::MonotonicTime arrivedAt);
+    void wakeNext(const std::string &service);
+    void wakeAll();
+    [[nodiscard]] scheduling::ServiceLoad serviceLoadOf(const std::string &service, core::MonotonicTime now) const;
     void recordZonePlacement(const HistoryPlacement &placement, core::MonotonicTime now);
     void beginRequest(ServerState &server);
     void onBytesReceived(ServerState &server);
@@ -272,6 +371,8 @@
     std::deque<ZonePlacement> zonePlacements_; /* of all gateways of the own zone; latest last */
     std::map<std::string, ServiceCounts> serviceCounts_;
     DispatchCounts counts_;
+    HoldCounts holdCounts_;
+    std::atomic<std::size_t> waitingCount_{0}; /* requests in all queues, chosen ones included; changed under the lock */
     std::atomic<std::uint64_t> requestsWithoutId_{0}; /* not guarded; spreads requests without an id over the services of a route */
 };
 
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -42,6 +42,7 @@
     , arrivedAt_(arrivedAt)
     , deadlineTimer_(worker.context())
     , stallTimer_(worker.context())
+    , holdTimer_(worker.context())
 {
 }
 
@@ -63,6 +64,15 @@
     if (endIfCallerLeft()) {
         return;
     }
+    armDeadlineTimer();
+    tryNextServer();
+    if (session_ != nullptr && admission_->route->isRetryable()) {
+        armStallTimer();
+    }
+}
+
+void Exchange::armDeadlineTimer()
+{
     deadlineTimer_.expires_at(deadline_);
     auto self = shared_from_this();
     deadlineTimer_.async_wait([self](const boost::system::error_code &error) {
@@ -70,10 +80,6 @@
             self->onDeadline();
         }
     });
-    tryNextServer();
-    if (session_ != nullptr && admission_->route->isRetryable()) {
-        armStallTimer();
-    }
 }
 
 bool Exchange::endIfCallerLeft()
@@ -107,7 +113,8 @@
 void Exchange::checkStall()
 {
     const bool canContinueElsewhere = !isRelayStarted() || relayMode_ == RelayMode::EventStream;
-    const bool canSwitchServer = canContinueElsewhere && call_ != nullptr && sentAttempts_ < admission_->route->maxAttempts;
+    const auto &route = *admission_->route; /* may be another one than at the start, if the request waited */
+    const bool canSwitchServer = canContinueElsewhere && call_ != nullptr && route.isRetryable() && sentAttempts_ < route.maxAttempts;
     if (canSwitchServer && isStalled()) {
         // The current attempt is cancelled only if another backend server accepts the request.
         auto placement = worker_.dispatcher().place(*admission_, triedServers_, callerWait());
@@ -168,7 +175,11 @@
 std::chrono::milliseconds Exchange::callerWait() const
 {
     const auto &route = *admission_->route;
-    return route.kind == world::RouteKind::Streaming ? std::min(remainingTime(), platform::streamCallerWait(route)) : remainingTime();
+    if (route.kind != world::RouteKind::Streaming) {
+        return remainingTime();
+    }
+    const auto sinceLastBytes = internal::elapsedSince(std::max(arrivedAt_, lastBodyAt_));
+    return std::min(remainingTime(), platform::streamCallerWait(route) - sinceLastBytes);
 }
 
 std::chrono::milliseconds Exchange::callerRemainingTime() const
@@ -192,8 +203,12 @@
         retryOrFail(kind, "too little time left before the deadline to send the request", false);
         return;
     }
-    auto placement = worker_.dispatcher().place(*admission_, triedServers_, callerWait());
+    auto placement = placeOrHold();
     availableIn_ = placement.availableIn;
+    if (placement.held != nullptr) {
+        hold(std::move(placement));
+        return;
+    }
     if (placement.inFlight == nullptr) {
         retryOrFail(placement.refusal, placement.reason, false);
         return;
@@ -334,6 +349,7 @@
     recordMetrics(false);
     deadlineTimer_.cancel();
     stallTimer_.cancel();
+    endHold();
     auto *session = std::exchange(session_, nullptr);
     session->abort();
 }
@@ -371,6 +387,7 @@
     recordMetrics(isAnswered);
     deadlineTimer_.cancel();
     stallTimer_.cancel();
+    endHold();
     auto *session = std::exchange(session_, nullptr);
     session->finishResponse();
 }
@@ -386,6 +403,7 @@
     session_ = nullptr;
     deadlineTimer_.cancel();
     stallTimer_.cancel();
+    endHold();
     if (call_ != nullptr) {
         call_->cancel();
     }
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -67,7 +67,13 @@
 
     void admit();
     bool endIfCallerLeft(); /* true if the exchange has ended, as its caller has left */
+    void armDeadlineTimer();
     void tryNextServer();
+    void hold(PlacementResult placement);
+    void onHoldEnded();
+    void endHold();
+    [[nodiscard]] PlacementResult placeOrHold();
+    void readmit();
     void startAttempt(PlacementResult placement);
     void sendRequest(const world::BackendServer &server);
     void retryOrFail(core::ErrorKind kind, const std::string &reason, bool isRetryAllowed);
@@ -110,8 +116,10 @@
     std::optional<Admission> admission_;
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer stallTimer_;
+    boost::asio::steady_timer holdTimer_;
     std::shared_ptr<BackendCall> call_;
     std::unique_ptr<InFlightRequest> inFlight_;
+    std::unique_ptr<HeldRequest> held_; /* while the request waits at this gateway; no attempt is in progress then */
     std::vector<std::string> triedServers_; /* ids of the backend servers that were chosen for this request */
     std::string historySource_; /* as in PlacementResult, of the last placement */
     const char *placementReason_ = ""; /* of the last placement, for the log */
--- a/src/cyclamenspool/gateway/operatorpage.cpp
+++ b/src/cyclamenspool/gateway/operatorpage.cpp
@@ -54,6 +54,22 @@
     }
 }
 
+void writeQueues(std::ostream &out, const Dispatcher &dispatcher)
+{
+    const auto counts = dispatcher.holdCounts();
+    out << "cyclamenspool_waiting_room_total" << singleLabel("verdict", "held") << ' ' << counts.held << '\n';
+    out << "cyclamenspool_waiting_room_total" << singleLabel("verdict", "sent") << ' ' << counts.sent << '\n';
+    out << "cyclamenspool_waiting_room_total" << singleLabel("verdict", "rejected") << ' ' << counts.rejected << '\n';
+    counts.waits.write(out, "cyclamenspool_waiting_room_seconds", "");
+    for (const auto &queue : dispatcher.queues()) {
+        const auto labels = singleLabel("service", queue.service);
+        out << "cyclamenspool_waiting_requests" << labels << ' ' << queue.waiting << '\n';
+        if (queue.limit) {
+            out << "cyclamenspool_concurrency_limit" << labels << ' ' << *queue.limit << '\n';
+        }
+    }
+}
+
 void writeQuarantine(std::ostream &out, const QuarantineView &view)
 {
     out << "cyclamenspool_prompt_parts" << singleLabel("state", "suspected") << ' ' << view.suspects << '\n';
@@ -138,6 +154,7 @@
     }
     internal::writeProcess(out);
     internal::writeCounts(out, input.dispatcher.counts());
+    internal::writeQueues(out, input.dispatcher);
     internal::writeQuarantine(out, input.dispatcher.quarantine());
     internal::writeServers(out, input.dispatcher.servers());
     input.dispatcher.meter().write(out);
--- a/src/cyclamenspool/gateway/refusal.cpp
+++ b/src/cyclamenspool/gateway/refusal.cpp
@@ -68,9 +68,12 @@
     }
     const auto callerLimit = std::chrono::duration_cast<std::chrono::milliseconds>(remainingTime * internal::maxDelayFraction);
     const auto maxDelay = std::min(callerLimit, internal::maxDelayOf(kind));
-    const double jitter = internal::minJitter + (1 - internal::minJitter) * random.uniform();
-    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(maxDelay * jitter);
-    return std::max({delay, std::min(availableIn, callerLimit), std::chrono::milliseconds(1)});
+    // Callers return between the time at which there is room and the longest delay, so that they don't all come at once.
+    const auto earliest = std::min(availableIn, callerLimit);
+    const auto low = std::max(std::chrono::duration_cast<std::chrono::milliseconds>(maxDelay * internal::minJitter), earliest);
+    const auto high = std::max(maxDelay, earliest);
+    const auto delay = low + std::chrono::duration_cast<std::chrono::milliseconds>((high - low) * random.uniform());
+    return std::max(delay, std::chrono::milliseconds(1));
 }
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/scheduling/fwd.h
+++ b/src/cyclamenspool/gateway/scheduling/fwd.h
@@ -2,6 +2,13 @@
 
 namespace cyclamenspool::gateway::scheduling {
 
+class ConcurrencyLimit;
+class ServiceQueue;
+class WaitingRoom;
+class WorkspaceUsage;
 struct Decision;
+struct QueueVerdict;
+struct QueuedRequest;
+struct ServiceLoad;
 
 } // namespace cyclamenspool::gateway::scheduling
