--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -10,6 +10,7 @@
 #include <cyclamenspool/gateway/promptquarantine.h>
 #include <cyclamenspool/gateway/requestmeter.h>
 #include <cyclamenspool/gateway/routetable.h>
+#include <cyclamenspool/gateway/scheduling/callerpatience.h>
 #include <cyclamenspool/gateway/scheduling/servicequeue.h>
 #include <cyclamenspool/gateway/scheduling/verdict.h>
 #include <cyclamenspool/gateway/servicebacklog.h>
@@ -140,6 +141,7 @@
 struct HoldOffer {
     std::string requestId; /**< For the log. */
     core::MonotonicTime arrivedAt{};
+    core::Milliseconds callerLimit{0}; /**< Time limit that its caller states; zero: none. */
     scheduling::Wake wake; /**< Resumes the request; called on any thread, without a lock. */
     std::unique_ptr<HeldRequest> earlier; /**< Hold that ends with this attempt; null: none. */
 };
@@ -317,6 +319,7 @@
         policy::SlidingWindowCounter retries;
         ServiceBacklog backlog;
         scheduling::ServiceQueue queue;
+        std::map<std::string, scheduling::CallerPatience> patience; /* by route; only routes from the configuration occur, which bounds the size */
         bool usesPromptCache = false; /* of the latest request that waited; its queue has no limit then */
     };
 
--- a/src/cyclamenspool/gateway/dispatcherqueues.cpp
+++ b/src/cyclamenspool/gateway/dispatcherqueues.cpp
@@ -128,9 +128,13 @@
     }
     const std::lock_guard lock(mutex_);
     const auto now = internal::steadyNow();
-    auto &queue = countsOf(admission.service).queue;
+    auto &counts = countsOf(admission.service);
+    auto &queue = counts.queue;
     const auto waited = std::chrono::duration_cast<core::Milliseconds>(now - offer.arrivedAt);
-    const scheduling::WaitLimits limits{admission.route->latencyObjective, waited + callerWait};
+    scheduling::WaitLimits limits{admission.route->latencyObjective, core::Milliseconds(0), waited + callerWait};
+    if (offer.callerLimit.count() > 0) {
+        limits.spentBefore = counts.patience[admission.route->name].spentBefore(offer.callerLimit, now);
+    }
     verdict = queue.decide(internal::queuedRequest(admission, offer.arrivedAt), limits, ticket, serviceLoadOf(admission.service, now), now);
     if (verdict.decision.verdict == internal::Verdict::Hold) {
         holdLocked(admission, verdict, offer, held);
--- a/src/cyclamenspool/gateway/scheduling/concurrencylimit.cpp
+++ b/src/cyclamenspool/gateway/scheduling/concurrencylimit.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t maxSamples = 8;
 constexpr std::size_t minSamples = 4;
 constexpr Milliseconds sampleAge{1000};
-constexpr double objectiveShare = 0.4; /* of the objective, for the time at the backend servers; the rest is for waiting at the gateway */
+constexpr double objectiveShare = 0.45; /* of the objective, for the time at the backend servers; the rest is for waiting at the gateway */
 constexpr double unloadedFactor = 2.0; /* a service whose requests take most of the objective anyway counts as slow at this multiple */
 constexpr double risingFactor = 1.5; /* of the response time without load; below that, the servers are not taken for full whatever their slots */
 constexpr double increase = 0.02; /* for each arrival that finds the limit reached */
--- a/src/cyclamenspool/gateway/scheduling/fwd.h
+++ b/src/cyclamenspool/gateway/scheduling/fwd.h
@@ -2,6 +2,7 @@
 
 namespace cyclamenspool::gateway::scheduling {
 
+class CallerPatience;
 class ConcurrencyLimit;
 class ServiceQueue;
 class WaitingRoom;
--- a/src/cyclamenspool/gateway/scheduling/servicequeue.h
+++ b/src/cyclamenspool/gateway/scheduling/servicequeue.h
@@ -14,6 +14,7 @@
 /** @brief Times that a request can wait for, from its arrival at this gateway. */
 struct WaitLimits {
     core::Milliseconds objective{0}; /**< Target for the response headers. */
+    core::Milliseconds spentBefore{0}; /**< Part of the objective that its caller had spent before the request arrived. */
     core::Milliseconds callerLimit{0}; /**< Time after which the caller has left or the deadline has passed. */
 };
 
