--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -256,6 +256,12 @@
                                               core::Milliseconds callerWait,
                                               HoldOffer offer);
 
+    /** @brief Wakes no waiting request from now on, as the workers' event loops have ended. */
+    void stopWaking() noexcept
+    {
+        isWaking_ = false;
+    }
+
     /** @brief Returns the queues of the services that have a limit or waiting requests. */
     [[nodiscard]] std::vector<QueueView> queues() const;
 
@@ -375,6 +381,7 @@
     std::map<std::string, ServiceCounts> serviceCounts_;
     DispatchCounts counts_;
     HoldCounts holdCounts_;
+    std::atomic<bool> isWaking_{true}; /* not guarded */
     std::atomic<std::size_t> waitingCount_{0}; /* requests in all queues, chosen ones included; changed under the lock */
     std::atomic<std::uint64_t> requestsWithoutId_{0}; /* not guarded; spreads requests without an id over the services of a route */
 };
--- a/src/cyclamenspool/gateway/dispatcherqueues.cpp
+++ b/src/cyclamenspool/gateway/dispatcherqueues.cpp
@@ -220,7 +220,7 @@
 
 void Dispatcher::wakeNext(const std::string &service)
 {
-    if (waitingCount_ == 0) {
+    if (waitingCount_ == 0 || !isWaking_) {
         return;
     }
     std::vector<scheduling::Wake> wakes;
@@ -241,6 +241,9 @@
 
 void Dispatcher::wakeAll()
 {
+    if (waitingCount_ == 0 || !isWaking_) {
+        return;
+    }
     std::vector<scheduling::Wake> wakes;
     {
         const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -79,6 +79,7 @@
     for (auto &thread : threads) {
         thread.join();
     }
+    dispatcher_.stopWaking();
     logStopped();
     telemetry::closeLog(0);
     return 0;
