Concurrency limit: slower servers with a short queue do not lower it

Cause: an episode of slow machines (2.5 times, 600 ms) lowered the limits, which rise slowly, and the servers ran below their slots.

--- a/src/cyclamenspool/gateway/scheduling/concurrencylimit.cpp
+++ b/src/cyclamenspool/gateway/scheduling/concurrencylimit.cpp
@@ -16,6 +16,7 @@
 constexpr double objectiveShare = 0.45; /* of the objective, for the time at the backend servers; the rest is for waiting at the gateway */
 constexpr double unloadedFactor = 2.0; /* a service whose requests take most of the objective anyway counts as slow at this multiple */
 constexpr double risingFactor = 1.5; /* of the response time without load; below that, the servers are not taken for full whatever their slots */
+constexpr double queueShare = 0.7; /* of the target, that the requests in flight have to account for: slower servers are no reason to send less */
 constexpr double increase = 0.02; /* for each arrival that finds the limit reached */
 constexpr double minFactor = 0.5;
 constexpr double maxFactor = 0.9;
@@ -67,7 +68,7 @@
     }
     followSlots(load.slots);
     const auto target = targetRatio();
-    const bool isSlow = median > target && load.isQueued();
+    const bool isSlow = median > target && isQueueLong(load);
     risesUntil_ = isSlow ? now : now + internal::sampleAge;
     if (isSlow && now >= nextDecreaseAt_) {
         decrease(std::clamp(target / median, internal::minFactor, internal::maxFactor), load, now);
@@ -101,6 +102,12 @@
     }
 }
 
+bool ConcurrencyLimit::isQueueLong(const ServiceLoad &load) const noexcept
+{
+    const double expected = unloaded_.value_or(0) * load.total;
+    return load.isQueued() && (!unloaded_ || expected > internal::queueShare * targetRatio() * load.slots);
+}
+
 bool ConcurrencyLimit::isOverloadExpected(const ServiceLoad &load) const noexcept
 {
     if (!unloaded_ || !median_ || load.slots == 0 || *median_ < internal::risingFactor * *unloaded_) {
--- a/src/cyclamenspool/gateway/scheduling/concurrencylimit.h
+++ b/src/cyclamenspool/gateway/scheduling/concurrencylimit.h
@@ -54,6 +54,7 @@
     void decrease(double factor, const ServiceLoad &load, core::MonotonicTime now);
     void followSlots(int slots);
     [[nodiscard]] double targetRatio() const noexcept;
+    [[nodiscard]] bool isQueueLong(const ServiceLoad &load) const noexcept; /* long enough for the responses to be slow by it */
     [[nodiscard]] bool isOverloadExpected(const ServiceLoad &load) const noexcept; /* from the requests in flight, before responses are slow */
 
     std::deque<Sample> samples_; /* latest last */
--- a/test/gateway/scheduling/concurrencylimit.cpp
+++ b/test/gateway/scheduling/concurrencylimit.cpp
@@ -51,6 +51,14 @@
     CHECK_FALSE(control.limit.limit());
 }
 
+TEST_CASE("slow servers with a queue too short for their response times are not limited", "[gateway][scheduling]")
+{
+    Control control;
+    control.respond(60ms, unqueued, 10);
+    control.respond(200ms, {6, 30, 24}, 50);
+    CHECK_FALSE(control.limit.limit());
+}
+
 TEST_CASE("a single slow server among several is not limited", "[gateway][scheduling]")
 {
     Control control;
