--- a/src/cyclamenspool/gateway/dispatcherqueues.cpp
+++ b/src/cyclamenspool/gateway/dispatcherqueues.cpp
@@ -50,6 +50,7 @@
     line["reason"] = verdict.decision.reason;
     line["position"] = verdict.position;
     line["predicted_wait_ms"] = verdict.predictedWait.count();
+    line["time_left_ms"] = verdict.recheckIn.count();
     line["available_in_ms"] = verdict.decision.availableIn.count();
     line["limit"] = verdict.limit;
     line["waited_ms"] = std::chrono::duration_cast<core::Milliseconds>(steadyNow() - arrivedAt).count();
