--- a/src/cyclamenspool/gateway/scheduling/concurrencylimit.cpp
+++ b/src/cyclamenspool/gateway/scheduling/concurrencylimit.cpp
@@ -20,6 +20,7 @@
 constexpr double increase = 0.02; /* for each arrival that finds the limit reached */
 constexpr double minFactor = 0.5;
 constexpr double maxFactor = 0.9;
+constexpr double latestWeight = 0.1; /* of a response, in the expected response time */
 constexpr double rejectionFactor = 0.7;
 constexpr Milliseconds minDecreaseInterval{50};
 constexpr Milliseconds unusedTime{2000}; /* after which a limit that is not reached ends */
@@ -59,7 +60,9 @@
 
 void ConcurrencyLimit::onResponse(core::MonotonicTime::duration time, core::Milliseconds objective, const ServiceLoad &load, core::MonotonicTime now)
 {
-    if (!record(internal::ratioOf(time, objective), now)) {
+    const auto ratio = internal::ratioOf(time, objective);
+    expected_ = expected_ ? *expected_ + (ratio - *expected_) * internal::latestWeight : ratio;
+    if (!record(ratio, now)) {
         return;
     }
     const auto median = *median_;
@@ -140,7 +143,7 @@
 
 core::Milliseconds ConcurrencyLimit::responseTime(core::Milliseconds objective) const
 {
-    return std::chrono::duration_cast<core::Milliseconds>(objective * median_.value_or(internal::objectiveShare));
+    return std::chrono::duration_cast<core::Milliseconds>(objective * expected_.value_or(internal::objectiveShare));
 }
 
 } // namespace cyclamenspool::gateway::scheduling
--- a/src/cyclamenspool/gateway/scheduling/concurrencylimit.h
+++ b/src/cyclamenspool/gateway/scheduling/concurrencylimit.h
@@ -39,7 +39,7 @@
     /** @brief Returns the limit, at least 1; empty: none. */
     [[nodiscard]] std::optional<int> limit() const noexcept;
 
-    /** @brief Returns the expected time from sending a request to its response headers; half of the objective before enough responses arrived. @param objective
+    /** @brief Returns the expected time from sending a request to its response headers; a part of the objective before the first response. @param objective
      * Target for it. */
     [[nodiscard]] core::Milliseconds responseTime(core::Milliseconds objective) const;
 
@@ -59,6 +59,7 @@
 
     std::deque<Sample> samples_; /* latest last */
     std::optional<double> median_; /* of the latest samples that were enough */
+    std::optional<double> expected_; /* moving average of all responses */
     std::optional<double> unloaded_; /* lowest median while there was no limit */
     std::optional<double> limit_;
     int slots_ = 0; /* as of limit_ */
