--- a/test/gateway/refusal.cpp
+++ b/test/gateway/refusal.cpp
@@ -54,6 +54,21 @@
     CHECK(delaysFor(core::ErrorKind::PoolFull, 3000ms).back() <= 1000ms);
 }
 
+TEST_CASE("a full service whose backlog drains later than usual: callers come back after that time, spread", "[gateway][refusal]")
+{
+    core::RandomSource random(7);
+    std::vector<std::chrono::milliseconds> delays;
+    for (int i = 0; i < 200; ++i) {
+        delays.push_back(chooseRetryAfter(core::ErrorKind::PoolFull, 12000ms, random, 2500ms));
+    }
+    std::sort(delays.begin(), delays.end());
+    CHECK(delays.front() >= 2500ms);
+    CHECK(delays.front() < 2700ms);
+    CHECK(delays.back() > 3300ms);
+    CHECK(delays.back() <= 4000ms);
+    CHECK(chooseRetryAfter(core::ErrorKind::PoolFull, 3000ms, random, 2500ms) <= 1000ms);
+}
+
 TEST_CASE("no delay is given where the request may have run, and a short one where no time is left", "[gateway][refusal]")
 {
     CHECK(delaysFor(core::ErrorKind::OutcomeUnknown, 12000ms).back() == 0ms);
