Start: the wait for the version in force ends once nobody can know more

Cause: a gateway that starts waited 0.3 s at least for a running peer's call, whatever it knew; the end of the wait was noticed with the next exchange (every 0.2 s), and seeds whose VMs are gone counted as unanswered for the connect timeout of 0.5 s.

Change: a store that names no era has lost nothing, so that its own list, or its changes since a peer's copy, ends the wait; the end of the wait has a timer of its own; a peer to which no connection is established in 0.3 s is not waited for, unless it has called. The rest of the rule stays: a first answer with an era does not tell whether there was an earlier one, so that peers are asked for 0.3 s at least there.

--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -160,6 +160,7 @@
     platform::StoreCallbacks callbacks;
     callbacks.onList = [this, section](const member::StoreSnapshot &list) {
         catalog_.onStoreList(section, list);
+        gossip_.onStoreRead(section);
     };
     callbacks.onChanges = [this, section](const std::vector<member::StoreItem> &changes, const member::StorePosition &position) {
         onStoreChanges(section, {changes, position, std::chrono::steady_clock::now()});
@@ -262,6 +263,8 @@
     const bool isPublished = section == Catalog::Section::Servers && isLatest && gossip_.isListWatcher();
     const auto delta = isPublished ? catalog_.reduceServerChanges(changes.items, changes.position) : ListDelta();
     catalog_.onStoreChanges(section, changes.items, changes.position, changes.asOf);
+    // The copy may be a peer's; with the changes since it is as complete as a list.
+    gossip_.onStoreRead(section);
     if (isPublished) {
         gossip_.publishListDelta(delta);
     }
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -59,6 +59,7 @@
     , catalog_(catalog)
     , connectionPool_(context, internal::sessionLimits())
     , timer_(context)
+    , inquiryTimer_(context)
     , zonePulls_(settings.peerAddress)
     , startTime_(std::chrono::steady_clock::now())
 {
@@ -83,7 +84,7 @@
     for (const auto &[address, peer] : peers_) {
         asked.insert(address);
     }
-    routingInquiry_.start(std::move(asked), std::chrono::steady_clock::now());
+    routingInquiry_.start(asked, std::chrono::steady_clock::now());
     applyLowestRouting();
     server_ = std::make_unique<wire::PeerServer>(context_, settings_.peerAddress, internal::sessionLimits(), handler);
     tick();
@@ -92,6 +93,7 @@
 void PeerGossip::stop()
 {
     timer_.cancel();
+    inquiryTimer_.cancel();
     if (server_ != nullptr) {
         server_->close();
     }
@@ -444,7 +446,42 @@
 
 void PeerGossip::applyLowestRouting()
 {
-    catalog_.setLowestRouting(routingInquiry_.lowestVersion(std::chrono::steady_clock::now()));
+    const auto now = std::chrono::steady_clock::now();
+    catalog_.setLowestRouting(routingInquiry_.lowestVersion(now));
+    const auto next = routingInquiry_.nextChange(now);
+    if (!next || *next == inquiryTimer_.expiry()) {
+        return;
+    }
+    inquiryTimer_.expires_at(*next);
+    inquiryTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            dropUnreached();
+            applyLowestRouting();
+        }
+    });
+}
+
+void PeerGossip::dropUnreached()
+{
+    // A VM that is gone, or a cut link: nothing comes back before the connection attempt is repeated after a second.
+    for (const auto &address : routingInquiry_.unanswered()) {
+        if (connectionPool_.isConnecting(address)) {
+            routingInquiry_.onUnreached(address);
+        }
+    }
+}
+
+void PeerGossip::onStoreRead(Catalog::Section section)
+{
+    if (section == Catalog::Section::OperatorConfig) {
+        routingInquiry_.onStoreRead(catalog_.era());
+        applyLowestRouting();
+    }
+}
+
+bool PeerGossip::isRoutingAwaited() const
+{
+    return routingInquiry_.lowestVersion(std::chrono::steady_clock::now()) > catalog_.routingVersion();
 }
 
 void PeerGossip::onPeerStore(const std::string &address, const StoreReport &report)
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -81,6 +81,19 @@
     /** @brief Adds seeds to the known peers. @param seeds Peer addresses; the gateway's own address is ignored. */
     void addSeeds(const std::vector<std::string> &seeds);
 
+    /** @brief Handles a list of a section, or the changes since its copy, that the store itself has returned; call it after the catalog has applied them, so
+     * that no version before them is in force in between. */
+    void onStoreRead(Catalog::Section section);
+
+    /** @brief Returns whether a routing is kept back, or would be: a peer may still name the version in force, or has named one that is not here yet. */
+    [[nodiscard]] bool isRoutingAwaited() const;
+
+    /** @brief Returns whether a peer with a routing in force has answered since the start. */
+    [[nodiscard]] bool hasRunningPeer() const noexcept
+    {
+        return routingInquiry_.isTold();
+    }
+
     /** @brief Stops sending updates and closes all connections. */
     void stop();
 
@@ -157,6 +170,7 @@
     [[nodiscard]] bool pullIfOutdated(const std::string &address, Catalog::Section section, const member::StorePosition &position);
     void pull(const std::string &address, Catalog::Section section);
     void applyLowestRouting();
+    void dropUnreached();
     [[nodiscard]] bool isOverdue(Catalog::Section section, const member::StorePosition &position, core::MonotonicTime now);
     void onMessage(const std::shared_ptr<wire::ServerStream> &stream, const std::string &path, const std::string &message);
     void expirePeers(core::MonotonicTime now);
@@ -177,6 +191,7 @@
     wire::PeerConnectionPool connectionPool_;
     std::unique_ptr<wire::PeerServer> server_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer inquiryTimer_;
     std::map<std::string, Peer> peers_; /* by address */
     ZonePulls zonePulls_;
     core::MonotonicTime startTime_;
--- a/src/cyclamenspool/gateway/routinginquiry.cpp
+++ b/src/cyclamenspool/gateway/routinginquiry.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <utility>
 
 namespace cyclamenspool::gateway {
 
@@ -18,10 +17,13 @@
 
 } // namespace internal
 
-void RoutingInquiry::start(std::set<std::string> peers, core::MonotonicTime now)
+void RoutingInquiry::start(const std::set<std::string> &peers, core::MonotonicTime now)
 {
     isAnyoneAsked_ = !peers.empty();
-    unanswered_ = std::move(peers);
+    unanswered_.clear();
+    for (const auto &peer : peers) {
+        unanswered_.emplace(peer, false);
+    }
     startedAt_ = now;
 }
 
@@ -35,7 +37,12 @@
 bool RoutingInquiry::onNamed(const std::string &peer, std::uint64_t version, core::MonotonicTime now)
 {
     highestNamed_ = std::max(highestNamed_, version);
-    return version > 0 && isWaiting(now) && unanswered_.insert(peer).second;
+    if (version == 0 || !isWaiting(now)) {
+        return false;
+    }
+    const auto [asked, isNew] = unanswered_.try_emplace(peer);
+    asked->second = true;
+    return isNew;
 }
 
 void RoutingInquiry::onFailed(const std::string &peer)
@@ -43,11 +50,42 @@
     unanswered_.erase(peer);
 }
 
+void RoutingInquiry::onUnreached(const std::string &peer)
+{
+    const auto found = unanswered_.find(peer);
+    if (found != unanswered_.end() && !found->second) {
+        unanswered_.erase(found);
+    }
+}
+
+std::vector<std::string> RoutingInquiry::unanswered() const
+{
+    std::vector<std::string> peers;
+    for (const auto &[peer, hasNamed] : unanswered_) {
+        peers.push_back(peer);
+    }
+    return peers;
+}
+
 bool RoutingInquiry::isWaiting(core::MonotonicTime now) const noexcept
 {
     const bool isAnswerMissing = !unanswered_.empty() && now < startedAt_ + internal::answerTime;
     const bool mayPeerCall = isAnyoneAsked_ && now < startedAt_ + internal::namingTime;
-    return !isTold_ && (isAnswerMissing || mayPeerCall);
+    return !isTold_ && !isStoreComplete_ && (isAnswerMissing || mayPeerCall);
+}
+
+void RoutingInquiry::onStoreRead(std::uint64_t era) noexcept
+{
+    isStoreComplete_ = isStoreComplete_ || era == 0;
+}
+
+std::optional<core::MonotonicTime> RoutingInquiry::nextChange(core::MonotonicTime now) const noexcept
+{
+    if (isWaiting(now)) {
+        return startedAt_ + (now < startedAt_ + internal::namingTime ? internal::namingTime : internal::answerTime);
+    }
+    const bool isDocumentDue = highestNamed_ > 0 && now < startedAt_ + internal::documentTime;
+    return isDocumentDue ? std::optional(startedAt_ + internal::documentTime) : std::nullopt;
 }
 
 std::uint64_t RoutingInquiry::lowestVersion(core::MonotonicTime now) const noexcept
--- a/src/cyclamenspool/gateway/routinginquiry.h
+++ b/src/cyclamenspool/gateway/routinginquiry.h
@@ -2,10 +2,13 @@
 
 #include <cyclamenspool/core/now.h>
 
+#include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cyclamenspool::gateway {
 
@@ -15,7 +18,8 @@
  *
  * The store, and with it each gateway's copy, may have been restored from an older copy, so that only gateways that have run since before know the version in
  * force. A gateway that starts waits until a peer that has a version in force has replied, or no peer is left that may, for 0.3 s at least, in which peers that
- * run may call it, and for at most 1 s; and then for the highest version that was named, for at most 3 s from its start.
+ * run may call it, and for at most 1 s; and then for the highest version that was named, for at most 3 s from its start. A store that names no era has lost
+ * nothing that it has acknowledged: its own list ends the wait at once, as no peer can know a later version.
  */
 class RoutingInquiry
 {
@@ -27,7 +31,7 @@
     };
 
     /** @brief Begins the wait of a gateway that starts; without it there is nothing to wait for. @param peers Addresses of the peers that are asked. */
-    void start(std::set<std::string> peers, core::MonotonicTime now);
+    void start(const std::set<std::string> &peers, core::MonotonicTime now);
 
     /**
      * @brief Handles any message of a peer.
@@ -45,6 +49,29 @@
     /** @brief Handles a peer that could not be asked or did not answer; has no effect on one that has answered. @param peer Its address. */
     void onFailed(const std::string &peer);
 
+    /** @brief Handles a peer to which no connection could be established in the time for which peers are waited for at least; one that has named a version is
+     * waited for all the same. @param peer Its address. */
+    void onUnreached(const std::string &peer);
+
+    /** @brief Returns the addresses of the peers that were asked and have neither answered nor failed. */
+    [[nodiscard]] std::vector<std::string> unanswered() const;
+
+    /** @brief Handles the routing documents that the store itself has returned since the start, or the changes since a peer's copy. @param era Latest known era
+     * of the store; 0: neither the store nor a peer has named one. */
+    void onStoreRead(std::uint64_t era) noexcept;
+
+    /** @brief Returns whether a peer with a version in force has replied. */
+    [[nodiscard]] bool isTold() const noexcept
+    {
+        return isTold_;
+    }
+
+    /** @brief Returns whether a peer may still name a version that has to be waited for. */
+    [[nodiscard]] bool isWaiting(core::MonotonicTime now) const noexcept;
+
+    /** @brief Returns the next time at which lowestVersion() may change without any event; empty if there is none. */
+    [[nodiscard]] std::optional<core::MonotonicTime> nextChange(core::MonotonicTime now) const noexcept;
+
     /** @brief Returns the lowest version that may be put in force; the highest number while none may. */
     [[nodiscard]] std::uint64_t lowestVersion(core::MonotonicTime now) const noexcept;
 
@@ -61,13 +88,15 @@
     /** @brief Records that a peer was asked for its document. @param version Version in force there; 0: none, or not named. */
     void onPull(std::uint64_t version, core::MonotonicTime now) noexcept;
 
-private:
-    [[nodiscard]] bool isWaiting(core::MonotonicTime now) const noexcept;
+    /** @brief Orders inquiries by all that they have been told, for sets of states. */
+    [[nodiscard]] auto operator<=>(const RoutingInquiry &) const = default;
 
-    std::set<std::string> unanswered_;
+private:
+    std::map<std::string, bool> unanswered_; /* true: the peer has named a version in force */
     bool isAnyoneAsked_ = false;
     core::MonotonicTime startedAt_{};
     bool isTold_ = false; /* by a peer with a version in force */
+    bool isStoreComplete_ = false; /* it has lost nothing, and its list has been read */
     std::uint64_t highestNamed_ = 0;
     core::MonotonicTime pulledAt_{};
     std::uint64_t pulledVersion_ = 0;
--- a/src/cyclamenspool/wire/peerconnectionpool.cpp
+++ b/src/cyclamenspool/wire/peerconnectionpool.cpp
@@ -86,6 +86,13 @@
     }
 }
 
+bool PeerConnectionPool::isConnecting(const std::string &address) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = peers_.find(address);
+    return found != peers_.end() && found->second.connecting;
+}
+
 void PeerConnectionPool::close()
 {
     const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/wire/peerconnectionpool.h
+++ b/src/cyclamenspool/wire/peerconnectionpool.h
@@ -30,6 +30,9 @@
      */
     std::shared_ptr<ClientStream> submit(const std::string &address, const std::string &path, std::string message, StreamCallbacks callbacks);
 
+    /** @brief Returns whether a connection to an address is being established. */
+    [[nodiscard]] bool isConnecting(const std::string &address) const;
+
     /** @brief Closes all sessions. Does not abort connections that are being established. */
     void close();
 
@@ -52,7 +55,7 @@
 
     boost::asio::io_context &context_;
     SessionLimits limits_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::map<std::string, Peer> peers_;
 };
 
--- a/test/gateway/routinginquiry.cpp
+++ b/test/gateway/routinginquiry.cpp
@@ -4,6 +4,8 @@
 
 #include <limits>
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
@@ -140,3 +142,45 @@
     inquiry.onPull(22, now);
     CHECK(inquiry.isPullDue(22, {2, 2}, false, now + 1s));
 }
+
+// Guards against a wait for peers that cannot know more than the store has said.
+TEST_CASE("routing inquiry: a store that names no era has lost nothing, so that its list ends the wait", "[gateway][era][start]")
+{
+    auto inquiry = startedInquiry();
+    inquiry.onStoreRead(1);
+    CHECK(inquiry.lowestVersion(start) == none);
+    inquiry.onStoreRead(0);
+    CHECK(inquiry.lowestVersion(start) == 0);
+    auto named = startedInquiry();
+    static_cast<void>(named.onNamed("c", 4, start)); /* written after the store's answer */
+    named.onStoreRead(0);
+    CHECK(named.lowestVersion(start) == 4);
+}
+
+// Guards against a wait for VMs that are gone, which answer no attempt to connect, and against one that ends before a running peer's answer.
+TEST_CASE("routing inquiry: peers that cannot be reached are not waited for, unless they have called", "[gateway][era][start]")
+{
+    auto inquiry = startedInquiry();
+    static_cast<void>(inquiry.onNamed("b", 4, start + 200ms));
+    CHECK(inquiry.unanswered() == std::vector<std::string>{"a", "b"});
+    inquiry.onUnreached("a");
+    inquiry.onUnreached("b");
+    inquiry.onUnreached("c");
+    CHECK(inquiry.unanswered() == std::vector<std::string>{"b"});
+    CHECK(inquiry.lowestVersion(start + 300ms) == none);
+    inquiry.onAnswered("b", 4);
+    CHECK(inquiry.lowestVersion(start + 301ms) == 4);
+}
+
+// Guards against a wait that lasts until the next exchange with the peers.
+TEST_CASE("routing inquiry: it names the time at which the lowest version changes by itself", "[gateway][era][start]")
+{
+    auto inquiry = startedInquiry();
+    CHECK(inquiry.nextChange(start) == start + 300ms);
+    CHECK(inquiry.nextChange(start + 300ms) == start + 1s);
+    CHECK_FALSE(inquiry.nextChange(start + 1s));
+    inquiry.onAnswered("a", 3);
+    CHECK(inquiry.nextChange(start + 1ms) == start + 3s);
+    CHECK_FALSE(inquiry.nextChange(start + 3s));
+    CHECK_FALSE(RoutingInquiry().nextChange(start));
+}
