Start: requests that arrive in the wait are held in order, then served

Change: gateway/StartHold decides without I/O who is held and who goes on: three tenths of the caller's time, 1 s at most, 1,024 requests and 16 MiB a process, in order and before any later request. gateway/StartQueue owns the timer; the session owns the exchange, the exchange its place in the queue. Exchange::start() runs again when a request goes on. Connections wait unread for 0.1 s at most, for the caller limits of the configuration. With the store away (two failed calls, or no answer within a second, and no peer that can supply it) requests are refused at once, with Retry-After as before. Log line start_outlook.

Tests: hold, queue, outlook; sessions (caller leaves, its time is over, the process ends, the gateway stops, order at the backend server); three process tests.

--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -117,6 +117,12 @@
     /** @brief Returns whether the last store call for a section failed; also true before the first response. */
     [[nodiscard]] bool isStoreUnavailable(Section section) const;
 
+    /** @brief Returns the number of store calls for a section that have failed since the last successful one. */
+    [[nodiscard]] std::uint64_t failedStoreCalls(Section section) const
+    {
+        return stateOf(section).failedCalls;
+    }
+
     /** @brief Returns whether every section has data from the store or a peer. Thread safe. */
     [[nodiscard]] bool isComplete() const noexcept
     {
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -55,6 +55,11 @@
 void Exchange::start()
 {
     try {
+        requestHead_.id = platform::readRequestId(request_.base());
+        requestHead_ = platform::readRequestHead(request_.base());
+        if (isHeldAtStart()) {
+            return;
+        }
         admit();
     } catch (const core::Error &error) {
         refuse(error.kind(), error.what());
@@ -76,6 +81,24 @@
     }
 }
 
+bool Exchange::isHeldAtStart()
+{
+    if (startPlace_ != nullptr || !worker_.startQueue().isHolding() || worker_.isRefusingRequests()) {
+        return false;
+    }
+    std::size_t bytes = request_.body().size();
+    for (const auto &field : request_) {
+        bytes += field.name_string().size() + field.value().size();
+    }
+    startPlace_ = worker_.startQueue().hold({arrivedAt_, requestHead_.callerTimeout, bytes}, [self = weak_from_this()] {
+        const auto exchange = self.lock();
+        if (exchange != nullptr && exchange->session_ != nullptr) {
+            exchange->start();
+        }
+    });
+    return startPlace_ != nullptr;
+}
+
 bool Exchange::endIfCallerLeft()
 {
     if (!session_->hasCallerLeft()) {
@@ -142,8 +165,6 @@
 
 void Exchange::admit()
 {
-    requestHead_.id = platform::readRequestId(request_.base());
-    requestHead_ = platform::readRequestHead(request_.base());
     if (worker_.isRefusingRequests()) {
         throw core::Error(core::ErrorKind::ShuttingDown, "the gateway is shutting down and accepts no new requests");
     }
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -38,7 +38,7 @@
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
 
-    /** @brief Admits the request and sends it to a backend server, or refuses it. */
+    /** @brief Admits the request and sends it to a backend server, or refuses it. While the gateway starts, it is held first, see StartQueue. */
     void start();
 
     /** @brief Ends the request because the process is about to exit: refuses it, or cuts off a response that has started. */
@@ -65,6 +65,7 @@
         EventStream, /**< Written in complete events, so that another backend server can continue the stream. */
     };
 
+    [[nodiscard]] bool isHeldAtStart();
     void admit();
     bool endIfCallerLeft(); /* true if the exchange has ended, as its caller has left */
     void tryNextServer();
@@ -107,6 +108,7 @@
     core::MonotonicTime arrivedAt_;
     core::MonotonicTime deadline_{};
     platform::RequestHead requestHead_;
+    std::unique_ptr<StartQueue::Place> startPlace_; /* null: the request was not held */
     std::optional<Admission> admission_;
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer stallTimer_;
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -20,8 +20,10 @@
 namespace internal {
 
 constexpr std::chrono::milliseconds peerDiscoveryTime{1500}; /* longest wait for a first peer before the process reports ready */
-constexpr std::chrono::milliseconds configurationWait{400}; /* connections are not accepted for up to this time while the first configuration is missing */
-constexpr std::chrono::milliseconds configurationPollPeriod{5};
+constexpr std::chrono::milliseconds acceptDelay{100}; /* longest time for which connections wait unread for the caller limits of the first configuration */
+constexpr std::chrono::milliseconds startPollPeriod{5};
+constexpr std::chrono::milliseconds outagePollPeriod{50}; /* the same without a configuration from anywhere */
+constexpr StartHold::Limits maxHeldAtStart{1024, 16UL * 1024 * 1024};
 constexpr std::chrono::milliseconds settingsPollPeriod{5000}; /* the settings file may change without a SIGHUP */
 constexpr std::chrono::milliseconds drainCheckPeriod{100};
 constexpr std::string_view statusPath = "/status"; /* every other path of the metrics address returns the metrics */
@@ -49,7 +51,7 @@
     , gossip_(control(), settings_, dispatcher_, catalog_)
     , storeChecks_(control(), settings_.storeAddress, catalog_, storeCheckCallbacks())
     , signals_(control(), SIGTERM, SIGINT, SIGHUP)
-    , acceptTimer_(control())
+    , startTimer_(control())
     , settingsTimer_(control())
     , drainTimer_(control())
     , startTime_(std::chrono::steady_clock::now())
@@ -68,6 +70,9 @@
     storeChecks_.start();
     gossip_.setStoreCalls(storeCalls());
     gossip_.start();
+    for (const auto &worker : workers_) {
+        worker->startQueue().begin({internal::maxHeldAtStart.requests / workers_.size(), internal::maxHeldAtStart.bytes / workers_.size()});
+    }
     listen();
     std::vector<std::thread> threads;
     for (std::size_t i = 1; i < workers_.size(); ++i) {
@@ -104,7 +109,7 @@
     listener_.emplace(control().get_executor(), settings_.callerAddress, [this] {
         return nextDestination();
     });
-    acceptWhenConfigured();
+    watchStart();
     const auto onReady = [this](const http::Request &request, http::Responder &responder) {
         return sendReadiness(request, responder);
     };
@@ -122,22 +127,48 @@
     }
 }
 
-void GatewayNode::acceptWhenConfigured()
+void GatewayNode::watchStart()
 {
-    const auto elapsed = std::chrono::steady_clock::now() - startTime_;
-    const bool isRoutingKeptBack = catalog_.knownRoutingVersion() > catalog_.routingVersion();
-    if ((catalog_.isComplete() && !isRoutingKeptBack) || elapsed > internal::configurationWait) {
+    const auto outlook = startOutlook();
+    const auto uptime = std::chrono::steady_clock::now() - startTime_;
+    if (outlook != startOutlook_) {
+        startOutlook_ = outlook;
+        telemetry::logRateLimited("start_outlook",
+                                  {{"outlook", nameOf(outlook)},
+                                   {"uptime_ms", std::chrono::duration_cast<core::Milliseconds>(uptime).count()},
+                                   {"version", catalog_.routingVersion()}});
+        for (const auto &worker : workers_) {
+            worker->startQueue().setOutlook(outlook);
+        }
+    }
+    if (!isAccepting_ && (outlook == StartOutlook::Known || uptime > internal::acceptDelay)) {
+        isAccepting_ = true;
         listener_->start();
+    }
+    if (outlook == StartOutlook::Known && catalog_.isComplete()) {
         return;
     }
-    acceptTimer_.expires_after(internal::configurationPollPeriod);
-    acceptTimer_.async_wait([this](const boost::system::error_code &error) {
+    startTimer_.expires_after(outlook == StartOutlook::Pending || !isAccepting_ ? internal::startPollPeriod : internal::outagePollPeriod);
+    startTimer_.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
-            acceptWhenConfigured();
+            watchStart();
         }
     });
 }
 
+StartOutlook GatewayNode::startOutlook() const
+{
+    const auto missing = catalog_.routingVersion() == 0 ? Catalog::Section::OperatorConfig : Catalog::Section::Servers;
+    StartFacts facts;
+    facts.isRoutingInForce = catalog_.routingVersion() > 0;
+    facts.isRoutingAwaited = gossip_.isRoutingAwaited();
+    facts.isPeerRunning = gossip_.hasRunningPeer();
+    facts.isListKnown = !catalog_.position(Catalog::Section::Servers).isEmpty();
+    facts.hasStoreFailed = catalog_.failedStoreCalls(missing) > 1; /* one call may be lost */
+    facts.uptime = std::chrono::duration_cast<core::Milliseconds>(std::chrono::steady_clock::now() - startTime_);
+    return outlookOf(facts);
+}
+
 wire::Listener::Destination GatewayNode::nextDestination()
 {
     auto &worker = *workers_[nextWorker_++ % workers_.size()];
@@ -397,6 +428,7 @@
         client->stop();
     }
     storeChecks_.stop();
+    startTimer_.cancel();
     settingsTimer_.cancel();
     gossip_.stop();
     for (const auto &worker : workers_) {
--- a/src/cyclamenspool/gateway/gatewaynode.h
+++ b/src/cyclamenspool/gateway/gatewaynode.h
@@ -41,7 +41,8 @@
 
 private:
     void listen();
-    void acceptWhenConfigured();
+    void watchStart();
+    [[nodiscard]] StartOutlook startOutlook() const;
     [[nodiscard]] wire::Listener::Destination nextDestination();
     static void startSession(Worker &worker, boost::asio::ip::tcp::socket socket);
     void watchSection(Catalog::Section section);
@@ -85,10 +86,12 @@
     std::unique_ptr<http::Server> readyServer_;
     std::unique_ptr<http::Server> operatorServer_;
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer acceptTimer_; /* polls for the first configuration */
+    boost::asio::steady_timer startTimer_; /* polls for the first configuration */
     boost::asio::steady_timer settingsTimer_;
     boost::asio::steady_timer drainTimer_;
     core::MonotonicTime startTime_;
+    std::optional<StartOutlook> startOutlook_; /* as last told to the workers */
+    bool isAccepting_ = false;
     core::MonotonicTime drainStart_{};
     bool areRequestsEnded_ = false; /* in the drain, as the grace period is almost over */
     std::atomic<bool> draining_{false};
--- a/src/cyclamenspool/gateway/worker.cpp
+++ b/src/cyclamenspool/gateway/worker.cpp
@@ -14,6 +14,7 @@
     : dispatcher_(dispatcher)
     , random_(seed)
     , connectionPool_(context_)
+    , startQueue_(context_)
 {
 }
 
--- a/src/cyclamenspool/gateway/worker.h
+++ b/src/cyclamenspool/gateway/worker.h
@@ -5,6 +5,7 @@
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/fwd.h>
 #include <cyclamenspool/gateway/shutdownplan.h>
+#include <cyclamenspool/gateway/startqueue.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -100,6 +101,12 @@
         return connectionPool_;
     }
 
+    /** @brief Returns the requests that are held while the gateway starts. */
+    [[nodiscard]] StartQueue &startQueue() noexcept
+    {
+        return startQueue_;
+    }
+
     /** @brief Returns the worker's random source. */
     [[nodiscard]] core::RandomSource &random() noexcept
     {
@@ -120,6 +127,7 @@
     RequestTally tally_;
     boost::asio::io_context context_{1}; /* its destructor ends the sessions that are still open, which unregister from sessions_ */
     BackendConnectionPool connectionPool_; /* its sockets belong to context_ */
+    StartQueue startQueue_;
 };
 
 } // namespace cyclamenspool::gateway
--- a/test/gateway/callersession.cpp
+++ b/test/gateway/callersession.cpp
@@ -14,6 +14,8 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
@@ -93,6 +95,27 @@
         run(50ms);
     }
 
+    /** @brief Connects a further caller, whose session is started. @return Its connection. */
+    tcp::socket connectFurther()
+    {
+        tcp::socket further(context_);
+        further.connect(acceptor_.local_endpoint());
+        auto accepted = std::make_shared<tcp::socket>(acceptor_.accept(worker.context()));
+        boost::asio::post(worker.context(), [this, accepted] {
+            std::make_shared<CallerSession>(worker, std::move(*accepted))->start();
+        });
+        return further;
+    }
+
+    /** @brief Returns the headers of the next request that the backend server gets on a new connection. */
+    std::string nextBackendRequest()
+    {
+        auto connection = backendAcceptor_.accept();
+        std::string request;
+        boost::asio::read_until(connection, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        return request;
+    }
+
     /** @brief Ends the stream of beginStream(). */
     void endStream()
     {
@@ -365,3 +388,86 @@
     stepped.worker.closeIdleSessions();
     CHECK((isCrossing || stepped.runAndReceive(50ms) == "closed"));
 }
+
+// Guards against requests that are refused, or overtake each other, although the routing is known a moment later.
+TEST_CASE("requests that arrive while the gateway starts are held and then sent on in the order in which they came", "[gateway][session][start]")
+{
+    SteppedWorker stepped;
+    stepped.worker.startQueue().begin({10, 10000});
+    stepped.queueSession();
+    const auto request = [](const std::string &path) {
+        return "POST " + path + "HTTP/1.1\r\nHost: desk.example\r\nCyclamenspool-Deadline-Ms: 20000\r\n\r\n";
+    };
+    stepped.send(request("/once/x "));
+    stepped.run(20ms);
+    std::vector<tcp::socket> others;
+    for (int i = 2; i <= 4; ++i) {
+        others.push_back(stepped.connectFurther());
+        boost::asio::write(others.back(), boost::asio::buffer(request("/once/" + std::to_string(i) + " ")));
+        stepped.run(20ms);
+    }
+    REQUIRE(stepped.runAndReceive(20ms).empty());
+    stepped.addRouting();
+    stepped.worker.startQueue().setOutlook(gateway::StartOutlook::Known);
+    stepped.run(50ms);
+    REQUIRE_FALSE(stepped.worker.startQueue().isHolding());
+    for (const std::string path : {"/once/x ", "/once/2 ", "/once/3 ", "/once/4 "}) {
+        REQUIRE(stepped.nextBackendRequest().find(path) != std::string::npos);
+    }
+}
+
+// Guards against a held request that has two owners, or none, when its caller leaves, its time is over or the process ends.
+TEST_CASE("a request that is held while the gateway starts ends once, whatever ends it", "[gateway][session][start]")
+{
+    SteppedWorker stepped;
+    stepped.worker.startQueue().begin({10, 10000});
+    stepped.queueSession();
+    stepped.send("POST /once/x HTTP/1.1\r\nHost: desk.example\r\nCyclamenspool-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n");
+    stepped.run(50ms);
+    auto &tally = stepped.worker.tally();
+    REQUIRE(tally.taken == 1);
+    REQUIRE(tally.refused == 0);
+    SECTION("its caller leaves")
+    {
+        stepped.caller.close();
+        stepped.run(20ms);
+        CHECK(tally.callerGone == 1);
+        CHECK(stepped.session.expired());
+        stepped.run(200ms);
+        CHECK(tally.refused == 0);
+    }
+    SECTION("the process ends")
+    {
+        stepped.worker.endRequests();
+        const auto response = stepped.receiveUntil("}\n");
+        CHECK(response.substr(0, 13) == "HTTP/1.1 503 ");
+        CHECK(response.find("shutting_down") != std::string::npos);
+        stepped.run(200ms);
+        CHECK(tally.refused == 1);
+    }
+    SECTION("it has waited for three tenths of its caller's time")
+    {
+        const auto response = stepped.receiveUntil("}\n");
+        CHECK(response.find("stale_view") != std::string::npos);
+        CHECK(response.find("Retry-After: ") != std::string::npos);
+        CHECK(tally.refused == 1);
+    }
+    SECTION("nobody can say any more when the routing will be known")
+    {
+        stepped.worker.startQueue().setOutlook(gateway::StartOutlook::Away);
+        const auto response = stepped.runAndReceive(30ms);
+        CHECK(response.find("stale_view") != std::string::npos);
+        CHECK(tally.refused == 1);
+    }
+    SECTION("the gateway stops")
+    {
+        const auto now = std::chrono::steady_clock::now();
+        stepped.worker.setShutdownPlan({now, now, now + 1h, now + 1h});
+        stepped.worker.startQueue().setOutlook(gateway::StartOutlook::Known);
+        CHECK(stepped.runAndReceive(30ms).find("shutting_down") != std::string::npos);
+        CHECK(tally.refused == 1);
+    }
+    stepped.worker.startQueue().setOutlook(gateway::StartOutlook::Known);
+    stepped.run(20ms);
+    CHECK_FALSE(stepped.worker.startQueue().isHolding());
+}
