--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -39,7 +39,7 @@
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
 
-    /** @brief Admits the request and sends it to a backend server, or refuses it. */
+    /** @brief Admits the request and sends it to a backend server, or refuses it. While the gateway starts, it is held first, see StartQueue. */
     void start();
 
     /** @brief Ends the request because the process is about to exit: refuses it, or cuts off a response that has started. */
@@ -66,9 +66,16 @@
         EventStream, /**< Written in complete events, so that another backend server can continue the stream. */
     };
 
+    [[nodiscard]] bool isHeldAtStart();
     void admit();
     bool endIfCallerLeft(); /* true if the exchange has ended, as its caller has left */
+    void armDeadlineTimer();
     void tryNextServer();
+    void hold(PlacementResult placement);
+    void onHoldEnded();
+    void endHold();
+    [[nodiscard]] PlacementResult placeOrHold();
+    void readmit();
     void startAttempt(PlacementResult placement);
     void sendRequest(const world::BackendServer &server);
     void retryOrFail(core::ErrorKind kind, const std::string &reason, bool isRetryAllowed);
@@ -116,11 +123,14 @@
     core::MonotonicTime arrivedAt_;
     core::MonotonicTime deadline_{};
     platform::RequestHead requestHead_;
+    std::unique_ptr<StartQueue::Place> startPlace_; /* null: the request was not held */
     std::optional<Admission> admission_;
     boost::asio::steady_timer deadlineTimer_;
     boost::asio::steady_timer stallTimer_;
+    boost::asio::steady_timer holdTimer_;
     std::shared_ptr<BackendCall> call_;
     std::unique_ptr<InFlightRequest> inFlight_;
+    std::unique_ptr<HeldRequest> held_; /* while the request waits at this gateway; no attempt is in progress then */
     std::vector<std::string> triedServers_; /* ids of the backend servers that were chosen for this request */
     std::string historySource_; /* as in PlacementResult, of the last placement */
     const char *placementReason_ = ""; /* of the last placement, for the log */
