--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -10,6 +10,7 @@
 #include <cyclamenspool/gateway/promptquarantine.h>
 #include <cyclamenspool/gateway/requestmeter.h>
 #include <cyclamenspool/gateway/routetable.h>
+#include <cyclamenspool/gateway/scheduling/verdict.h>
 #include <cyclamenspool/gateway/servicebacklog.h>
 #include <cyclamenspool/platform/headers.h>
 #include <cyclamenspool/policy/slidingwindowcounter.h>
@@ -104,6 +105,7 @@
     core::ErrorKind refusal = core::ErrorKind::NoCandidate;
     const char *reason = ""; /**< Reason of the choice or of the refusal, for the log. */
     core::Milliseconds availableIn{0}; /**< As in Placement. */
+    scheduling::Decision decision{}; /**< Meaningful without inFlight only. */
 };
 
 /** @brief Counts of requests and their outcomes since the start. */
