Platform: the load header's fourth figure is decoded

Cause: a load header with the pace of the machine (four figures) was dropped as malformed, and a malformed one went unnoticed. Change: three or four figures of at least zero; ReportedLoad::pacePercent, ResponseHead::isLoadMalformed. Test: fails before on "3,1,8,250" (no load) and "3,-1,8" (accepted).

--- a/src/cyclamenspool/platform/headers.cpp
+++ b/src/cyclamenspool/platform/headers.cpp
@@ -164,17 +164,25 @@
 
 std::optional<ReportedLoad> loadOf(std::string_view text)
 {
+    constexpr std::size_t minFigures = 3;
+    constexpr std::size_t maxFigures = 4; /* the last one, the pace, may be absent */
     const auto words = split(text, ',');
-    if (words.size() != 3) {
+    if (words.size() < minFigures || words.size() > maxFigures || text.back() == ',') {
         return std::nullopt;
     }
-    const auto running = toNumber<int>(words[0]);
-    const auto waiting = toNumber<int>(words[1]);
-    const auto slots = toNumber<int>(words[2]);
-    if (!running || !waiting || !slots) {
-        return std::nullopt;
+    std::array<int, maxFigures> figures{};
+    for (std::size_t i = 0; i < words.size(); ++i) {
+        const auto figure = toNumber<int>(words[i]);
+        if (!figure || *figure < 0) {
+            return std::nullopt;
+        }
+        figures[i] = *figure;
+    }
+    ReportedLoad load{figures[0], figures[1], figures[2], std::nullopt};
+    if (words.size() == maxFigures) {
+        load.pacePercent = figures[3];
     }
-    return ReportedLoad{*running, *waiting, *slots};
+    return load;
 }
 
 /** @brief Reads a decimal number of at least zero. @return Number, at most the given one; empty if malformed. */
@@ -265,7 +273,9 @@
     head.isEventStream = type.empty() || boost::istarts_with(type, internal::eventStreamType);
     head.isEncoded = !internal::valueOf(fields, "Content-Encoding").empty();
     head.statement = internal::statementOf(status, fields);
-    head.load = internal::loadOf(internal::valueOf(fields, internal::loadHeader));
+    const auto load = internal::valueOf(fields, internal::loadHeader);
+    head.load = internal::loadOf(load);
+    head.isLoadMalformed = !load.empty() && !head.load;
     head.idleTimeout = internal::idleTimeoutOf(internal::valueOf(fields, "Keep-Alive"));
     return head;
 }
--- a/src/cyclamenspool/platform/headers.h
+++ b/src/cyclamenspool/platform/headers.h
@@ -49,6 +49,7 @@
     int running = 0;
     int waiting = 0;
     int slots = 0; /**< Requests that can run at once. */
+    std::optional<int> pacePercent; /**< Time that work takes at this moment in percent of the usual; empty: not reported. */
 };
 
 /** @brief What a backend server says of itself in a response. */
@@ -67,6 +68,7 @@
     bool isEventStream = false; /**< The body is a stream of server-sent events, or its type is not given. */
     bool isEncoded = false; /**< The body has a content encoding, so it is not the bytes that the backend server wrote. */
     std::optional<ReportedLoad> load; /**< Empty: absent or malformed. */
+    bool isLoadMalformed = false; /**< The response has a load header that is not three or four numbers of at least zero. */
     ServerStatement statement;
     std::optional<std::chrono::seconds> idleTimeout; /**< Time after which the backend server closes an idle connection; empty: not given. */
 };
--- a/test/platform/headers.cpp
+++ b/test/platform/headers.cpp
@@ -77,6 +77,26 @@
     CHECK(platform::readResponseHead(421, platform::Fields()).isNotExecuted);
 }
 
+TEST_CASE("a load header has three or four figures, and a malformed one is ignored and marked", "[platform]")
+{
+    const auto read = [](const char *value) {
+        platform::Fields fields;
+        fields.set("Cyclamenspool-Server-Load", value);
+        return platform::readResponseHead(200, fields);
+    };
+    CHECK_FALSE(read("3,1,8").load->pacePercent);
+    CHECK_FALSE(read("3,1,8").isLoadMalformed);
+    REQUIRE(read("3,1,8,250").load);
+    CHECK(read("3,1,8,250").load->slots == 8);
+    CHECK(read("3,1,8,250").load->pacePercent == 250);
+    for (const char *value : {"3,1", "3,1,8,250,1", "3,1,8,", "3,1,8,x", "3,-1,8", "3,1,8,-5", "3,1,8.5", "3,,8", "9999999999,1,8"}) {
+        INFO(value);
+        CHECK_FALSE(read(value).load);
+        CHECK(read(value).isLoadMalformed);
+    }
+    CHECK_FALSE(platform::readResponseHead(200, platform::Fields()).isLoadMalformed);
+}
+
 TEST_CASE("a response is an event stream by its content type, or if it has none", "[platform]")
 {
     platform::Fields fields;
