Scheduling: requests with prompts are judged by the expected time to their first event

Change: ServerCapacity (prompts without a first event by server and urgency, reported load, pace), ServiceCapacity (estimate, limits by urgency, verdict), PromptRate. gateway::place keeps its first choice while that is expected within the objective, else takes the least expected time with the request's own prompt counted twice (one prefill). A refusal's estimate stands in its request line; metrics compare expected and actual times. Hold is treated like Reject until requests can wait at a gateway. ServiceBacklog still judges first.

--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -39,12 +39,13 @@
 
 } // namespace internal
 
-InFlightRequest::InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace)
+InFlightRequest::InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace, std::optional<scheduling::SentPrompt> prompt)
     : dispatcher_(dispatcher)
     , server_(std::move(server))
     , serverEntry_(server_->entry)
     , workspace_(std::move(workspace))
     , placedAt_(internal::now())
+    , prompt_(std::move(prompt))
 {
 }
 
@@ -56,7 +57,7 @@
 void InFlightRequest::onBytesReceived()
 {
     if (isOpen_) {
-        dispatcher_.onBytesReceived(*server_);
+        dispatcher_.onBytesReceived(*server_, serverEntry_.service, prompt_);
     }
 }
 
@@ -75,6 +76,13 @@
     }
 }
 
+void InFlightRequest::onLoadReport(const platform::ResponseHead &head)
+{
+    if (isOpen_) {
+        dispatcher_.onLoadReport(*server_, head);
+    }
+}
+
 bool InFlightRequest::isServerUnresponsive() const
 {
     return dispatcher_.isUnresponsive(*server_);
@@ -87,6 +95,9 @@
         if (isAwaitingHeaders_) {
             dispatcher_.onEndedWithoutHeaders(serverEntry_.service, workspace_);
         }
+        if (prompt_) {
+            dispatcher_.onPromptEnded(*server_, serverEntry_.service, *prompt_, outcome);
+        }
         dispatcher_.endRequest(*server_, outcome);
     }
 }
@@ -161,6 +172,7 @@
     }
     if (route.usesPromptCache) {
         admission.history = historyPrefixesOf(head.parts);
+        admission.promptTokens = head.promptTokens;
     }
     for (std::size_t i = 0; i + 1 < head.parts.size() && i < maxTrackedParts; ++i) {
         admission.sharedParts.push_back(head.parts[i].id);
@@ -184,6 +196,22 @@
     return limits;
 }
 
+PromptDemand Dispatcher::promptDemandOf(const Admission &admission, const scheduling::FirstEventDemand &demand, core::MonotonicTime now)
+{
+    PromptDemand prompt;
+    if (admission.promptTokens == 0 || admission.route->kind != world::RouteKind::Streaming) {
+        return prompt;
+    }
+    auto &capacity = countsOf(admission.service).capacity;
+    prompt.capacity = &capacity;
+    prompt.tokens = admission.promptTokens;
+    prompt.urgency = demand.urgency;
+    prompt.slots = admission.table->settingsOf(admission.service).slots;
+    prompt.limit = capacity.limitOf(demand, now);
+    prompt.objective = demand.objective;
+    return prompt;
+}
+
 PlacementResult Dispatcher::place(const Admission &admission, const std::vector<std::string> &tried, core::Milliseconds callerWait)
 {
     const std::lock_guard lock(mutex_);
@@ -205,17 +233,35 @@
     query.historyTokens = admission.history.empty() ? 0 : admission.history.back().tokens;
     query.holders = findHistoryHolders(histories_, admission.history, now);
     query.tried = tried;
+    const scheduling::FirstEventDemand demand{admission.urgency, admission.route->latencyObjective, serviceCounts.backlog.shareFactor(admission.workspace)};
+    query.prompt = promptDemandOf(admission, demand, now);
     const auto placement = gateway::place(fleet_, splitter_, query, limitsOf(admission), now);
     if (placement.server == nullptr) {
         return {nullptr, {}, placement.refusal, placement.reason, placement.availableIn};
     }
+    std::optional<scheduling::SentPrompt> prompt;
+    if (placement.estimate) {
+        const auto decision = scheduling::ServiceCapacity::decide(demand, *placement.estimate, query.prompt.limit);
+        if (decision.verdict != scheduling::Verdict::Send && !placement.hasRoomElsewhere) {
+            return {nullptr, {}, core::ErrorKind::PoolFull, decision.reason, decision.availableIn, decision, placement.server->entry.id, placement.estimate};
+        }
+        const scheduling::PromptWork work{static_cast<std::uint32_t>(placement.estimate->ownTokens), admission.urgency};
+        prompt = scheduling::SentPrompt{work, *placement.estimate, now, std::nullopt};
+        serviceCounts.capacity.onSent(placement.server->capacity, *prompt);
+    }
     serviceCounts.backlog.onSent(admission.workspace);
     (isRetry ? serviceCounts.retries : serviceCounts.requests).add(now);
     ++(isRetry ? counts_.retries : counts_.placed);
     beginRequest(*placement.server);
     const auto source = historySourceOf(query, *placement.server, now);
     recordHistoryPlacement(admission.history, *placement.server, now);
-    return {std::make_unique<InFlightRequest>(*this, placement.server, admission.workspace), source, core::ErrorKind::NoCandidate, placement.reason};
+    PlacementResult result;
+    result.inFlight = std::make_unique<InFlightRequest>(*this, placement.server, admission.workspace, std::move(prompt));
+    result.historySource = source;
+    result.reason = placement.reason;
+    result.estimatedServer = placement.estimate ? placement.server->entry.id : std::string();
+    result.estimate = placement.estimate;
+    return result;
 }
 
 std::string Dispatcher::historySourceOf(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now) const
@@ -328,10 +374,34 @@
     }
 }
 
-void Dispatcher::onBytesReceived(ServerState &server)
+void Dispatcher::onBytesReceived(ServerState &server, const std::string &service, std::optional<scheduling::SentPrompt> &prompt)
+{
+    const std::lock_guard lock(mutex_);
+    const auto now = internal::now();
+    server.awaitingBytesSince = now;
+    if (!prompt || prompt->firstEventAt) {
+        return;
+    }
+    countsOf(service).capacity.onFirstEvent(server.capacity, *prompt, now);
+    if (prompt->estimate.expected.count() > 0) {
+        expectedFirstEvents_.observe(prompt->estimate.expected);
+        actualFirstEvents_.observe(now - prompt->sentAt);
+    }
+}
+
+void Dispatcher::onLoadReport(ServerState &server, const platform::ResponseHead &head)
 {
     const std::lock_guard lock(mutex_);
-    server.awaitingBytesSince = internal::now();
+    counts_.malformedLoads += head.isLoadMalformed ? 1 : 0;
+    if (!head.load) {
+        return;
+    }
+    constexpr double percent = 100;
+    std::optional<double> paceMultiple;
+    if (head.load->pacePercent) {
+        paceMultiple = *head.load->pacePercent / percent;
+    }
+    server.capacity.onReport({head.load->running, head.load->waiting, head.load->slots, internal::now()}, paceMultiple);
 }
 
 void Dispatcher::onHeadersReceived(ServerState &server, const std::string &service, const std::string &workspace, core::MonotonicTime placedAt)
@@ -371,6 +441,12 @@
     return Fleet::isUnresponsive(server, internal::now());
 }
 
+void Dispatcher::onPromptEnded(ServerState &server, const std::string &service, const scheduling::SentPrompt &prompt, Outcome outcome)
+{
+    const std::lock_guard lock(mutex_);
+    countsOf(service).capacity.onEnded(server.capacity, prompt, outcome == Outcome::Answered, internal::now());
+}
+
 void Dispatcher::endRequest(ServerState &server, Outcome outcome)
 {
     const auto suspicion = recordOutcome(server, outcome);
@@ -416,6 +492,16 @@
     return fleet_.views(internal::now());
 }
 
+FirstEventView Dispatcher::firstEvents() const
+{
+    const std::lock_guard lock(mutex_);
+    FirstEventView view{expectedFirstEvents_, actualFirstEvents_, {}};
+    for (const auto &[service, serviceCounts] : serviceCounts_) {
+        view.pending[service] = serviceCounts.capacity.pending();
+    }
+    return view;
+}
+
 QuarantineView Dispatcher::quarantine() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -10,10 +10,12 @@
 #include <cyclamenspool/gateway/promptquarantine.h>
 #include <cyclamenspool/gateway/requestmeter.h>
 #include <cyclamenspool/gateway/routetable.h>
+#include <cyclamenspool/gateway/scheduling/servicecapacity.h>
 #include <cyclamenspool/gateway/scheduling/verdict.h>
 #include <cyclamenspool/gateway/servicebacklog.h>
 #include <cyclamenspool/platform/headers.h>
 #include <cyclamenspool/policy/slidingwindowcounter.h>
+#include <cyclamenspool/telemetry/histogram.h>
 
 #include <boost/json/object.hpp>
 
@@ -39,6 +41,7 @@
     std::string workspace; /**< Empty: none. */
     std::vector<HistoryPrefix> history; /**< Prefixes of its prompt, see historyPrefixesOf(); empty: none. */
     PromptParts sharedParts; /**< First 64 parts of its prompt, except the last, which belongs to the request or its chat. */
+    std::uint32_t promptTokens = 0; /**< Of the whole prompt; 0: none, or its route does not use the prompt cache. */
     int urgency = 0; /**< 0 is the most urgent. */
 
     /** @brief Returns the hash that identifies the history; 0: none. */
@@ -54,6 +57,13 @@
     std::vector<QuarantinedPart> quarantined;
 };
 
+/** @brief Times to the first event of requests with an estimate, and what still waits for it. */
+struct FirstEventView {
+    telemetry::Histogram expected; /**< When they were sent. */
+    telemetry::Histogram actual; /**< Of the same requests. */
+    std::map<std::string, scheduling::PromptSum> pending; /**< This gateway's prompts that wait for their first event, by service. */
+};
+
 class Dispatcher;
 
 /** @brief Guard of a request in flight at a backend server; ends it as abandoned on destruction. */
@@ -61,8 +71,8 @@
 {
 public:
     /** @brief Creates the guard of a request that the dispatcher has just counted. @param dispatcher Must outlive the guard. @param server Backend server.
-     * @param workspace The request's workspace; empty: none. */
-    InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace);
+     * @param workspace The request's workspace; empty: none. @param prompt Its prompt; empty: its time to the first event is not estimated. */
+    InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace, std::optional<scheduling::SentPrompt> prompt);
     ~InFlightRequest();
     InFlightRequest(const InFlightRequest &) = delete;
     InFlightRequest &operator=(const InFlightRequest &) = delete;
@@ -76,6 +86,9 @@
     /** @brief Records what the backend server says of itself in the response. */
     void onStatement(const platform::ServerStatement &statement);
 
+    /** @brief Records the load that the backend server reports in the response. */
+    void onLoadReport(const platform::ResponseHead &head);
+
     /** @brief Returns whether the backend server is unresponsive to the requests of this gateway. */
     [[nodiscard]] bool isServerUnresponsive() const;
 
@@ -94,6 +107,7 @@
     world::BackendServer serverEntry_;
     std::string workspace_;
     core::MonotonicTime placedAt_;
+    std::optional<scheduling::SentPrompt> prompt_;
     bool isAwaitingHeaders_ = true;
     bool isOpen_ = true;
 };
@@ -106,12 +120,15 @@
     const char *reason = ""; /**< Reason of the choice or of the refusal, for the log. */
     core::Milliseconds availableIn{0}; /**< As in Placement. */
     scheduling::Decision decision{}; /**< Meaningful without inFlight only. */
+    std::string estimatedServer{}; /**< Id of the backend server of the estimate; empty: none. */
+    std::optional<scheduling::FirstEventEstimate> estimate{}; /**< On which the choice or the refusal is based. */
 };
 
 /** @brief Counts of requests and their outcomes since the start. */
 struct DispatchCounts {
     std::uint64_t placed = 0; /**< Requests that were placed at least once. */
     std::uint64_t retries = 0; /**< Further placements of the same requests. */
+    std::uint64_t malformedLoads = 0; /**< Responses with a malformed load header. */
     std::uint64_t callersGone = 0; /**< Requests whose caller disconnected before the end of the response. */
     std::array<std::uint64_t, static_cast<std::size_t>(Outcome::Count)> outcomes{};
     std::array<std::uint64_t, static_cast<std::size_t>(core::ErrorKind::Count)> refusals{};
@@ -203,6 +220,9 @@
     /** @brief Returns a copy of the counts. */
     [[nodiscard]] DispatchCounts counts() const;
 
+    /** @brief Returns the times to the first event and the waiting prompts. */
+    [[nodiscard]] FirstEventView firstEvents() const;
+
     /** @brief Returns the state of the quarantine of prompt parts. */
     [[nodiscard]] QuarantineView quarantine() const;
 
@@ -235,6 +255,7 @@
         policy::SlidingWindowCounter requests;
         policy::SlidingWindowCounter retries;
         ServiceBacklog backlog;
+        scheduling::ServiceCapacity capacity;
     };
 
     /** @brief History placement of a gateway of the own zone, with its time at this gateway. */
@@ -245,13 +266,16 @@
 
     void recordZonePlacement(const HistoryPlacement &placement, core::MonotonicTime now);
     void beginRequest(ServerState &server);
-    void onBytesReceived(ServerState &server);
+    void onBytesReceived(ServerState &server, const std::string &service, std::optional<scheduling::SentPrompt> &prompt);
+    void onPromptEnded(ServerState &server, const std::string &service, const scheduling::SentPrompt &prompt, Outcome outcome);
+    void onLoadReport(ServerState &server, const platform::ResponseHead &head);
     void onHeadersReceived(ServerState &server, const std::string &service, const std::string &workspace, core::MonotonicTime placedAt);
     void onStatement(ServerState &server, const platform::ServerStatement &statement, core::MonotonicTime sentAt);
     [[nodiscard]] bool isUnresponsive(const ServerState &server) const;
     void onEndedWithoutHeaders(const std::string &service, const std::string &workspace);
     void endRequest(ServerState &server, Outcome outcome);
     [[nodiscard]] std::optional<boost::json::object> recordOutcome(ServerState &server, Outcome outcome);
+    [[nodiscard]] PromptDemand promptDemandOf(const Admission &admission, const scheduling::FirstEventDemand &demand, core::MonotonicTime now);
     [[nodiscard]] std::string historySourceOf(const PlacementQuery &query, const ServerState &server, core::MonotonicTime now) const;
     void recordHistoryPlacement(const std::vector<HistoryPrefix> &history, const ServerState &server, core::MonotonicTime now);
     [[nodiscard]] PlacementLimits limitsOf(const Admission &admission) const;
@@ -272,6 +296,8 @@
     std::deque<ZonePlacement> zonePlacements_; /* of all gateways of the own zone; latest last */
     std::map<std::string, ServiceCounts> serviceCounts_;
     DispatchCounts counts_;
+    telemetry::Histogram expectedFirstEvents_;
+    telemetry::Histogram actualFirstEvents_; /* of the same requests */
     std::atomic<std::uint64_t> requestsWithoutId_{0}; /* not guarded; spreads requests without an id over the services of a route */
 };
 
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -5,6 +5,7 @@
 #include <cyclamenspool/telemetry/log.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cyclamenspool::gateway {
 
@@ -27,6 +28,18 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - time);
 }
 
+/** @brief Returns an estimate for the log. @param server Id of its backend server. */
+boost::json::object describe(const scheduling::FirstEventEstimate &estimate, const std::string &server)
+{
+    return {{"server", server},
+            {"expected_ms", estimate.expected.count()},
+            {"slot_wait_ms", estimate.slotWait.count()},
+            {"tokens_ahead", std::llround(estimate.tokensAhead)},
+            {"own_tokens", std::llround(estimate.ownTokens)},
+            {"tokens_per_ms", estimate.tokensPerMs},
+            {"peer_update_age_ms", estimate.peerUpdateAge.count()}};
+}
+
 /** @brief Returns a name of the backend server's process: its id, which a restarted one may keep, and its start time. */
 std::string processOf(const world::BackendServer &server)
 {
@@ -194,6 +207,8 @@
     }
     auto placement = worker_.dispatcher().place(*admission_, triedServers_, callerWait());
     availableIn_ = placement.availableIn;
+    estimatedServer_ = placement.estimatedServer;
+    estimate_ = placement.estimate;
     if (placement.inFlight == nullptr) {
         retryOrFail(placement.refusal, placement.reason, false);
         return;
@@ -447,6 +462,9 @@
     if (!historySource_.empty()) {
         line["history_source"] = historySource_;
     }
+    if (estimate_) {
+        line["estimate"] = internal::describe(*estimate_, estimatedServer_);
+    }
     if (!triedServers_.empty()) {
         line["reason"] = placementReason_;
         line["servers"] = boost::json::array(triedServers_.begin(), triedServers_.end());
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -114,6 +114,8 @@
     std::unique_ptr<InFlightRequest> inFlight_;
     std::vector<std::string> triedServers_; /* ids of the backend servers that were chosen for this request */
     std::string historySource_; /* as in PlacementResult, of the last placement */
+    std::string estimatedServer_; /* as in PlacementResult, of the last placement */
+    std::optional<scheduling::FirstEventEstimate> estimate_; /* as in PlacementResult, of the last placement */
     const char *placementReason_ = ""; /* of the last placement, for the log */
     int sentAttempts_ = 0; /* attempts that count against the route's limit; a failed connect does not */
     core::Milliseconds availableIn_{0}; /* as in PlacementResult, of the last placement */
--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -60,6 +60,7 @@
 {
     inFlight_->onHeadersReceived();
     inFlight_->onStatement(head.statement);
+    inFlight_->onLoadReport(head);
     bodyEnd_ = call_->bodyEnd();
     const auto &route = *admission_->route;
     if (head.isNotExecuted) {
--- a/src/cyclamenspool/gateway/historyprefixes.cpp
+++ b/src/cyclamenspool/gateway/historyprefixes.cpp
@@ -55,6 +55,7 @@
         const bool isLongest = i + 1 == prefixes.size();
         const bool isWhole = isLongest || internal::isEarlierTurn(directory, prefixes[i], prefixes[i + 1], prefixes.back());
         (isWhole ? holders.whole : holders.beginning) = std::move(ids);
+        holders.tokens = prefixes[i].tokens;
         return holders;
     }
     return holders;
--- a/src/cyclamenspool/gateway/historyprefixes.h
+++ b/src/cyclamenspool/gateway/historyprefixes.h
@@ -19,6 +19,7 @@
 struct HistoryHolders {
     std::vector<std::string> whole; /**< Ids of the servers that were sent the history, or most of it, recently; the latest first. */
     std::vector<std::string> beginning; /**< Without any such server: ids of those that were sent its longest known prefix; the latest first. */
+    std::uint32_t tokens = 0; /**< Length of what these servers were sent; 0 without any. */
 };
 
 /**
--- a/src/cyclamenspool/gateway/operatorpage.cpp
+++ b/src/cyclamenspool/gateway/operatorpage.cpp
@@ -43,6 +43,7 @@
 void writeCounts(std::ostream &out, const DispatchCounts &counts)
 {
     out << "cyclamenspool_admitted_total " << counts.placed << '\n';
+    out << "cyclamenspool_malformed_load_reports_total " << counts.malformedLoads << '\n';
     out << "cyclamenspool_repeats_total " << counts.retries << '\n';
     out << "cyclamenspool_callers_gone_total " << counts.callersGone << '\n';
     for (std::size_t outcome = 0; outcome < counts.outcomes.size(); ++outcome) {
@@ -54,6 +55,18 @@
     }
 }
 
+void writeFirstEvents(std::ostream &out, const FirstEventView &view)
+{
+    out << "# TYPE cyclamenspool_first_event_expected_seconds histogram\n";
+    view.expected.write(out, "cyclamenspool_first_event_expected_seconds", "");
+    out << "# TYPE cyclamenspool_first_event_seconds histogram\n";
+    view.actual.write(out, "cyclamenspool_first_event_seconds", "");
+    for (const auto &[service, pending] : view.pending) {
+        out << "cyclamenspool_pending_prompt_tokens" << singleLabel("service", service) << ' ' << pending.tokens << '\n';
+        out << "cyclamenspool_pending_prompts" << singleLabel("service", service) << ' ' << pending.requests << '\n';
+    }
+}
+
 void writeQuarantine(std::ostream &out, const QuarantineView &view)
 {
     out << "cyclamenspool_prompt_parts" << singleLabel("state", "suspected") << ' ' << view.suspects << '\n';
@@ -138,6 +151,7 @@
     }
     internal::writeProcess(out);
     internal::writeCounts(out, input.dispatcher.counts());
+    internal::writeFirstEvents(out, input.dispatcher.firstEvents());
     internal::writeQuarantine(out, input.dispatcher.quarantine());
     internal::writeServers(out, input.dispatcher.servers());
     input.dispatcher.meter().write(out);
--- a/src/cyclamenspool/gateway/placement.cpp
+++ b/src/cyclamenspool/gateway/placement.cpp
@@ -154,6 +154,77 @@
     core::Milliseconds earliest_{0};
 };
 
+/** @brief Estimates the time to the first event of one request at several servers. */
+class FirstEventEstimator
+{
+public:
+    FirstEventEstimator(const Fleet &fleet, const PlacementQuery &query, core::Milliseconds peerUpdateAge, core::MonotonicTime now)
+        : query_(query)
+        , peerUpdateAge_(peerUpdateAge)
+        , now_(now)
+    {
+        const bool isAsked = query.prompt.capacity != nullptr;
+        canFetch_ = isAsked && (firstSource(fleet, query.holders.whole, now) != nullptr || firstSource(fleet, query.holders.beginning, now) != nullptr);
+    }
+
+    /** @brief Returns the estimate; empty if it is not asked for. @param unreported Requests that peers have probably sent since their last updates. */
+    [[nodiscard]] std::optional<scheduling::FirstEventEstimate> at(const ServerState &server, double unreported) const
+    {
+        if (query_.prompt.capacity == nullptr) {
+            return std::nullopt;
+        }
+        const scheduling::ServerOccupancy occupancy{
+            static_cast<double>(server.outstanding), static_cast<double>(server.peersOutstanding) + unreported, query_.prompt.slots, peerUpdateAge_};
+        return query_.prompt.capacity->estimate(server.capacity, occupancy, {uncachedTokens(server), query_.prompt.urgency}, now_);
+    }
+
+private:
+    /** @brief Returns the tokens of the prompt that a server has to process: it was not sent them and can't fetch them. */
+    [[nodiscard]] std::uint32_t uncachedTokens(const ServerState &server) const
+    {
+        const auto &holders = query_.holders;
+        const bool isHolder = containsId(holders.whole, server.entry.id) || containsId(holders.beginning, server.entry.id);
+        const auto cached = isHolder || canFetch_ ? holders.tokens : 0;
+        return query_.prompt.tokens - std::min(query_.prompt.tokens, cached);
+    }
+
+    const PlacementQuery &query_;
+    core::Milliseconds peerUpdateAge_;
+    core::MonotonicTime now_;
+    bool canFetch_ = false; /* a server that lacks the history can fetch it */
+};
+
+/** @brief Server with the least cost to the request and to those after it. */
+class LeastExpected
+{
+public:
+    void add(const ServerPtr &server, const scheduling::FirstEventEstimate &estimate)
+    {
+        const auto cost = estimate.expected + estimate.ownProcessing;
+        if (server_ == nullptr || cost < cost_) {
+            server_ = &server;
+            estimate_ = estimate;
+            cost_ = cost;
+        }
+    }
+
+    /** @brief Returns the server; null if none was added. */
+    [[nodiscard]] const ServerPtr *server() const noexcept
+    {
+        return server_;
+    }
+
+    [[nodiscard]] const scheduling::FirstEventEstimate &estimate() const noexcept
+    {
+        return estimate_;
+    }
+
+private:
+    const ServerPtr *server_ = nullptr; /* owned by the fleet */
+    scheduling::FirstEventEstimate estimate_;
+    core::Milliseconds cost_{0};
+};
+
 } // namespace internal
 
 Placement place(const Fleet &fleet, const LimitSplitter &splitter, const PlacementQuery &query, const PlacementLimits &limits, core::MonotonicTime now)
@@ -185,6 +256,11 @@
     const ServerPtr *leastLoaded = nullptr;
     const ServerPtr *probe = nullptr;
     bool isColdLimitReached = false;
+    const auto peers = static_cast<double>(std::max<std::size_t>(splitter.gatewayCount(now), 2) - 1);
+    const internal::FirstEventEstimator estimator(fleet, query, std::chrono::duration_cast<core::Milliseconds>(updateAge / peers), now);
+    internal::LeastExpected leastExpected;
+    const ServerPtr *firstChoice = nullptr; /* below the load bound, if over the limit of the expected time */
+    scheduling::FirstEventEstimate firstEstimate;
     for (; !candidates.empty(); candidates.pop_back()) {
         std::pop_heap(candidates.begin(), candidates.end(), internal::ranksAfter);
         const auto &candidate = candidates.back();
@@ -209,13 +285,33 @@
         }
         const auto unreported = Fleet::estimateUnreportedLoad(server, updateAge, now);
         if (candidate.load + unreported + 1 <= bound && server.atCapacityUntil <= now) {
-            return {*candidate.server, core::ErrorKind::NoCandidate, candidate.rank == firstRank ? "first choice" : "first choice below the load bound"};
+            const auto estimate = estimator.at(server, unreported);
+            if (!estimate || (leastExpected.server() == nullptr && scheduling::ServiceCapacity::isWithin(*estimate, query.prompt.limit))) {
+                const char *reason = candidate.rank == firstRank ? "first choice" : "first choice below the load bound";
+                return {*candidate.server, core::ErrorKind::NoCandidate, reason, core::Milliseconds(0), estimate};
+            }
+            if (leastExpected.server() == nullptr) {
+                firstChoice = candidate.server;
+                firstEstimate = *estimate;
+            }
+            leastExpected.add(*candidate.server, *estimate);
+            continue;
         }
         const bool isLower = leastLoaded == nullptr || candidate.load < Fleet::loadOf(**leastLoaded);
         leastLoaded = isLower ? candidate.server : leastLoaded;
     }
+    const bool isShort = leastExpected.server() == nullptr || !scheduling::ServiceCapacity::isWithin(leastExpected.estimate(), query.prompt.limit);
+    if (!isShort && firstEstimate.expected <= query.prompt.objective) {
+        // The service has room: its caches are worth more than the time.
+        return {*firstChoice, core::ErrorKind::NoCandidate, "first choice within the objective", core::Milliseconds(0), firstEstimate, true};
+    }
+    if (leastExpected.server() != nullptr) {
+        return {
+            *leastExpected.server(), core::ErrorKind::NoCandidate, "least expected time to the first event", core::Milliseconds(0), leastExpected.estimate()};
+    }
     if (leastLoaded != nullptr) {
-        return {*leastLoaded, core::ErrorKind::NoCandidate, "least loaded"};
+        const auto estimate = estimator.at(**leastLoaded, Fleet::estimateUnreportedLoad(**leastLoaded, updateAge, now));
+        return {*leastLoaded, core::ErrorKind::NoCandidate, "least loaded", core::Milliseconds(0), estimate};
     }
     if (probe != nullptr && internal::isWithinColdLimit(**probe, splitter, limits, now)) {
         return {*probe, core::ErrorKind::NoCandidate, "only suspect backend servers are left"};
--- a/src/cyclamenspool/gateway/serverstate.h
+++ b/src/cyclamenspool/gateway/serverstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamenspool/core/now.h>
+#include <cyclamenspool/gateway/scheduling/servercapacity.h>
 #include <cyclamenspool/gateway/serverstatements.h>
 #include <cyclamenspool/policy/slidingwindowcounter.h>
 #include <cyclamenspool/world/backendserver.h>
@@ -75,6 +76,7 @@
     core::MonotonicTime zoneSuspectUntil{}; /**< Until then other zones are told that another gateway of the own zone found it suspect. */
     core::MonotonicTime atCapacityUntil{}; /**< End of the pause after Outcome::AtCapacity. */
     ServerStatements statements;
+    scheduling::ServerCapacity capacity;
     bool needsProbe = false; /**< No request has succeeded since this gateway's own requests made it suspect. */
     int consecutiveFailures = 0; /**< Outcomes TransportError and Unreachable since the last Answered. */
     double failureRatio = 0.0; /**< Moving average over its requests: 1 for Outcome::Failed, 0 for Outcome::Answered; others are left out. */
--- a/src/cyclamenspool/gateway/servicebacklog.h
+++ b/src/cyclamenspool/gateway/servicebacklog.h
@@ -36,6 +36,9 @@
     /** @brief Counts a request as no longer waiting, as its attempt ended without response headers. @param workspace As in onSent(). */
     void onEndedWithoutHeaders(const std::string &workspace = {});
 
+    /** @brief Returns the multiple of the longest wait that a workspace gets for its share of the waiting requests. @param workspace As in onSent(). */
+    [[nodiscard]] double shareFactor(const std::string &workspace) const;
+
     /** @brief Returns the mean time to the latest response headers; zero without enough of them. */
     [[nodiscard]] core::Milliseconds latestWait(core::MonotonicTime now);
 
@@ -77,7 +80,6 @@
 
     void discardOld(core::MonotonicTime now);
     void endWaiting(const std::string &workspace);
-    [[nodiscard]] double shareFactor(const std::string &workspace) const;
     [[nodiscard]] Limits limitsOf(const BacklogQuery &query, core::MonotonicTime now);
 
     int waiting_ = 0;
--- a/test/gateway/placement.cpp
+++ b/test/gateway/placement.cpp
@@ -334,3 +334,91 @@
     CHECK(changedTime.count() < 0.012);
     CHECK(placementTime.count() < 0.1); /* 1 ms of a core per request */
 }
+
+namespace {
+
+/** @brief Pool whose servers process 60 prompt tokens in a ms, as earlier requests have shown. */
+struct PromptPool : Pool {
+    PromptPool()
+    {
+        gateway::scheduling::ServerCapacity server;
+        for (int i = 0; i < 40; ++i) {
+            const auto length = static_cast<std::uint32_t>(i % 5 * 2500);
+            gateway::scheduling::SentPrompt prompt{{length, 0}, capacity.estimate(server, {0, 0, 64}, {length, 0}, start - 1h), start - 1h, std::nullopt};
+            capacity.onSent(server, prompt);
+            capacity.onFirstEvent(server, prompt, start - 1h + std::chrono::microseconds(length * 1000 / 60));
+            capacity.onEnded(server, prompt, true, start - 50min);
+        }
+    }
+
+    /** @brief Chooses for a prompt whose history some servers hold. */
+    Placement choosePrompt(const std::vector<std::string> &holders)
+    {
+        PlacementQuery query{"pool", 7, tokens, {}, {}};
+        query.holders.whole = holders;
+        query.holders.tokens = holders.empty() ? 0 : tokens;
+        query.prompt = {&capacity, tokens + 1200, 0, 64, 640ms, 800ms};
+        return gateway::place(fleet, splitter, query, limits, start);
+    }
+
+    /** @brief Lets a prompt of this gateway wait at a server. */
+    void wait(const std::string &id, std::uint32_t length)
+    {
+        const auto server = fleet.find(id);
+        capacity.onSent(server->capacity, {{length, 0}, {}, start, std::nullopt});
+        ++server->outstanding;
+    }
+
+    gateway::scheduling::ServiceCapacity capacity;
+};
+
+} // namespace
+
+TEST_CASE("the first choice is kept while its first event is expected in time", "[gateway][placement]")
+{
+    PromptPool pool;
+    const auto first = pool.choosePrompt({});
+    REQUIRE(first.server != nullptr);
+    CHECK(first.reason == std::string("first choice"));
+    pool.wait(first.server->entry.id, 25000); /* 417 ms, and 187 ms for the request itself */
+    const auto again = pool.choosePrompt({});
+    CHECK(again.server == first.server);
+    CHECK(again.estimate->tokensAhead == 25000);
+}
+
+TEST_CASE("one prefill: a server that processes the shared part is preferred to one that would process it too", "[gateway][placement]")
+{
+    PromptPool pool;
+    pool.wait("s4", 40000); /* 667 ms: over the limit, but no other server has less to do in sum */
+    for (const char *id : {"s0", "s1", "s2", "s3", "s5", "s6", "s7", "s8", "s9", "s10", "s11"}) {
+        pool.wait(id, 22000);
+    }
+    // The pool is one that cannot fetch: the holder is unresponsive to fetches.
+    pool.fleet.find("s4")->unreachableUntil = start + 1s;
+    const auto chosen = pool.choosePrompt({"s4"});
+    CHECK(chosen.server->entry.id == "s4");
+    CHECK(chosen.estimate->ownTokens == 1200);
+}
+
+TEST_CASE("the first choice over the limit is kept within the objective, as long as another server has room", "[gateway][placement]")
+{
+    PromptPool pool;
+    const auto first = pool.choosePrompt({}).server;
+    pool.wait(first->entry.id, 33000); /* 550 ms, and 187 ms for the request itself */
+    const auto kept = pool.choosePrompt({});
+    CHECK(kept.server == first);
+    CHECK(kept.hasRoomElsewhere);
+    pool.wait(first->entry.id, 9000);
+    CHECK(pool.choosePrompt({}).server != first);
+}
+
+TEST_CASE("a server with much to do loses a prompt to one that processes the shared part again", "[gateway][placement]")
+{
+    PromptPool pool;
+    pool.wait("s4", 90000);
+    pool.fleet.find("s4")->unreachableUntil = start + 1s;
+    const auto chosen = pool.choosePrompt({"s4"});
+    CHECK(chosen.server->entry.id != "s4");
+    CHECK(chosen.reason == std::string("least expected time to the first event"));
+    CHECK(chosen.estimate->ownTokens == 11200);
+}
