--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -39,13 +39,13 @@
 
 } // namespace internal
 
-InFlightRequest::InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace, std::optional<scheduling::SentPrompt> prompt)
+InFlightRequest::InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace, const std::optional<scheduling::SentPrompt> &prompt)
     : dispatcher_(dispatcher)
     , server_(std::move(server))
     , serverEntry_(server_->entry)
     , workspace_(std::move(workspace))
     , placedAt_(internal::now())
-    , prompt_(std::move(prompt))
+    , prompt_(prompt)
 {
 }
 
@@ -256,7 +256,7 @@
     const auto source = historySourceOf(query, *placement.server, now);
     recordHistoryPlacement(admission.history, *placement.server, now);
     PlacementResult result;
-    result.inFlight = std::make_unique<InFlightRequest>(*this, placement.server, admission.workspace, std::move(prompt));
+    result.inFlight = std::make_unique<InFlightRequest>(*this, placement.server, admission.workspace, prompt);
     result.historySource = source;
     result.reason = placement.reason;
     result.estimatedServer = placement.estimate ? placement.server->entry.id : std::string();
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -72,7 +72,7 @@
 public:
     /** @brief Creates the guard of a request that the dispatcher has just counted. @param dispatcher Must outlive the guard. @param server Backend server.
      * @param workspace The request's workspace; empty: none. @param prompt Its prompt; empty: its time to the first event is not estimated. */
-    InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace, std::optional<scheduling::SentPrompt> prompt);
+    InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace, const std::optional<scheduling::SentPrompt> &prompt);
     ~InFlightRequest();
     InFlightRequest(const InFlightRequest &) = delete;
     InFlightRequest &operator=(const InFlightRequest &) = delete;
