Tests: a planned stop's end of requests is awaited instead of a time

Change: the test waits until the gateway closes its listener, which it does when it ends the requests. This also makes certain that they were ended before the period grows.

--- a/test/process/plannedstop.cpp
+++ b/test/process/plannedstop.cpp
@@ -2,6 +2,7 @@
 
 #include <harness/eventstream.h>
 #include <harness/gatewayfleet.h>
+#include <harness/localfleet.h>
 
 #include <cyclamenspool/wire/endpoint.h>
 
@@ -21,6 +22,7 @@
 using harness::chunk;
 using harness::formatResponseWithDigest;
 using harness::GatewayFleet;
+using harness::LocalFleet;
 using harness::PlainRequest;
 using harness::PlainSocket;
 using harness::responseHeadFor;
@@ -203,7 +205,10 @@
     REQUIRE(writeAll(socket, formatRequest("long", "/again/x")));
     std::this_thread::sleep_for(300ms);
     gateway.process.signal(SIGTERM);
-    std::this_thread::sleep_for(1850ms);
+    // The gateway closes its listener when it ends the requests, 0.4 s before its exit.
+    REQUIRE(LocalFleet::waitUntil([&gateway] {
+        return !Caller(gateway).isOpen();
+    }));
     GatewayFleet::setGracePeriod(gateway, 5500ms);
     boost::beast::flat_buffer buffer;
     boost::beast::http::response<boost::beast::http::string_body> response;
