Tests: the router has a request in part before its planned stop begins

Cause: two tests gave another thread 100 ms to connect and send the first lines. Change: the test sends the lines itself, and the router answers on a later connection before the signal; connections are accepted in order.

--- a/test/process/drain.cpp
+++ b/test/process/drain.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -313,6 +315,33 @@
     return path;
 }
 
+/** @brief A request of which a router has got the first lines only. */
+class PartRequest
+{
+public:
+    explicit PartRequest(const std::string &address)
+        : socket_(context_)
+    {
+        socket_.connect(wire::parseEndpoint(address));
+        boost::asio::write(socket_, boost::asio::buffer(std::string("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n")));
+        // A router accepts connections in order: once it has answered on a later one, it reads this one.
+        REQUIRE(LocalFleet::waitUntilReady(address));
+    }
+
+    /** @brief Returns what the router sends until it closes the connection. */
+    std::string readToEnd()
+    {
+        std::string received;
+        boost::system::error_code end;
+        boost::asio::read(socket_, boost::asio::dynamic_buffer(received), end);
+        return received;
+    }
+
+private:
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::socket socket_;
+};
+
 harness::FleetShape oneRouterShape()
 {
     harness::FleetShape shape;
@@ -474,14 +503,11 @@
     REQUIRE(LocalFleet::waitUntil([&] {
         return LocalFleet::jsonNumber(fleet.engines[0].backendAddress, "/test/counts", "held") == 1;
     }));
-    auto partRequest = std::async(std::launch::async, [&] {
-        return harness::exchangeRaw(fleet.routers[0].httpAddress, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n", false, seconds(5));
-    });
-    std::this_thread::sleep_for(milliseconds(100));
+    PartRequest partRequest(fleet.routers[0].httpAddress);
     fleet.routers[0].process.signal(SIGTERM);
     CHECK(fleet.routers[0].process.wait(seconds(5)) == 0);
     CHECK(response.get().isComplete);
-    CHECK(partRequest.get().empty());
+    CHECK(partRequest.readToEnd().empty());
     const auto cuts = linesOf(log, "request_cut");
     const auto drained = linesOf(log, "drained");
     std::filesystem::remove(log);
@@ -500,17 +526,14 @@
     shape.settings["log_file"] = log;
     LocalFleet fleet(shape);
     auto &process = fleet.routers[0].process;
-    auto partRequest = std::async(std::launch::async, [&] {
-        return harness::exchangeRaw(fleet.routers[0].httpAddress, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n", false, seconds(5));
-    });
-    std::this_thread::sleep_for(milliseconds(100));
+    PartRequest partRequest(fleet.routers[0].httpAddress);
     process.signal(SIGTERM);
     REQUIRE(LocalFleet::waitUntil([&] {
         return linesOf(log, "shutdown_begun").size() == 1;
     }));
     process.signal(SIGTERM);
     CHECK(process.wait(seconds(5)) == 1);
-    CHECK(partRequest.get().empty());
+    CHECK(partRequest.readToEnd().empty());
     const auto cuts = linesOf(log, "request_cut").size();
     const auto drained = linesOf(log, "drained");
     std::filesystem::remove(log);
