--- a/test/http/requestends.cpp
+++ b/test/http/requestends.cpp
@@ -16,13 +16,6 @@
 
 namespace {
 
-/** @brief Returns a free address on loopback. */
-std::string freeAddress(boost::asio::io_context &context)
-{
-    const tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 /** @brief Server whose handler records the bodies of its requests. */
 class RecordingServer
 {
@@ -31,7 +24,7 @@
     std::string exchange(const std::string &bytes, bool isReset)
     {
         tcp::socket socket(context);
-        socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+        socket.connect(server.endpoint());
         boost::asio::write(socket, boost::asio::buffer(bytes));
         std::string received;
         if (isReset) {
@@ -67,10 +60,8 @@
 
     boost::asio::io_context context{1};
     std::vector<std::string> bodies;
-    std::string address = freeAddress(context);
-    unsigned short port = static_cast<unsigned short>(std::stoi(address.substr(address.find(':') + 1)));
     http::Server server{context,
-                        address,
+                        "127.0.0.1:0",
                         http::ServerLimits(),
                         [this](const http::Request &request, http::Responder &responder) {
                             return record(request, responder);
--- a/test/wire/peerserver.cpp
+++ b/test/wire/peerserver.cpp
@@ -19,20 +19,13 @@
 
 constexpr int maxSteps = 60; /* handlers that run before the close; a request is answered within fewer */
 
-std::string freeAddress()
-{
-    boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 /** @brief A peer server and a client on one context that the test drives; the server replies after 5 ms. */
 class DrivenPeers
 {
 public:
     DrivenPeers()
         : server(context,
-                 address_,
+                 "127.0.0.1:0",
                  wire::SessionLimits(),
                  [this](const std::shared_ptr<wire::ServerStream> &stream, const std::string &, const std::string &message) {
                      handled.push_back(message);
@@ -58,7 +51,7 @@
         callbacks.onEnd = [this](const wire::StreamEnd &streamEnd) {
             end = streamEnd;
         };
-        client.submit(address_, "/test", message, std::move(callbacks));
+        client.submit("127.0.0.1:" + std::to_string(server.endpoint().port()), "/test", message, std::move(callbacks));
     }
 
     /** @brief Runs handlers until the client's stream has ended, at most for 2 s. */
@@ -75,11 +68,6 @@
     std::vector<std::string> handled;
     int replies = 0;
     std::optional<wire::StreamEnd> end;
-
-private:
-    std::string address_ = freeAddress();
-
-public:
     wire::PeerServer server;
     wire::PeerConnectionPool client;
 };
