--- a/test/process/plannedstop.cpp
+++ b/test/process/plannedstop.cpp
@@ -2,6 +2,7 @@
 
 #include <harness/eventstream.h>
 #include <harness/gatewayfleet.h>
+#include <harness/localfleet.h>
 
 #include <cyclamenspool/wire/endpoint.h>
 
@@ -21,6 +22,7 @@
 using harness::chunk;
 using harness::formatResponseWithDigest;
 using harness::GatewayFleet;
+using harness::LocalFleet;
 using harness::PlainRequest;
 using harness::PlainSocket;
 using harness::responseHeadFor;
@@ -203,7 +205,10 @@
     REQUIRE(writeAll(socket, formatRequest("long", "/again/x")));
     std::this_thread::sleep_for(300ms);
     gateway.process.signal(SIGTERM);
-    std::this_thread::sleep_for(1850ms);
+    // The gateway closes its listener when it ends the requests, 0.4 s before its exit.
+    REQUIRE(LocalFleet::waitUntil([&gateway] {
+        return !Caller(gateway).isOpen();
+    }));
     GatewayFleet::setGracePeriod(gateway, 5500ms);
     boost::beast::flat_buffer buffer;
     boost::beast::http::response<boost::beast::http::string_body> response;
@@ -282,10 +287,10 @@
 {
     GatewayFleet fleet(1, 1);
     auto &gateway = fleet.gateways[0];
-    GatewayFleet::setGracePeriod(gateway, 2800ms); /* requests are ended after 2 s */
+    GatewayFleet::setGracePeriod(gateway, 4200ms); /* requests are ended after 3.4 s */
     auto &server = *fleet.backendServers[0];
     server.setHandler([](const PlainRequest &request, PlainSocket &socket) {
-        std::this_thread::sleep_for(800ms);
+        std::this_thread::sleep_for(1500ms);
         return writeAll(socket, formatResponseWithDigest(request, "done"));
     });
     std::vector<std::future<End>> earlier;
