--- a/test/process/plannedstop.cpp
+++ b/test/process/plannedstop.cpp
@@ -287,10 +287,10 @@
 {
     GatewayFleet fleet(1, 1);
     auto &gateway = fleet.gateways[0];
-    GatewayFleet::setGracePeriod(gateway, 4200ms); /* requests are ended after 3.4 s */
+    GatewayFleet::setGracePeriod(gateway, 2800ms); /* requests are ended after 2 s */
     auto &server = *fleet.backendServers[0];
     server.setHandler([](const PlainRequest &request, PlainSocket &socket) {
-        std::this_thread::sleep_for(1500ms);
+        std::this_thread::sleep_for(800ms);
         return writeAll(socket, formatResponseWithDigest(request, "done"));
     });
     std::vector<std::future<End>> earlier;
