Scheduling: one record of the more urgent demand; names, one connect timeout, one clock

Cause, found on reading the whole change: ServiceCapacity::limitOf() had the window, the smallest objective and the halving by urgency of ServiceBacklog a second time, beside a second count of urgencies; the time limit of a connect to a backend server and a function for the current time stood twice; callerLimit named two things; a response without a load header took the dispatcher's lock for nothing. CallerPatience is SpentTimeEstimator, unprovedend is endcheck, RoutingInquiry::isTold() is hasRunningPeer(). No threshold changed: ServiceBacklog's and ServiceCapacity's tests are as they were.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -16,7 +16,6 @@
 
 namespace internal {
 
-constexpr std::chrono::milliseconds connectTimeout{200}; /* several round trips between availability zones */
 constexpr std::size_t readSize = 16UL * 1024;
 constexpr std::chrono::milliseconds defaultIdleTimeout{4000}; /* if the response does not announce one */
 constexpr double idleFraction = 0.7; /* of the backend server's idle timeout, so that a connection is not reused just as the server closes it */
@@ -80,7 +79,7 @@
 {
     auto self = shared_from_this();
     isConnecting_ = true;
-    connectTimer_.expires_after(internal::connectTimeout);
+    connectTimer_.expires_after(backendConnectTimeout);
     connectTimer_.async_wait([self](const boost::system::error_code &error) {
         // A late event loop can find the connection established and the time over at once.
         if (!error && self->isConnecting_) {
--- a/src/cyclamenspool/gateway/backendconnectionpool.h
+++ b/src/cyclamenspool/gateway/backendconnectionpool.h
@@ -14,6 +14,9 @@
 
 namespace cyclamenspool::gateway {
 
+/** @brief Time limit of a connect to a backend server: several round trips between availability zones. */
+inline constexpr std::chrono::milliseconds backendConnectTimeout{200};
+
 /**
  * @brief Keeps one worker's idle connections to backend servers for reuse. Not thread safe.
  *
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -398,6 +398,9 @@
 
 void Dispatcher::onLoadReport(ServerState &server, const platform::ResponseHead &head)
 {
+    if (!head.load && !head.isLoadMalformed) {
+        return;
+    }
     const std::lock_guard lock(mutex_);
     counts_.malformedLoads += head.isLoadMalformed ? 1 : 0;
     if (!head.load) {
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -10,9 +10,9 @@
 #include <cyclamenspool/gateway/promptquarantine.h>
 #include <cyclamenspool/gateway/requestmeter.h>
 #include <cyclamenspool/gateway/routetable.h>
-#include <cyclamenspool/gateway/scheduling/callerpatience.h>
 #include <cyclamenspool/gateway/scheduling/servicecapacity.h>
 #include <cyclamenspool/gateway/scheduling/servicequeue.h>
+#include <cyclamenspool/gateway/scheduling/spenttimeestimator.h>
 #include <cyclamenspool/gateway/scheduling/verdict.h>
 #include <cyclamenspool/gateway/servicebacklog.h>
 #include <cyclamenspool/platform/headers.h>
@@ -154,7 +154,7 @@
 struct HoldOffer {
     std::string requestId; /**< For the log. */
     core::MonotonicTime arrivedAt{};
-    core::Milliseconds callerLimit{0}; /**< Time limit that its caller states; zero: none. */
+    core::Milliseconds callerTimeout{0}; /**< As in platform::RequestHead; zero: not given. */
     scheduling::Wake wake; /**< Resumes the request; called on any thread, without a lock. */
     std::unique_ptr<HeldRequest> earlier; /**< Hold that ends with this attempt; null: none. */
 };
@@ -344,7 +344,7 @@
         policy::SlidingWindowCounter retries;
         ServiceBacklog backlog;
         scheduling::ServiceQueue queue;
-        std::map<std::string, scheduling::CallerPatience> patience; /* by route; only routes from the configuration occur, which bounds the size */
+        std::map<std::string, scheduling::SpentTimeEstimator> spentTimes; /* by route; only routes from the configuration occur, which bounds the size */
         bool usesPromptCache = false; /* of the latest request that waited; its queue has no limit then */
         scheduling::ServiceCapacity capacity;
     };
--- a/src/cyclamenspool/gateway/dispatcherqueues.cpp
+++ b/src/cyclamenspool/gateway/dispatcherqueues.cpp
@@ -13,11 +13,6 @@
 
 constexpr core::Milliseconds minRecheck{10};
 
-core::MonotonicTime steadyNow()
-{
-    return std::chrono::steady_clock::now();
-}
-
 bool countsForLoad(Availability availability)
 {
     return availability == Availability::Usable || availability == Availability::Cold || availability == Availability::Probing;
@@ -53,7 +48,7 @@
     line["time_left_ms"] = verdict.recheckIn.count();
     line["available_in_ms"] = verdict.decision.availableIn.count();
     line["limit"] = verdict.limit;
-    line["waited_ms"] = std::chrono::duration_cast<core::Milliseconds>(steadyNow() - arrivedAt).count();
+    line["waited_ms"] = std::chrono::duration_cast<core::Milliseconds>(std::chrono::steady_clock::now() - arrivedAt).count();
     telemetry::logRateLimited("waiting_room", std::move(line));
 }
 
@@ -128,13 +123,13 @@
         return verdict;
     }
     const std::lock_guard lock(mutex_);
-    const auto now = internal::steadyNow();
+    const auto now = std::chrono::steady_clock::now();
     auto &counts = countsOf(admission.service);
     auto &queue = counts.queue;
     const auto waited = std::chrono::duration_cast<core::Milliseconds>(now - offer.arrivedAt);
     scheduling::WaitLimits limits{admission.route->latencyObjective, core::Milliseconds(0), waited + callerWait};
-    if (offer.callerLimit.count() > 0) {
-        limits.spentBefore = counts.patience[admission.route->name].spentBefore(offer.callerLimit, now);
+    if (offer.callerTimeout.count() > 0) {
+        limits.spentBefore = counts.spentTimes[admission.route->name].spentBefore(offer.callerTimeout, now);
     }
     verdict = queue.decide(internal::queuedRequest(admission, offer.arrivedAt), limits, ticket, serviceLoadOf(admission.service, now), now);
     if (verdict.decision.verdict == internal::Verdict::Hold) {
@@ -184,7 +179,7 @@
 void Dispatcher::recordSentAfterHold(const Admission &admission, core::MonotonicTime arrivedAt)
 {
     const std::lock_guard lock(mutex_);
-    const auto now = internal::steadyNow();
+    const auto now = std::chrono::steady_clock::now();
     ++holdCounts_.sent;
     holdCounts_.waits.observe(now - arrivedAt);
     if (admission.route->usesPromptCache) {
@@ -209,7 +204,7 @@
         return;
     }
     const std::lock_guard lock(mutex_);
-    const auto now = internal::steadyNow();
+    const auto now = std::chrono::steady_clock::now();
     auto &queue = countsOf(service).queue;
     const auto load = serviceLoadOf(service, now);
     if (outcome == Outcome::Answered) {
@@ -227,7 +222,7 @@
     std::vector<scheduling::Wake> wakes;
     {
         const std::lock_guard lock(mutex_);
-        const auto now = internal::steadyNow();
+        const auto now = std::chrono::steady_clock::now();
         auto &counts = countsOf(service);
         if (counts.usesPromptCache && counts.queue.waiting() > 0) {
             wakes.push_back(counts.queue.takeOne(now));
--- a/src/cyclamenspool/gateway/unprovedend.cpp
+++ b/src/cyclamenspool/gateway/endcheck.cpp
@@ -1,4 +1,4 @@
-#include <cyclamenspool/gateway/unprovedend.h>
+#include <cyclamenspool/gateway/endcheck.h>
 
 namespace cyclamenspool::gateway {
 
--- a/src/cyclamenspool/gateway/exchangeends.cpp
+++ b/src/cyclamenspool/gateway/exchangeends.cpp
@@ -1,6 +1,6 @@
 #include <cyclamenspool/gateway/exchange.h>
 
-#include <cyclamenspool/gateway/unprovedend.h>
+#include <cyclamenspool/gateway/endcheck.h>
 
 #include <boost/beast/http/status.hpp>
 
--- a/src/cyclamenspool/gateway/exchangehold.cpp
+++ b/src/cyclamenspool/gateway/exchangehold.cpp
@@ -13,7 +13,7 @@
     HoldOffer offer;
     offer.requestId = requestHead_.id;
     offer.arrivedAt = arrivedAt_;
-    offer.callerLimit = requestHead_.callerTimeout.value_or(std::chrono::milliseconds(0));
+    offer.callerTimeout = requestHead_.callerTimeout.value_or(std::chrono::milliseconds(0));
     offer.earlier = std::move(held_);
     offer.wake = [self = weak_from_this(), &context = worker_.context()] {
         // Only the worker's thread may hold the last reference to an exchange.
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -91,7 +91,7 @@
     /** @brief Returns whether a peer with a routing in force has answered since the start. */
     [[nodiscard]] bool hasRunningPeer() const noexcept
     {
-        return routingInquiry_.isTold();
+        return routingInquiry_.hasRunningPeer();
     }
 
     /** @brief Stops sending updates and closes all connections. */
--- a/src/cyclamenspool/gateway/routinginquiry.h
+++ b/src/cyclamenspool/gateway/routinginquiry.h
@@ -61,7 +61,7 @@
     void onStoreRead(std::uint64_t era) noexcept;
 
     /** @brief Returns whether a peer with a version in force has replied. */
-    [[nodiscard]] bool isTold() const noexcept
+    [[nodiscard]] bool hasRunningPeer() const noexcept
     {
         return isTold_;
     }
--- a/src/cyclamenspool/gateway/scheduling/fwd.h
+++ b/src/cyclamenspool/gateway/scheduling/fwd.h
@@ -2,14 +2,15 @@
 
 namespace cyclamenspool::gateway::scheduling {
 
-class CallerPatience;
 class ConcurrencyLimit;
 class MachinePace;
 class PendingPrompts;
 class PromptRate;
+class RecentDemand;
 class ServerCapacity;
 class ServiceCapacity;
 class ServiceQueue;
+class SpentTimeEstimator;
 class WaitingRoom;
 class WorkspaceUsage;
 struct Decision;
--- a/src/cyclamenspool/gateway/scheduling/servicecapacity.cpp
+++ b/src/cyclamenspool/gateway/scheduling/servicecapacity.cpp
@@ -18,7 +18,6 @@
 constexpr double nextUrgencyFactor = 0.5;
 constexpr double shortWaitShare = 0.25; /* of the limit: a shorter wait for others is no reason to refuse a request */
 constexpr double minShare = 0.1;
-constexpr std::chrono::milliseconds demandWindow{2000}; /* in which requests of an urgency count as present */
 
 } // namespace internal
 
@@ -101,18 +100,10 @@
 
 core::Milliseconds ServiceCapacity::limitOf(const FirstEventDemand &demand, core::MonotonicTime now)
 {
-    const auto urgency = urgencyIndex(demand.urgency);
-    latestDemands_[urgency] = {now, demand.objective};
-    auto objective = demand.objective;
-    double share = internal::mostUrgentShare;
-    for (std::size_t i = 0; i < urgency; ++i) {
-        if (latestDemands_[i].at + internal::demandWindow > now) {
-            objective = std::min(objective, latestDemands_[i].objective);
-            share *= internal::nextUrgencyFactor;
-        }
-    }
-    share = std::max(share, internal::minShare) * demand.shareFactor;
-    return toMilliseconds(static_cast<double>(objective.count()) * std::min(share, 1.0));
+    const auto rank = demand_.add(demand.urgency, {demand.objective}, now);
+    const double ranked = internal::mostUrgentShare * std::pow(internal::nextUrgencyFactor, rank.moreUrgent);
+    const double share = std::max(ranked, internal::minShare) * demand.shareFactor;
+    return toMilliseconds(static_cast<double>(rank.least.objective.count()) * std::min(share, 1.0));
 }
 
 bool ServiceCapacity::isWithin(const FirstEventEstimate &estimate, core::Milliseconds limit)
--- a/src/cyclamenspool/gateway/scheduling/servicecapacity.h
+++ b/src/cyclamenspool/gateway/scheduling/servicecapacity.h
@@ -3,6 +3,7 @@
 #include <cyclamenspool/core/now.h>
 #include <cyclamenspool/gateway/scheduling/pendingprompts.h>
 #include <cyclamenspool/gateway/scheduling/promptrate.h>
+#include <cyclamenspool/gateway/scheduling/recentdemand.h>
 #include <cyclamenspool/gateway/scheduling/servercapacity.h>
 #include <cyclamenspool/gateway/scheduling/verdict.h>
 
@@ -89,11 +90,6 @@
     }
 
 private:
-    struct LatestDemand {
-        core::MonotonicTime at{};
-        core::Milliseconds objective{0};
-    };
-
     void advance(core::MonotonicTime now);
 
     PendingPrompts pending_; /* at all servers */
@@ -102,7 +98,7 @@
     core::MonotonicTime advancedAt_{};
     PromptRate rate_;
     double streamMs_ = 0; /* recent mean from the first event to the end; 0: not known */
-    std::array<LatestDemand, urgencyCount> latestDemands_; /* by urgency */
+    RecentDemand demand_;
 };
 
 } // namespace cyclamenspool::gateway::scheduling
--- a/src/cyclamenspool/gateway/scheduling/servicequeue.cpp
+++ b/src/cyclamenspool/gateway/scheduling/servicequeue.cpp
@@ -34,7 +34,7 @@
     const auto responseTime = limit_.responseTime(limits.objective);
     const auto waited = std::chrono::duration_cast<core::Milliseconds>(now - request.arrivedAt);
     verdict.predictedWait = timeToSend(verdict.position, limits.objective);
-    verdict.recheckIn = std::min(limits.objective - limits.spentBefore, limits.callerLimit) - responseTime - waited;
+    verdict.recheckIn = std::min(limits.objective - limits.spentBefore, limits.callerWait) - responseTime - waited;
     verdict.decision.availableIn = verdict.predictedWait;
     verdict.decision.verdict = Verdict::Hold;
     verdict.decision.reason = "held until a request of this gateway to the service ends";
--- a/src/cyclamenspool/gateway/scheduling/servicequeue.h
+++ b/src/cyclamenspool/gateway/scheduling/servicequeue.h
@@ -15,7 +15,7 @@
 struct WaitLimits {
     core::Milliseconds objective{0}; /**< Target for the response headers. */
     core::Milliseconds spentBefore{0}; /**< Part of the objective that its caller had spent before the request arrived. */
-    core::Milliseconds callerLimit{0}; /**< Time after which the caller has left or the deadline has passed. */
+    core::Milliseconds callerWait{0}; /**< Time after which the caller has left or the deadline has passed. */
 };
 
 /** @brief Verdict on a request with the estimate that decided it. */
--- a/src/cyclamenspool/gateway/scheduling/callerpatience.cpp
+++ b/src/cyclamenspool/gateway/scheduling/spenttimeestimator.cpp
@@ -1,4 +1,4 @@
-#include <cyclamenspool/gateway/scheduling/callerpatience.h>
+#include <cyclamenspool/gateway/scheduling/spenttimeestimator.h>
 
 #include <algorithm>
 
@@ -10,7 +10,7 @@
 
 } // namespace internal
 
-core::Milliseconds CallerPatience::spentBefore(core::Milliseconds limit, core::MonotonicTime now)
+core::Milliseconds SpentTimeEstimator::spentBefore(core::Milliseconds limit, core::MonotonicTime now)
 {
     if (now >= periodEndsAt_) {
         const bool isNextPeriod = now < periodEndsAt_ + internal::period;
--- a/src/cyclamenspool/gateway/scheduling/callerpatience.h
+++ b/src/cyclamenspool/gateway/scheduling/spenttimeestimator.h
@@ -11,7 +11,7 @@
  *
  * Callers of a route usually state the same time limit in their first attempt, and what is left of it when they return.
  */
-class CallerPatience
+class SpentTimeEstimator
 {
 public:
     /** @brief Handles a request of the route. @param limit Time limit that its caller states. @param now Current time. @return Time by which it falls short of
--- a/src/cyclamenspool/gateway/serverpresence.cpp
+++ b/src/cyclamenspool/gateway/serverpresence.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/gateway/serverpresence.h>
 
+#include <cyclamenspool/gateway/backendconnectionpool.h>
 #include <cyclamenspool/wire/endpoint.h>
 
 #include <chrono>
@@ -7,12 +8,6 @@
 
 namespace cyclamenspool::gateway {
 
-namespace internal {
-
-constexpr std::chrono::milliseconds presenceTimeout{200}; /* several round trips between availability zones */
-
-} // namespace internal
-
 ServerPresence::ServerPresence(boost::asio::io_context &context, Callback callback)
     : socket_(context)
     , timer_(context)
@@ -23,7 +18,7 @@
 void ServerPresence::start(const std::string &address)
 {
     auto self = shared_from_this();
-    timer_.expires_after(internal::presenceTimeout);
+    timer_.expires_after(backendConnectTimeout);
     timer_.async_wait([self](const boost::system::error_code &error) {
         if (!error) {
             self->finish(false);
--- a/src/cyclamenspool/gateway/servicebacklog.cpp
+++ b/src/cyclamenspool/gateway/servicebacklog.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/gateway/servicebacklog.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cyclamenspool::gateway {
 
@@ -11,7 +12,6 @@
 constexpr Milliseconds responseWindow{500}; /* responses that count as the latest */
 constexpr std::size_t minResponses = 4; /* fewer in a window say nothing of a service */
 constexpr double callerWaitShare = 0.5; /* of the time that the caller waits, for the longest wait of the most urgent requests */
-constexpr core::Milliseconds requestWindow{2000}; /* in which requests of an urgency count as present */
 constexpr int maxEqualShares = 2; /* of the waiting requests, above which a workspace gets less time */
 constexpr double largeShareFactor = 0.5; /* of the longest wait, for a workspace above that */
 constexpr double smallShareFactor = 1.5; /* of the longest wait, for a workspace below its equal share */
@@ -85,20 +85,10 @@
 
 ServiceBacklog::Limits ServiceBacklog::limitsOf(const BacklogQuery &query, core::MonotonicTime now)
 {
-    const auto urgency = static_cast<std::size_t>(std::clamp(query.urgency, 0, static_cast<int>(urgencyCount) - 1));
-    latestRequests_[urgency] = {now, query.callerWait, query.objective};
-    auto callerWait = query.callerWait;
-    auto objective = query.objective;
-    double share = internal::callerWaitShare;
-    for (std::size_t i = 0; i < urgency; ++i) {
-        if (latestRequests_[i].at + internal::requestWindow > now) {
-            callerWait = std::min(callerWait, latestRequests_[i].callerWait);
-            objective = std::min(objective, latestRequests_[i].objective);
-            share /= 2;
-        }
-    }
-    const auto wait = std::chrono::duration_cast<core::Milliseconds>(callerWait * share);
-    return {std::max(wait, objective), objective};
+    const auto rank = demand_.add(query.urgency, {query.objective, query.callerWait}, now);
+    const double share = std::ldexp(internal::callerWaitShare, -rank.moreUrgent);
+    const auto wait = std::chrono::duration_cast<core::Milliseconds>(rank.least.callerWait * share);
+    return {std::max(wait, rank.least.objective), rank.least.objective};
 }
 
 bool ServiceBacklog::isAdmitted(const BacklogQuery &query, core::MonotonicTime now)
--- a/src/cyclamenspool/gateway/servicebacklog.h
+++ b/src/cyclamenspool/gateway/servicebacklog.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <cyclamenspool/core/now.h>
+#include <cyclamenspool/gateway/scheduling/recentdemand.h>
 
-#include <array>
 #include <deque>
 #include <map>
 #include <string>
@@ -58,15 +58,6 @@
     [[nodiscard]] bool isAdmitted(const BacklogQuery &query, core::MonotonicTime now);
 
 private:
-    static constexpr std::size_t urgencyCount = 10;
-
-    /** @brief Latest request of an urgency. */
-    struct LatestRequest {
-        core::MonotonicTime at{};
-        core::Milliseconds callerWait{0};
-        core::Milliseconds objective{0};
-    };
-
     /** @brief Limits that hold for a request. */
     struct Limits {
         core::Milliseconds wait{0}; /* longest time to serve */
@@ -84,7 +75,7 @@
 
     int waiting_ = 0;
     std::map<std::string, int> waitingByWorkspace_; /* those with waiting requests */
-    std::array<LatestRequest, urgencyCount> latestRequests_; /* by urgency */
+    scheduling::RecentDemand demand_;
     std::deque<Response> responses_; /* of the latest window, oldest first */
     core::MonotonicTime::duration totalWait_{}; /* of responses_ */
 };
--- a/src/cyclamenspool/gateway/starthold.h
+++ b/src/cyclamenspool/gateway/starthold.h
@@ -53,7 +53,7 @@
     /** @brief A complete request. */
     struct Request {
         core::MonotonicTime arrivedAt{}; /**< Its first byte. */
-        std::optional<core::Milliseconds> callerTimeout; /**< Time that the caller gives it; empty: not named. */
+        std::optional<core::Milliseconds> callerTimeout; /**< As in platform::RequestHead. */
         std::size_t bytes = 0;
     };
 
--- a/test/gateway/unprovedend.cpp
+++ b/test/gateway/endcheck.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include <cyclamenspool/gateway/unprovedend.h>
+#include <cyclamenspool/gateway/endcheck.h>
 
 using cyclamenspool::gateway::BodyEnd;
 using cyclamenspool::gateway::checkOf;
