--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -520,6 +520,13 @@
         return false;
     }
     last = {now, position.era};
+    telemetry::logRateLimited("peer_copy_requested",
+                              {{"section", std::string(Catalog::prefixOf(section))},
+                               {"address", address},
+                               {"revision", own.revision},
+                               {"peer_revision", position.revision},
+                               {"era", position.era},
+                               {"store_unavailable", isUnavailable}});
     if (!isUnavailable && !isLaterEra) {
         storeCalls_.replace(section);
     }
