Tests: changes in quick succession while the store answers few gateways, red

The test: 12 gateways in one zone and in four, nine of which get no answer from the store any more; 20 versions, 145 ms apart as in the record. Evidence: at a gateway that is late, peer_copy_requested appears once a second, and one of these went to a peer whose copy lagged as well (revision 7 while 18 was out).

--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <csignal>
@@ -185,6 +186,21 @@
     return readFile(gateway.logFile);
 }
 
+std::vector<std::pair<int, std::chrono::system_clock::time_point>> GatewayFleet::routingTimes(const Gateway &gateway)
+{
+    std::vector<std::pair<int, std::chrono::system_clock::time_point>> times;
+    std::istringstream lines(readLog(gateway));
+    for (std::string line; std::getline(lines, line);) {
+        if (line.find("\"event\":\"routing\"") == std::string::npos || line.find("\"in_force\":true") == std::string::npos) {
+            continue;
+        }
+        const auto fields = json::parse(line).as_object();
+        const std::chrono::milliseconds sinceEpoch(fields.at("time_ms").to_number<std::int64_t>());
+        times.emplace_back(fields.at("version").to_number<int>(), std::chrono::system_clock::time_point(sinceEpoch));
+    }
+    return times;
+}
+
 std::string GatewayFleet::readSettings(const Gateway &gateway)
 {
     return readFile(gateway.settingsFile);
--- a/test/harness/gatewayfleet.h
+++ b/test/harness/gatewayfleet.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cyclamenspool::harness {
@@ -65,6 +66,9 @@
     /** @brief Returns the text that a gateway has logged so far. */
     [[nodiscard]] static std::string readLog(const Gateway &gateway);
 
+    /** @brief Returns the routing versions that came into force at a gateway and when, in order, as it has logged them. */
+    [[nodiscard]] static std::vector<std::pair<int, std::chrono::system_clock::time_point>> routingTimes(const Gateway &gateway);
+
     /** @brief Returns a gateway's settings file as YAML. */
     [[nodiscard]] static std::string readSettings(const Gateway &gateway);
 
--- a/test/process/storeoutage.cpp
+++ b/test/process/storeoutage.cpp
@@ -3,6 +3,8 @@
 #include <harness/gatewayfleet.h>
 #include <harness/localfleet.h>
 
+#include <algorithm>
+#include <map>
 #include <string>
 #include <thread>
 
@@ -15,6 +17,8 @@
 
 constexpr auto changeBound = 2000ms; /* default of configuration_ms and leave_ms */
 
+using WallTime = std::chrono::system_clock::time_point;
+
 /** @brief Returns whether every gateway accepts requests with an API key. */
 bool isKeyAcceptedEverywhere(const GatewayFleet &fleet, const std::string &key)
 {
@@ -38,6 +42,25 @@
     return fleet.backendServers[server]->totalRunCount() - before;
 }
 
+/** @brief Returns the longest time from the confirmation of a version to its use, or that of a later one, at any gateway; the highest number if one never used
+ * it. @param confirmed Time of confirmation by version. */
+std::chrono::milliseconds longestDelay(const GatewayFleet &fleet, const std::map<int, WallTime> &confirmed)
+{
+    auto longest = 0ms;
+    for (const auto &gateway : fleet.gateways) {
+        const auto uses = GatewayFleet::routingTimes(gateway);
+        for (const auto &[version, confirmedAt] : confirmed) {
+            const auto use = std::find_if(uses.begin(), uses.end(), [version = version](const auto &each) {
+                return each.first >= version;
+            });
+            const auto delay
+                = use == uses.end() ? std::chrono::milliseconds::max() : std::chrono::duration_cast<std::chrono::milliseconds>(use->second - confirmedAt);
+            longest = std::max(longest, delay);
+        }
+    }
+    return longest;
+}
+
 } // namespace
 
 // Guards against a configuration that no gateway reads for the 22 s in which its own lost watch times out, as no peer has a later one either.
@@ -92,6 +115,28 @@
     CHECK(fleet.backendServers[0]->totalRunCount() == 0);
 }
 
+// Guards against a gateway that asks peers for their copies in vain, as they lag like itself, and may not ask one that has a later copy for a second each time.
+TEST_CASE("a store that no longer answers most gateways: changes in quick succession are in force everywhere within two seconds", "[process][gateway][store]")
+{
+    const int zones = GENERATE(1, 4);
+    CAPTURE(zones);
+    GatewayFleet fleet(12, 1, zones);
+    fleet.store.setMaxWatchTime(30s);
+    for (std::size_t i = 0; i < 9; ++i) {
+        fleet.useSecondStoreAddress(i);
+    }
+    std::this_thread::sleep_for(2500ms); /* every gateway watches both sections */
+    fleet.store.setLosingSecondResponses(true);
+    std::map<int, WallTime> confirmed;
+    for (int version = 2; version < 22; ++version) {
+        fleet.publishRouting(version);
+        confirmed[version] = std::chrono::system_clock::now();
+        std::this_thread::sleep_for(145ms);
+    }
+    std::this_thread::sleep_for(changeBound);
+    CHECK(longestDelay(fleet, confirmed) < changeBound);
+}
+
 // Guards the opposite: entries that expire while the store serves no gateway are no reason to stop using their servers.
 TEST_CASE("a store that answers no gateway for a while: servers whose entries expired meanwhile stay in use until they are listed again",
           "[process][gateway][store]")
