Gossip: a request for a lagging peer's copy does not delay one for a later copy

Cause: a gateway whose own call to the store is overdue asked one peer a second for its copy, whatever it held. Of the peers that report, those that the store does not answer either lag too; two requests to such peers in a row cost more than the bound. The log line peer_copy_requested shows the requests. Conclusion: the limit (gateway/CopyRequestLimit, tested without a network) is 1 s for the same position, 0.3 s for a later one.

--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -27,8 +27,6 @@
 constexpr int updatesPerTick = 16; /* with more peers an update period has several ticks, so that requests do not wait for a burst of updates */
 constexpr Milliseconds sharedUpdateMaxAge{20}; /* loads and suspicions are collected once for all updates of a tick */
 constexpr Milliseconds peerExpiry{60000}; /* a peer without a message for longer is forgotten, unless it is a seed */
-constexpr Milliseconds minPullInterval{300};
-constexpr Milliseconds minOverduePullInterval{1000}; /* while the store is available; a slow store delays many gateways at once */
 constexpr const char *updatePath = "/news";
 constexpr const char *itemsPath = "/items";
 
@@ -514,12 +512,11 @@
     }
     const bool isUnavailable = catalog_.isStoreUnavailable(section);
     const bool isOutdated = isLaterEra || (isUnavailable ? position > own : isOverdue(section, position, now));
-    const auto minInterval = isUnavailable || isLaterEra ? internal::minPullInterval : internal::minOverduePullInterval;
-    auto &last = lastPulls_[section];
-    if (!isOutdated || (position.era == last.era && internal::elapsed(last.at, now) < minInterval)) {
+    auto &limit = copyRequestLimits_[section];
+    if (!isOutdated || !limit.isAllowed(position, isUnavailable || isLaterEra, now)) {
         return false;
     }
-    last = {now, position.era};
+    limit.onRequested(position, now);
     telemetry::logRateLimited("peer_copy_requested",
                               {{"section", std::string(Catalog::prefixOf(section))},
                                {"address", address},
--- a/src/cyclamenspool/gateway/peergossip.h
+++ b/src/cyclamenspool/gateway/peergossip.h
@@ -3,6 +3,7 @@
 #include <cyclamenspool/config/gatewaysettings.h>
 #include <cyclamenspool/core/now.h>
 #include <cyclamenspool/gateway/catalog.h>
+#include <cyclamenspool/gateway/copyrequestlimit.h>
 #include <cyclamenspool/gateway/dispatcher.h>
 #include <cyclamenspool/gateway/listdelta.h>
 #include <cyclamenspool/gateway/missedchange.h>
@@ -197,11 +198,7 @@
     core::MonotonicTime startTime_;
     std::string lastAdvertisedToZones_; /* address of the peer of the own zone advertised last; the rotation continues after it */
     std::uint64_t fanOutSeed_ = 0; /* of the latest message for the whole zone */
-    struct Pull {
-        core::MonotonicTime at{};
-        std::uint64_t era = 0; /* of the peer's copy */
-    };
-    std::map<Catalog::Section, Pull> lastPulls_;
+    std::map<Catalog::Section, CopyRequestLimit> copyRequestLimits_;
     RoutingInquiry routingInquiry_;
     std::map<Catalog::Section, MissedChange> missedChanges_;
     StoreCalls storeCalls_;
