--- a/test/process/quarantine.cpp
+++ b/test/process/quarantine.cpp
@@ -20,11 +20,13 @@
 
 const std::string poisonPart = "badc0de";
 const std::string sharedPart = "5a5a";
+const std::string poisonBody = R"({"crash":true})";
 
 constexpr int servers = 8;
 constexpr auto downTime = 1500ms; /* of a server that has ended */
 
-/** @brief Gateways of three zones in front of servers that end their connections when they begin to answer a prompt with one part. */
+/** @brief Gateways of three zones in front of servers that end their connections when they begin to answer a prompt with one part, or a
+ * request with one body. */
 class PoisonedFleet
 {
 public:
@@ -36,6 +38,14 @@
                 if (std::chrono::steady_clock::now() < downUntil[index].load()) {
                     return false;
                 }
+                if (request.body() == poisonBody) {
+                    ++crashes;
+                    downUntil[index] = std::chrono::steady_clock::now() + downTime;
+                    return false;
+                }
+                if (request.target() == "/again/x") {
+                    return harness::writeAll(socket, harness::formatResponseWithDigest(request, "hello"));
+                }
                 const std::string parts(request["Cyclamenspool-Prompt-Prefix"]);
                 if (parts.find(poisonPart) == std::string::npos) {
                     return harness::writeAll(socket, harness::responseHeadFor(request) + harness::chunk(harness::serverSentEvent(1)) + "0\r\n\r\n");
@@ -65,6 +75,14 @@
         return call(sharedPart + ":100,ab" + std::to_string(number % 5) + ":50", gateway);
     }
 
+    /** @brief Sends a request without a prompt; the servers end under one body. */
+    harness::HttpResponse callPlain(const std::string &body, std::size_t gateway)
+    {
+        auto request = fleet.makeRequest("r" + std::to_string(++number), "/again/x", gateway);
+        request.body = body;
+        return sendRequest(request);
+    }
+
     GatewayFleet fleet;
     std::atomic<int> crashes{0};
     std::array<std::atomic<std::chrono::steady_clock::time_point>, servers> downUntil{};
@@ -72,6 +90,7 @@
 };
 
 constexpr int crashesUntilBound = 5; /* backend servers that one part may end before the bound on further requests counts */
+constexpr int crashesUntilRequestBound = 3; /* the same for one request that comes again */
 constexpr int maxLaterRequests = 3; /* with that part, over all gateways */
 constexpr auto agreementTime = 3000ms; /* after the fifth crash, for the gateways to agree */
 
@@ -118,3 +137,21 @@
     }
     CHECK(poisoned.crashes - before <= maxLaterRequests);
 }
+
+// Guards against a request without a prompt that ends one backend server after the other each time it comes again, at all gateways.
+TEST_CASE("a request under which three backend servers ended is sent to no more than three others", "[process][gateway][quarantine]")
+{
+    PoisonedFleet poisoned(6);
+    for (std::size_t i = 0; poisoned.crashes < crashesUntilRequestBound && i < 60; ++i) {
+        static_cast<void>(poisoned.callPlain(poisonBody, i % 6));
+        std::this_thread::sleep_for(50ms);
+    }
+    std::this_thread::sleep_for(agreementTime);
+    const int before = poisoned.crashes;
+    for (std::size_t i = 0; i < 30; ++i) {
+        const auto refused = poisoned.callPlain(poisonBody, i % 6);
+        CHECK(refused.status == 503);
+        CHECK(poisoned.callPlain("{}", i % 6).status == 200);
+    }
+    CHECK(poisoned.crashes - before <= maxLaterRequests);
+}
