Quarantine: a request that crashes backend servers, not only a part of its prompt

Cause: the quarantine was keyed by parts of prompts; a request without any was never recorded. Change: its fingerprint (method, host, path with query, API key, body) is one more part in the same mechanism. A loss without response headers weighs 2 for a request without a prompt. Of two suspects that were lost at the same servers neither is blamed at the third. Open: the first three crashes.

--- a/src/cyclamenspool/core/errorkind.cpp
+++ b/src/cyclamenspool/core/errorkind.cpp
@@ -48,7 +48,7 @@
     {Kind::AnswerCut, "answer_cut", 502, Run::Unknown, 0ms, "The response ended before it was complete."},
     {Kind::BackendFailed, "backend_failed", 502, Run::Unknown, 0ms, "The backend server failed during the request."},
     {Kind::Internal, "internal", 500, Run::Unknown, 0ms, "Internal error."},
-    {Kind::PromptQuarantined, "prompt_quarantined", 503, Run::NotRun, 0ms, "Backend servers crashed under a part of the prompt."},
+    {Kind::PromptQuarantined, "prompt_quarantined", 503, Run::NotRun, 0ms, "Backend servers crashed under the request or a part of its prompt."},
 }};
 
 constexpr bool isOrdered()
--- a/src/cyclamenspool/core/errorkind.h
+++ b/src/cyclamenspool/core/errorkind.h
@@ -43,7 +43,7 @@
     AnswerCut, /**< The backend server's response ended before it was complete. */
     BackendFailed, /**< The response was unusable, or the last attempt failed unsent after one that may have run. */
     Internal,
-    PromptQuarantined, /**< Backend servers crashed under a part of the prompt; requests with it are not sent. */
+    PromptQuarantined, /**< Backend servers crashed under the request or a part of its prompt; it is not sent. */
     Count /**< Number of error kinds. */
 };
 
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -181,8 +181,9 @@
         admission.history = historyPrefixesOf(head.parts);
         admission.promptTokens = head.promptTokens;
     }
-    for (std::size_t i = 0; i + 1 < head.parts.size() && i < maxTrackedParts; ++i) {
-        admission.sharedParts.push_back(head.parts[i].id);
+    // One place is left for the fingerprint of the request.
+    for (std::size_t i = 0; i + 1 < head.parts.size() && i + 1 < maxTrackedParts; ++i) {
+        admission.quarantineKeys.push_back(head.parts[i].id);
     }
     const auto requestKey = head.id.empty() ? ++requestsWithoutId_ : core::hash64(head.id);
     const auto serviceKey = admission.history.empty() ? requestKey : admission.history.back().key;
@@ -350,12 +351,12 @@
 
 const char *Dispatcher::quarantineReason(const Admission &admission, bool isRetry, core::MonotonicTime now)
 {
-    const auto verdict = quarantine_.check(admission.sharedParts, now);
+    const auto verdict = quarantine_.check(admission.quarantineKeys, now);
     if (verdict == PromptQuarantine::Verdict::Quarantined) {
-        return "backend servers crashed when they began to answer prompts with a part of this one";
+        return "backend servers crashed under this request or when they began to answer prompts with a part of this one";
     }
     const bool isSuspectedRetry = isRetry && verdict == PromptQuarantine::Verdict::Suspected;
-    return isSuspectedRetry ? "not retried: backend servers may have crashed under a part of the prompt" : nullptr;
+    return isSuspectedRetry ? "not retried: backend servers may have crashed under the request or a part of the prompt" : nullptr;
 }
 
 bool Dispatcher::isRetryAllowed(const std::string &service, core::MonotonicTime now)
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -42,7 +42,8 @@
     std::string service;
     std::string workspace; /**< Empty: none. */
     std::vector<HistoryPrefix> history; /**< Prefixes of its prompt, see historyPrefixesOf(); empty: none. */
-    PromptParts sharedParts; /**< First 64 parts of its prompt, except the last, which belongs to the request or its chat. */
+    PromptParts quarantineKeys; /**< First parts of its prompt, except the last, which belongs to the request or its chat, and the fingerprint of the whole
+                                 request, which the exchange adds. */
     std::uint32_t promptTokens = 0; /**< Of the whole prompt; 0: none, or its route does not use the prompt cache. */
     int urgency = 0; /**< 0 is the most urgent. */
 
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/gateway/exchange.h>
 
 #include <cyclamenspool/gateway/refusal.h>
+#include <cyclamenspool/gateway/requestfingerprint.h>
 #include <cyclamenspool/platform/streamcallerwait.h>
 #include <cyclamenspool/telemetry/log.h>
 
@@ -190,6 +191,9 @@
     }
     const auto target = request_.target();
     admission_ = worker_.dispatcher().admit(requestHead_, {target.data(), target.size()});
+    const auto method = request_.method_string();
+    const RequestIdentity identity{{method.data(), method.size()}, requestHead_.host, {target.data(), target.size()}, requestHead_.apiKey, request_.body()};
+    admission_->quarantineKeys.push_back(fingerprintOf(identity));
     const auto &route = *admission_->route;
     const auto limit = requestHead_.callerTimeout ? std::min(*requestHead_.callerTimeout, route.timeout) : route.timeout;
     const bool isNonIdempotent = route.kind == world::RouteKind::NonIdempotent;
@@ -315,23 +319,25 @@
 void Exchange::recordServerLoss()
 {
     const bool isLost = call_ != nullptr && call_->isClosedByServer() && !isAnswerRecorded_;
-    if (!isLost || admission_->sharedParts.empty()) {
+    if (!isLost) {
         return;
     }
-    const bool isBegun = call_->bodyEnd() != BodyEnd::None && firstBodyAt_ == core::MonotonicTime{};
+    // Response headers tell when a prompt that waited begins to run; a request without one runs as soon as the server has read it.
+    const bool hasPrompt = admission_->quarantineKeys.size() > 1;
+    const bool isBegun = !hasPrompt || (call_->bodyEnd() != BodyEnd::None && firstBodyAt_ == core::MonotonicTime{});
     worker_.dispatcher().withQuarantine([this, isBegun](PromptQuarantine &quarantine, core::MonotonicTime now) {
-        quarantine.onServerLost(internal::processOf(inFlight_->server()), {admission_->sharedParts, isBegun}, now);
+        quarantine.onServerLost(internal::processOf(inFlight_->server()), {admission_->quarantineKeys, isBegun}, now);
     });
 }
 
 void Exchange::recordAnswer()
 {
-    if (isAnswerRecorded_ || admission_->sharedParts.empty()) {
+    if (isAnswerRecorded_) {
         return;
     }
     isAnswerRecorded_ = true;
     worker_.dispatcher().withQuarantine([this](PromptQuarantine &quarantine, core::MonotonicTime now) {
-        quarantine.onAnswered(admission_->sharedParts, now);
+        quarantine.onAnswered(admission_->quarantineKeys, now);
     });
 }
 
@@ -499,7 +505,11 @@
             line["inside_event"] = isInsideEvent();
         }
     }
-    if (!triedServers_.empty() && lastBodyAt_ == core::MonotonicTime{} && !requestHead_.parts.empty()) {
+    const bool isUnanswered = !triedServers_.empty() && lastBodyAt_ == core::MonotonicTime{};
+    if (isUnanswered && admission_) {
+        line["fingerprint"] = admission_->quarantineKeys.back();
+    }
+    if (isUnanswered && !requestHead_.parts.empty()) {
         boost::json::array parts;
         for (const auto &part : requestHead_.parts) {
             parts.emplace_back(part.id);
--- a/src/cyclamenspool/gateway/promptquarantine.cpp
+++ b/src/cyclamenspool/gateway/promptquarantine.cpp
@@ -137,6 +137,17 @@
     });
 }
 
+bool PromptQuarantine::isAmbiguous(std::uint64_t part, const Suspect &suspect) const
+{
+    return std::any_of(suspects_.begin(), suspects_.end(), [part, &suspect](const auto &entry) {
+        const auto &other = entry.second;
+        const bool isTogether = internal::contains(other.companions, part) || internal::contains(suspect.companions, entry.first);
+        return !isTogether && std::all_of(suspect.servers.begin(), suspect.servers.end(), [&other](const LostServer &server) {
+            return hasServer(other, server.name);
+        });
+    });
+}
+
 void PromptQuarantine::clearExplained(std::uint64_t part, const Suspect &cause, core::MonotonicTime now)
 {
     for (auto entry = suspects_.begin(); entry != suspects_.end();) {
@@ -343,8 +354,10 @@
     if (suspect.quarantinedUntil > now) {
         return true;
     }
-    const bool hasEvidence = weightOf(suspect) >= internal::quarantineWeight && now - suspect.firstLossAt >= internal::minEvidenceTime;
-    const bool isProved = hasEvidence && !isExplained(part, suspect);
+    const int weight = weightOf(suspect);
+    const bool hasEvidence = weight >= internal::quarantineWeight && now - suspect.firstLossAt >= internal::minEvidenceTime;
+    const bool isLikeliest = weight >= 2 * internal::quarantineWeight || !isAmbiguous(part, suspect);
+    const bool isProved = hasEvidence && isLikeliest && !isExplained(part, suspect);
     if (isProved) {
         suspect.quarantinedUntil = now + internal::quarantineTime;
         events_.push_back({part, true, namesOf(suspect)});
--- a/src/cyclamenspool/gateway/promptquarantine.h
+++ b/src/cyclamenspool/gateway/promptquarantine.h
@@ -10,13 +10,13 @@
 
 namespace cyclamenspool::gateway {
 
-/** @brief Ids of the parts of a prompt that other prompts may share. */
+/** @brief Ids of the parts of a prompt that other prompts may share. A whole request that may come again counts as such a part, by its fingerprint. */
 using PromptParts = std::vector<std::uint64_t>;
 
 /** @brief Prompt whose backend server closed the connection before or soon after it began to answer. */
 struct LostPrompt {
     PromptParts parts;
-    bool isBegun = false; /**< The connection ended between the response headers and the first byte of the body. */
+    bool isBegun = false; /**< The connection ended between the response headers and the first byte of the body, or the request has no prompt. */
 
     [[nodiscard]] bool operator==(const LostPrompt &) const = default;
 };
@@ -58,7 +58,8 @@
  *
  * A backend server that closes the connection of a request before it has answered for a while makes each part of that prompt a suspect, unless an answer to a
  * prompt with the part was seen recently. An answer clears a part. A part under which three servers were lost as they began to answer, or six at another time,
- * without an answer for half a second, is quarantined: a server that crashes also loses other prompts.
+ * without an answer for half a second, is quarantined: a server that crashes also loses other prompts. While all those servers were lost under another part as
+ * well that never came with it, twice as many are needed, as either may be the cause.
  */
 class PromptQuarantine
 {
@@ -123,6 +124,7 @@
     [[nodiscard]] bool makeRoom(core::MonotonicTime now); /* false if all suspects are in quarantine */
     [[nodiscard]] bool isLossExplained(const std::string &server, const PromptParts &parts, core::MonotonicTime now); /* by a part in quarantine */
     [[nodiscard]] bool isExplained(std::uint64_t part, const Suspect &suspect) const; /* by a part that is in fewer prompts, lost at the same servers */
+    [[nodiscard]] bool isAmbiguous(std::uint64_t part, const Suspect &suspect) const; /* a part that did not come with it was lost at the same servers */
     void clearExplained(std::uint64_t part, const Suspect &cause, core::MonotonicTime now); /* of other parts: losses that one in quarantine explains */
     [[nodiscard]] static bool hasServer(const Suspect &suspect, const std::string &server);
     static void addServer(Suspect &suspect, const std::string &server, int weight);
--- a/test/gateway/promptquarantine.cpp
+++ b/test/gateway/promptquarantine.cpp
@@ -24,7 +24,7 @@
 constexpr std::uint64_t firstPart = 0x5;
 constexpr auto step = 10ms;
 constexpr auto sendPeriod = 100ms; /* of evidence */
-constexpr auto stabilityWindow = 3000ms; /* after the fifth crash, in which the gateways must agree */
+constexpr auto stabilityWindow = 3000ms; /* after that crash, in which the gateways must agree */
 constexpr int crashesUntilBound = 5;
 
 /** @brief Load and faults of a simulated fleet. */
@@ -37,6 +37,7 @@
     double messageLoss = 0;
     std::chrono::milliseconds messageDelay{150};
     std::chrono::milliseconds zoneLossAt{0}; /* a third of the servers crash at that time; zero: never */
+    int crashesBeforeBound = crashesUntilBound;
     bool isQuarantineUsed = true;
 };
 
@@ -71,7 +72,7 @@
     }
 
     int crashes = 0;
-    int sentAfterBound = 0; /* poison requests sent after the fifth crash and the window */
+    int sentAfterBound = 0; /* poison requests sent after the last crash before the bound and the window */
     int soundRejected = 0;
 
     [[nodiscard]] std::size_t quarantinedParts() const
@@ -109,7 +110,7 @@
         if (servers_[server].upAt > now_) {
             return;
         }
-        sentAfterBound += isPoison && fifthCrashAt_ != core::MonotonicTime{} && now_ > fifthCrashAt_ + stabilityWindow ? 1 : 0;
+        sentAfterBound += isPoison && lastCrashBeforeBoundAt_ != core::MonotonicTime{} && now_ > lastCrashBeforeBoundAt_ + stabilityWindow ? 1 : 0;
         requests_.push_back({gateway, server, parts, isPoison, now_ + 50ms, now_ + 400ms});
     }
 
@@ -137,8 +138,8 @@
     void crash(std::size_t server)
     {
         ++crashes;
-        if (crashes == crashesUntilBound) {
-            fifthCrashAt_ = now_;
+        if (crashes == scenario_.crashesBeforeBound) {
+            lastCrashBeforeBoundAt_ = now_;
         }
         for (const auto &request : requests_) {
             if (request.server == server && request.beginsAt > now_) {
@@ -188,7 +189,7 @@
     core::RandomSource random_;
     core::MonotonicTime start_ = core::MonotonicTime{} + 1h;
     core::MonotonicTime now_ = start_;
-    core::MonotonicTime fifthCrashAt_{};
+    core::MonotonicTime lastCrashBeforeBoundAt_{};
     int steps_ = 0;
 };
 
@@ -420,3 +421,45 @@
     evidence.losses.assign(65, evidence.losses.front());
     CHECK_FALSE(gateway::decodePromptNews(encodeEvidence(evidence).SerializeAsString()));
 }
+
+// Guards against a request without a prompt that ends one server after the other each time it comes again.
+TEST_CASE("one request that comes again: at most three are sent after the third crash, and no sound one is rejected", "[gateway][quarantine]")
+{
+    Scenario scenario;
+    scenario.gateways = GENERATE(3, 30, 300);
+    scenario.servers = scenario.gateways;
+    scenario.soundPerStep = scenario.gateways;
+    scenario.poisonPrompts = {{poison}};
+    scenario.crashesBeforeBound = 3;
+    scenario.isQuarantineUsed = GENERATE(true, false);
+    PoisonSimulation simulation(scenario);
+    simulation.run(20s);
+    CHECK((simulation.sentAfterBound <= 3) == scenario.isQuarantineUsed);
+    CHECK(simulation.soundRejected == 0);
+}
+
+TEST_CASE("sound request in flight at each server that another one crashes: neither is blamed until they part", "[gateway][quarantine]")
+{
+    constexpr std::uint64_t lookUp = 0x100c;
+    PromptQuarantine quarantine;
+    for (int i = 0; i < 3; ++i) {
+        quarantine.onServerLost("i-" + std::to_string(i), begun({poison}), start + i * 1s);
+        quarantine.onServerLost("i-" + std::to_string(i), begun({lookUp}), start + i * 1s);
+    }
+    CHECK(quarantine.check({lookUp}, start + 3s) == Verdict::Suspected);
+    CHECK(quarantine.check({poison}, start + 3s) == Verdict::Suspected);
+    quarantine.onServerLost("i-3", begun({poison}), start + 4s);
+    CHECK(quarantine.check({poison}, start + 4s) == Verdict::Quarantined);
+    CHECK(quarantine.check({lookUp}, start + 4s) == Verdict::Clear);
+}
+
+TEST_CASE("request answered a moment ago: servers that end under it make it no suspect", "[gateway][quarantine]")
+{
+    constexpr std::uint64_t lookUp = 0x100c;
+    PromptQuarantine quarantine;
+    quarantine.onAnswered({lookUp}, start);
+    for (int i = 0; i < 4; ++i) {
+        quarantine.onServerLost("i-" + std::to_string(i), begun({lookUp}), start + 1s + i * 1s);
+    }
+    CHECK(quarantine.check({lookUp}, start + 5s) == Verdict::Clear);
+}
