HTTP client: a response without end is given up, by size and by time

Cause: http::fetch() had no limit on the body, its time limit began anew with each read, and the read buffer was unbounded (trailers). Elsewhere: the buffer of the store's connection has the same bound now.

--- a/src/cyclamenspool/http/client.cpp
+++ b/src/cyclamenspool/http/client.cpp
@@ -25,6 +25,7 @@
 namespace internal {
 
 constexpr std::size_t readBufferBytes = 16 * 1024;
+constexpr std::size_t maxUnparsedBytes = 64UL * 1024; /* of a head, a chunk header or a trailer */
 constexpr int maxInterimResponses = 16; /* more may never end */
 
 using Parser = bhttp::response_parser<bhttp::buffer_body>;
@@ -132,7 +133,7 @@
     if (error) {
         throw ClientError(request.address + ": " + error.message(), true);
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(internal::maxUnparsedBytes);
     std::optional<internal::Parser> parser;
     co_await internal::readHead(stream, buffer, parser, request);
     if (callbacks.onResponseHead) {
@@ -148,14 +149,22 @@
 asio::awaitable<ClientResponse> fetch(ClientRequest request)
 {
     ClientResponse response;
+    std::chrono::steady_clock::time_point headAt;
     ClientCallbacks callbacks;
-    callbacks.onResponseHead = [&response](const ClientResponseHead &head) {
+    callbacks.onResponseHead = [&response, &headAt](const ClientResponseHead &head) {
         response.head = head;
+        headAt = std::chrono::steady_clock::now();
     };
-    callbacks.onResponseData = [&response](const std::string &data) {
+    callbacks.onResponseData = [&response, &headAt, &request](const std::string &data) {
         response.body += data;
+        if (response.body.size() > request.maxBodyBytes) {
+            throw ClientError(request.address + ": the response's body exceeds " + std::to_string(request.maxBodyBytes) + " bytes", true);
+        }
+        if (std::chrono::steady_clock::now() - headAt > request.timeout) {
+            throw ClientError(request.address + ": the response's body takes longer than " + std::to_string(request.timeout.count()) + " ms", true);
+        }
     };
-    co_await streamResponse(std::move(request), callbacks);
+    co_await streamResponse(request, std::move(callbacks));
     co_return response;
 }
 
--- a/src/cyclamenspool/http/client.h
+++ b/src/cyclamenspool/http/client.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -18,7 +19,9 @@
     std::string target = "/";
     Headers headers;
     std::string body;
-    std::chrono::milliseconds timeout{5000}; /**< Limit for connecting, for sending the request, and for each read of the response. */
+    std::chrono::milliseconds timeout{5000}; /**< Limit for connecting, for sending the request, and for each read of the response; fetch() allows the whole
+                                               body no more. */
+    std::size_t maxBodyBytes = 16UL * 1024 * 1024; /**< Of a response that fetch() returns. */
     bool acceptsUnframed = false; /**< Takes a response without a length or chunks, whose body the end of the connection ends. */
 };
 
@@ -92,7 +95,8 @@
  * @brief Sends a request on a new connection and returns the complete response.
  * @param request Request to send.
  * @return Response, whatever its status.
- * @throws ClientError The connection failed, timed out or closed early, or the response has no length.
+ * @throws ClientError The connection failed, timed out or closed early, the response has no length, or its body is larger or takes longer than the request
+ * allows.
  */
 [[nodiscard]] boost::asio::awaitable<ClientResponse> fetch(ClientRequest request);
 
--- a/src/cyclamenspool/platform/storeconnection.cpp
+++ b/src/cyclamenspool/platform/storeconnection.cpp
@@ -22,6 +22,7 @@
 
 constexpr std::chrono::milliseconds connectTimeout{800};
 constexpr wire::TcpKeepAlive storeKeepAlive{std::chrono::milliseconds(2000), std::chrono::seconds(1), 2};
+constexpr std::size_t maxUnparsedBytes = 64UL * 1024; /* of a head, a chunk header or a trailer */
 constexpr std::uint64_t maxResponseBytes = 64UL * 1024 * 1024;
 
 } // namespace internal
@@ -45,6 +46,7 @@
 StoreConnection::StoreConnection(asio::io_context &context, std::string address)
     : context_(context)
     , address_(std::move(address))
+    , buffer_(internal::maxUnparsedBytes)
 {
 }
 
--- a/test/process/gatewayfaults.cpp
+++ b/test/process/gatewayfaults.cpp
@@ -133,7 +133,7 @@
 {
     GatewayFleet fleet(1, 1);
     const std::string filler(16384, 'x');
-    const int form = GENERATE(0, 1, 2, 3, 4, 5);
+    const int form = GENERATE(0, 1, 2, 3, 4, 5, 6);
     CAPTURE(form);
     std::promise<bool> closed;
     fleet.backendServers[0]->setHandler([&](const PlainRequest &request, PlainSocket &socket) {
@@ -155,8 +155,11 @@
         case 4: // event without end
             isClosed = writeAll(socket, head) && writeUntilClosed(socket, chunk(filler), 1ms, 5s);
             break;
-        default: // no HTTP at all
+        case 5: // no HTTP at all
             isClosed = writeUntilClosed(socket, filler, 1ms, 5s);
+            break;
+        default: // trailer without end
+            isClosed = writeAll(socket, head + "0\r\n") && writeUntilClosed(socket, "X-Filler: x\r\n", 0ms, 5s);
         }
         closed.set_value(isClosed);
         return false;
