Store client: the list after a compaction is not delayed by the failure before it

What callers see: changes made while the store compacts came into force 0.4 s or more later than the store could tell. Cause: one counter held failed calls and compactions; a store that compacts cuts the watches first, so that the compaction counted as the second failure in a row and its list waited for 0.4 s (0.8 s after an outage). The comment promised no delay. Evidence: test/platform/storeclient.cpp 'compacted store ...' red before (no list within 350 ms), green after. Conclusion: two counters; a second compaction in a row is delayed as before.

--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -111,24 +111,25 @@
             hasFailed_ = true;
             callbacks_.onFailure(failure);
         }
-        if (!failure.empty() || isCompacted) {
-            ++failuresInRow_;
-        }
+        failuresInRow_ += failure.empty() ? 0 : 1;
+        compactionsInRow_ += isCompacted ? 1 : 0;
         // The list that follows a compaction is not delayed, unless that list was compacted too.
-        if (!failure.empty() || (isCompacted && failuresInRow_ > 1)) {
-            co_await pause(retryPause());
+        if (!failure.empty()) {
+            co_await pause(retryPause(failuresInRow_));
+        } else if (isCompacted && compactionsInRow_ > 1) {
+            co_await pause(retryPause(compactionsInRow_));
         }
         co_await pauseWhileUpToDate();
     }
 }
 
-std::chrono::milliseconds StoreClient::retryPause() const
+std::chrono::milliseconds StoreClient::retryPause(int triesInRow) const
 {
     if (callbacks_.position().isEmpty()) {
         return internal::minRetryPause;
     }
     constexpr int maxDoublings = 2;
-    return std::min(internal::minRetryPause * (1 << std::min(failuresInRow_ - 1, maxDoublings)), internal::maxRetryPause);
+    return std::min(internal::minRetryPause * (1 << std::min(triesInRow - 1, maxDoublings)), internal::maxRetryPause);
 }
 
 asio::awaitable<void> StoreClient::pauseWhileUpToDate()
@@ -201,6 +202,7 @@
     if (!isOtherEra) {
         hasFailed_ = false;
         failuresInRow_ = 0;
+        compactionsInRow_ = 0;
         callbacks_.onChanges(page.items, page.position);
     }
 }
--- a/src/cyclamenspool/platform/storeclient.h
+++ b/src/cyclamenspool/platform/storeclient.h
@@ -78,7 +78,7 @@
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
     boost::asio::awaitable<void> pauseWhileUpToDate();
     boost::asio::awaitable<void> pauseBeforeList();
-    [[nodiscard]] std::chrono::milliseconds retryPause() const;
+    [[nodiscard]] std::chrono::milliseconds retryPause(int triesInRow) const;
 
     boost::asio::io_context &context_;
     std::string prefix_;
@@ -88,7 +88,8 @@
     bool isCalling_ = false;
     bool isCallReplaced_ = false;
     bool needsList_ = false; /* the store has compacted the changes after the position */
-    int failuresInRow_ = 0; /* failed calls, and lists after a compaction, since the last successful watch */
+    int failuresInRow_ = 0; /* since the last successful watch */
+    int compactionsInRow_ = 0; /* likewise */
     bool hasFailed_ = false; /* a call has failed since the last successful watch; shortens the wait of the next watch */
     std::atomic<bool> stopping_{false};
 };
--- a/test/platform/storeclient.cpp
+++ b/test/platform/storeclient.cpp
@@ -299,3 +299,18 @@
     REQUIRE(failures.size() == 1);
     CHECK_THAT(failures.front(), Catch::Contains("era that has ended"));
 }
+
+// Guards against changes that wait for the pauses of two failures, one of which is a compaction: the watch was cut, and the history dropped.
+TEST_CASE("compacted store: the list that follows is not delayed by a call that failed before, only by a second compaction", "[platform][watches]")
+{
+    const bool isCompactedTwice = GENERATE(false, true);
+    std::deque<Reply> replies{{"", "", 503}, {"", "", 410}, listOf("", 12, "op/config")};
+    if (isCompactedTwice) {
+        replies.push_back({"", "", 410});
+    }
+    replies.push_back(listOf("", 14, "op/config"));
+    Copy copy(std::move(replies), {0, 10});
+    copy.run(350ms);
+    CHECK(copy.lists.size() == 1);
+    CHECK(copy.position == StorePosition(0, 12));
+}
