Tests: each continued stream of the cut-head test is a request of its own

Traced: the test sent one identical request 290 times, under which both servers broke off each time. Since the quarantine knows whole requests, a request under which two servers were lost is not sent a second time until one answers it; that is what the test did, on every run. Changed: each stream has a path of its own; all checks, bytes and both ends stay.

--- a/test/process/headends.cpp
+++ b/test/process/headends.cpp
@@ -281,7 +281,8 @@
         }
         isSound = false;
         const auto id = "r" + std::to_string(100 + cut);
-        const auto seen = callWithVersion(address, "/resumed/x", id, httpVersion);
+        // Each is a request of its own: one under which both servers broke off before would not be sent on.
+        const auto seen = callWithVersion(address, "/resumed/" + id, id, httpVersion);
         CHECK(seen.status == 200);
         CHECK_FALSE(seen.isComplete);
         CHECK(seen.body == serverSentEvent(1));
