--- a/review/standin-2/kit.cpp
+++ b/review/standin-2/kit.cpp
@@ -183,7 +183,8 @@
                    const std::string &folder,
                    const std::string &storeAddress,
                    const std::vector<std::string> &zones,
-                   const DeploymentValues &values)
+                   const DeploymentValues &values,
+                   const std::vector<std::string> &stores)
     : all(zones.size())
     , program_(program)
 {
@@ -200,9 +201,11 @@
         // As deploy/gateway.yaml.template, with the values of the small installation's settings.
         std::ofstream(gateway.settingsFile) << "vm: " << gateway.vm << "\nzone: " << gateway.zone << "\ncaller_address: " << gateway.callerAddress
                                             << "\nready_address: " << gateway.readyAddress << "\npeer_address: " << gateway.peerAddress
-                                            << "\nmetrics_address: " << gateway.metricsAddress << "\nstore_address: " << storeAddress << "\nseed_peers: ["
+                                            << "\nmetrics_address: " << gateway.metricsAddress
+                                            << "\nstore_address: " << (i < stores.size() && !stores[i].empty() ? stores[i] : storeAddress) << "\nseed_peers: ["
                                             << seeds << "]\ndescriptors: 4100\nprocessor_share: 0.19\ngrace_s: " << values.graceSeconds
-                                            << "\nleave_ms: 2000\nconfiguration_ms: 2000\nretry_ratio: 0.2\nretry_slack: " << values.retrySlack
+                                            << "\nleave_ms: " << values.leaveMs << "\nconfiguration_ms: " << values.configurationMs
+                                            << "\nretry_ratio: 0.2\nretry_slack: " << values.retrySlack
                                             << "\nretry_window_s: 10\ncold_factor: 1.5\ncold_slack: 5\nload_factor: 2\n";
         start(gateway);
     }
--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -121,17 +121,21 @@
 struct DeploymentValues {
     double graceSeconds = 8;
     int retrySlack = 56;
+    int leaveMs = 2000;
+    int configurationMs = 2000;
 };
 
 /** @brief Writes the settings of gateways into a folder and starts them. */
 class Gateways
 {
 public:
+    /** @brief Starts gateways. @param stores Address of the store for each gateway; empty ones, and a missing list: the first parameter's. */
     Gateways(const std::string &program,
              const std::string &folder,
              const std::string &storeAddress,
              const std::vector<std::string> &zones,
-             const DeploymentValues &values = {});
+             const DeploymentValues &values = {},
+             const std::vector<std::string> &stores = {});
 
     void start(Gateway &gateway);
     bool waitUntilReady(Millis limit);
