Start queue test: waits for the timers, as they may be due a moment after poll()

The section "in order, once the outlook is known" failed in 5 of 5 runs on arm64: after setOutlook() and one poll() no request had gone on, after a second poll() two of three. The queue hands on one request a timer that is due at once; poll() returns without waiting for the kernel's timer to fire, which on this machine takes longer than the call.

The section now runs the context until nothing is left to do, and checks the same order.

--- a/test/gateway/starthold.cpp
+++ b/test/gateway/starthold.cpp
@@ -151,10 +151,8 @@
     SECTION("in order, once the outlook is known")
     {
         queue->setOutlook(StartOutlook::Known);
-        context.poll();
+        context.run_for(5s); /* returns once nothing is left to do */
         CHECK(resumed == std::vector{1, 3, 4});
-        context.poll();
-        CHECK(resumed.size() == 3);
         CHECK_FALSE(hold(5, 10s));
     }
     SECTION("at its own limit")
