Gateway, agent: a server's 408, 429 or 503 promises nothing unless the server says that it did not run the request

Callers saw: a booking that a server had run and answered with 503 reached the caller as a 503, the promise that nothing ran.

Cause: Exchange::onResponseHeaders judged successes, and failures of 500 and above with an attempt left; every other status was passed on as the server's own. In an answer to a caller 408, 421, 429 and 503 promise more than a server says without its statement. The agent did the same for keyed requests, and stored the answer.

Evidence: the request lines of such answers say "answered" with detail 503, one server each, and the answers have the server's digest, so neither the gateway's own refusals nor the decoding of the statement are at fault.

Fix: core/runpromise says which statuses promise, and when a server's may be passed on: to requests that may be repeated. Others get 502 without the digest (gateway), or end as backend_failed (agent). That keeps the rule that a digest comes with the server's own status only.

--- a/src/cyclamenspool/agent/core/agentcore.h
+++ b/src/cyclamenspool/agent/core/agentcore.h
@@ -58,7 +58,8 @@
     std::uint64_t admitted = 0;
     std::uint64_t completed = 0; /**< Responses relayed completely. */
     std::uint64_t replayedResponses = 0; /**< Responses replayed from an idempotency record. */
-    std::uint64_t droppedResponses = 0; /**< Backend responses dropped because they carried another request's id. */
+    std::uint64_t droppedResponses
+        = 0; /**< Backend responses dropped: they carried another request's id, or a status that promises more than the server said. */
     std::uint64_t coldStarts = 0;
     std::uint64_t orders = 0; /**< Orders to load a model. */
     std::uint64_t warmTokens = 0; /**< Prompt tokens that the engine found in its cache. */
@@ -231,6 +232,7 @@
     void replayStoredResponse(std::uint64_t stream, const wire::Submit &request, const policy::IdempotencyRecord &record, Actions &actions);
     void addReply(const Run &run, wire::Reply reply, bool last, Actions &actions) const;
     void failRun(std::uint64_t id, core::ErrorKind kind, const std::string &detail, Actions &actions);
+    void dropResponse(std::uint64_t id, core::ErrorKind kind, const std::string &detail, core::Now now, Actions &actions);
     void adjustLoad(double change, core::Now now);
     void eraseRun(std::uint64_t id, core::Now now);
     void recordChatPlacement(const Run &run, core::Now now, Actions &actions);
--- a/src/cyclamenspool/agent/core/agentruns.cpp
+++ b/src/cyclamenspool/agent/core/agentruns.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/agent/core/agentcore.h>
 #include <cyclamenspool/agent/core/replies.h>
 
+#include <cyclamenspool/core/runpromise.h>
 #include <cyclamenspool/policy/rendezvous.h>
 
 namespace cyclamenspool::agent {
@@ -87,10 +88,12 @@
     }
     auto &run = found->second;
     if (!head.requestId.empty() && head.requestId != run.request.request_id()) {
-        ++counts_.droppedResponses;
-        actions.emplace_back(CancelRun{id, run.request.request_id()});
-        failRun(id, ErrorKind::OutcomeUnknown, "the backend server responded with another request's id", actions);
-        eraseRun(id, now);
+        dropResponse(id, ErrorKind::OutcomeUnknown, "the backend server responded with another request's id", now, actions);
+        return actions;
+    }
+    if (!core::canRelayStatus(head.status, run.request.key().empty())) {
+        const auto status = std::to_string(head.status);
+        dropResponse(id, ErrorKind::BackendFailed, "backend response with status " + status + ", which does not say whether the request ran", now, actions);
         return actions;
     }
     run.responseStarted = true;
@@ -112,6 +115,14 @@
     return actions;
 }
 
+void AgentCore::dropResponse(std::uint64_t id, ErrorKind kind, const std::string &detail, core::Now now, Actions &actions)
+{
+    ++counts_.droppedResponses;
+    actions.emplace_back(CancelRun{id, runs_.at(id).request.request_id()});
+    failRun(id, kind, detail, actions);
+    eraseRun(id, now);
+}
+
 Actions AgentCore::onBackendResponseData(std::uint64_t id, const std::string &data, core::Now now)
 {
     static_cast<void>(now);
--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/gateway/exchange.h>
 
+#include <cyclamenspool/core/runpromise.h>
 #include <cyclamenspool/gateway/streamend.h>
 
 #include <boost/beast/http/status.hpp>
@@ -29,6 +30,11 @@
     return status >= 500;
 }
 
+Outcome outcomeOf(unsigned status)
+{
+    return isServerFailure(status) ? Outcome::Failed : Outcome::Answered;
+}
+
 bool hasNoBody(unsigned status)
 {
     return status == 204 || status == 304;
@@ -84,6 +90,15 @@
         retryOrFail(core::ErrorKind::BackendFailed, "unusable backend response with status " + std::to_string(status), route.isRetryable());
         return;
     }
+    if (!core::canRelayStatus(static_cast<int>(status), route.isRetryable())) {
+        mayHaveRun_ = true;
+        call_->cancel();
+        finishAttempt(internal::outcomeOf(status));
+        retryOrFail(core::ErrorKind::BackendFailed,
+                    "backend response with status " + std::to_string(status) + " without a statement that the request did not run",
+                    false);
+        return;
+    }
     if (isResumed) {
         return;
     }
@@ -176,7 +191,7 @@
     if (internal::isSuccess(responseStatus_)) {
         recordAnswer();
     }
-    finishAttempt(internal::isServerFailure(responseStatus_) ? Outcome::Failed : Outcome::Answered);
+    finishAttempt(internal::outcomeOf(responseStatus_));
     if (relayMode_ == RelayMode::Buffered) {
         sendBuffered();
     } else {
--- a/test/fault/recordingbackend.cpp
+++ b/test/fault/recordingbackend.cpp
@@ -50,7 +50,7 @@
     const auto text = expectedResponse(answeredRequest);
     responses_[request.request_id()] = text;
     agent::BackendResponseHead head;
-    head.status = 200;
+    head.status = record_->status;
     head.contentType = "text/plain";
     head.requestId = answeredRequest.request_id();
     sink.onResponseHead(head);
--- a/test/fault/recordingbackend.h
+++ b/test/fault/recordingbackend.h
@@ -16,6 +16,7 @@
     int mismatchedResponsesLeft = 0; /**< Set by a cell: this many of the next responses carry the id of another request. */
     std::map<std::string, std::vector<agent::OrderModelLoad>> orders; /**< Orders to load a model, by backend server. */
     std::vector<std::pair<std::string, core::MonotonicTime>> runStarts; /**< Backend server and start time of each run, in chronological order. */
+    int status = 200; /**< HTTP status of each response. */
     core::Milliseconds partDelay{0}; /**< Delay before each part of a response and before its end. */
 };
 
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -109,6 +109,33 @@
     CHECK(runs == 1);
 }
 
+// Guards against a backend server's 503 after a run that makes the caller send the request again.
+TEST_CASE("a status that promises that a request has not run is passed on only if the request may be repeated", "[process][gateway]")
+{
+    GatewayFleet fleet(1, 2);
+    const std::string status = GENERATE("408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable");
+    for (auto &server : fleet.backendServers) {
+        server->setHandler([&status](const PlainRequest &request, PlainSocket &socket) {
+            return writeAll(socket, formatResponseWithDigest(request, "failed", status));
+        });
+    }
+    for (const std::string route : {"once", "stream"}) {
+        const auto response = sendRequest(fleet.makeRequest(route, "/" + route + "/x"));
+        CAPTURE(route, status);
+        CHECK(response.status == 502);
+        CHECK(response.header("cyclamenspool-response-seal").empty());
+        CHECK(response.header("retry-after").empty());
+        CHECK(fleet.backendServers[0]->runCount(route) + fleet.backendServers[1]->runCount(route) == 1);
+    }
+    for (const std::string route : {"again", "resumed"}) {
+        const auto response = sendRequest(fleet.makeRequest(route, "/" + route + "/x"));
+        CAPTURE(route, status);
+        CHECK(response.status == std::stoi(status));
+        CHECK(response.header("cyclamenspool-response-seal") == "seal");
+        CHECK(response.body == "failed");
+    }
+}
+
 TEST_CASE("an idempotent request is retried once after a connection reset", "[process][gateway]")
 {
     GatewayFleet fleet(1, 3);
