Gateway: a watch that returns several versions of a large configuration is given up for a list

Cause: a watch returns every version, 0.53 s each at 10 Mbit/s, so that each response held more of them than the one before. Checks of the store read the same versions beside it, and their lateness on the full link counted as an outage; a peer's copy was not taken while a response arrived.

Evidence: routing lines of a gateway with a paced link: two versions in force 7 ms apart, 2.5 s after the one before, so neither decoding nor the table is slow; store_lost each 0.5 s as a check is late. New lines store_read_slow and store_list_preferred tell size, time and choice.

Fix: a response that is larger than 1.5 times a list (and 256 KiB) is not read, the section is listed, and a list is always read to its end. While bytes arrive the section is not read by a check too, the call is not replaced, and late checks show no outage. A response may take longer than the timeout while it arrives at 1 Mbit/s; the pause after a change counts from its headers. Copies from peers are requested no faster than the last one took.

--- a/src/cyclamenspool/gateway/catalog.cpp
+++ b/src/cyclamenspool/gateway/catalog.cpp
@@ -157,7 +157,7 @@
     }
     onStoreAnswered(section);
     if (!changes.empty()) {
-        state.lastChange = std::chrono::steady_clock::now();
+        state.lastChange = asOf;
     }
     apply(section, state.replica.merge(changes, position), "store");
     onStoreSuccess(section, asOf);
@@ -370,6 +370,16 @@
     return stateOf(section).replica.toSnapshot();
 }
 
+std::uint64_t Catalog::listBytes(Section section) const
+{
+    constexpr std::uint64_t itemOverhead = 128; /* names of the fields, revisions, lease */
+    std::uint64_t bytes = 0;
+    for (const auto &[key, item] : stateOf(section).replica.items()) {
+        bytes += itemOverhead + key.size() + (item.value.size() + 2) / 3 * 4; /* base64 */
+    }
+    return bytes;
+}
+
 const member::StorePosition &Catalog::position(Section section) const
 {
     return stateOf(section).replica.position();
--- a/src/cyclamenspool/gateway/catalog.h
+++ b/src/cyclamenspool/gateway/catalog.h
@@ -90,6 +90,9 @@
     /** @brief Returns the cached items of a section with their position. */
     [[nodiscard]] member::StoreSnapshot snapshot(Section section) const;
 
+    /** @brief Returns the approximate size of the store's response to a list of a section, as far as its copy tells, in bytes. */
+    [[nodiscard]] std::uint64_t listBytes(Section section) const;
+
     /** @brief Returns the position of a section's cached copy; empty if there is no data yet. */
     [[nodiscard]] const member::StorePosition &position(Section section) const;
 
@@ -111,7 +114,7 @@
     /** @brief Returns the time since a section's copy was last brought up to date, by a store call or a peer's changes; undefined before the first one. */
     [[nodiscard]] core::Milliseconds age(Section section) const;
 
-    /** @brief Returns the time since the store last returned changes of a section; very long if it never did. */
+    /** @brief Returns the time since the store last began to return changes of a section; very long if it never did. */
     [[nodiscard]] core::Milliseconds timeSinceChange(Section section) const;
 
     /** @brief Returns whether the last store call for a section failed; also true before the first response. */
--- a/src/cyclamenspool/gateway/copyrequestlimit.cpp
+++ b/src/cyclamenspool/gateway/copyrequestlimit.cpp
@@ -1,5 +1,7 @@
 #include <cyclamenspool/gateway/copyrequestlimit.h>
 
+#include <algorithm>
+
 namespace cyclamenspool::gateway {
 
 namespace internal {
@@ -15,7 +17,8 @@
         return true;
     }
     const bool isRepeat = position <= position_ && !isStoreUnavailable;
-    return now - requestedAt_ >= (isRepeat ? internal::minRepeatInterval : internal::minRequestInterval);
+    const core::MonotonicTime::duration interval = isRepeat ? internal::minRepeatInterval : internal::minRequestInterval;
+    return now - requestedAt_ >= std::max(interval, lastDuration_);
 }
 
 void CopyRequestLimit::onRequested(const member::StorePosition &position, core::MonotonicTime now) noexcept
@@ -24,4 +27,9 @@
     position_ = position;
 }
 
+void CopyRequestLimit::onReceived(core::MonotonicTime now) noexcept
+{
+    lastDuration_ = std::min<core::MonotonicTime::duration>(now - requestedAt_, internal::minRepeatInterval);
+}
+
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/gatewaynode.cpp
+++ b/src/cyclamenspool/gateway/gatewaynode.cpp
@@ -1,6 +1,7 @@
 #include <cyclamenspool/gateway/gatewaynode.h>
 
 #include <cyclamenspool/gateway/callersession.h>
+#include <cyclamenspool/gateway/storelog.h>
 #include <cyclamenspool/gateway/watchpolicy.h>
 #include <cyclamenspool/http/refusal.h>
 #include <cyclamenspool/platform/headers.h>
@@ -194,8 +195,8 @@
         catalog_.onStoreList(section, list);
         gossip_.onStoreRead(section);
     };
-    callbacks.onChanges = [this, section](const std::vector<member::StoreItem> &changes, const member::StorePosition &position) {
-        onStoreChanges(section, {changes, position, std::chrono::steady_clock::now()});
+    callbacks.onChanges = [this, section](const platform::StoreChanges &changes) {
+        onStoreChanges(section, changes);
     };
     callbacks.onEra = [this, section](std::uint64_t era) {
         return onStoreEra(era, "store", section);
@@ -203,9 +204,14 @@
     callbacks.onFailure = [this, section](const std::string &reason) {
         catalog_.onStoreFailure(section, reason);
     };
-    callbacks.onMalformed = [](const std::string &key, const std::string &reason) {
-        telemetry::logRateLimited("item_passed_over", {{"key", key}, {"reason", reason}});
+    const std::string prefix(Catalog::prefixOf(section));
+    callbacks.onRead = [prefix](const char *call, const platform::StoreResponse &response) {
+        logSlowRead(prefix, call, response);
+    };
+    callbacks.onWatchGivenUp = [prefix] {
+        logListPreferred(prefix);
     };
+    callbacks.onMalformed = logMalformedItem;
     callbacks.position = [this, section] {
         return catalog_.watchPosition(section);
     };
@@ -218,7 +224,9 @@
     callbacks.watchTime = [this, section] {
         return section == Catalog::Section::Servers ? listWatchTime(gossip_.isListWatcher()) : configurationWatchTime();
     };
-    const std::string prefix(Catalog::prefixOf(section));
+    callbacks.maxWatchBytes = [this, section] {
+        return maxWatchBytes(catalog_.listBytes(section));
+    };
     storeClients_.push_back(std::make_unique<platform::StoreClient>(control(), settings_.storeAddress, prefix, std::move(callbacks)));
     storeClients_.back()->start();
 }
@@ -261,11 +269,18 @@
     callbacks.onChanges = [this](Catalog::Section section, const platform::StoreChanges &changes) {
         onStoreChanges(section, changes);
     };
+    callbacks.isReceiving = [this](Catalog::Section section) {
+        return storeClient(section).isReceiving();
+    };
     callbacks.replaceCall = [this](Catalog::Section section) {
-        storeClient(section).replaceCall();
+        if (!storeClient(section).isReceiving()) {
+            storeClient(section).replaceCall();
+        }
     };
     callbacks.relist = [this](Catalog::Section section) {
-        storeClient(section).relist();
+        if (!storeClient(section).isReceiving()) {
+            storeClient(section).relist();
+        }
     };
     callbacks.onEra = [this](std::uint64_t era) {
         return onStoreEra(era, "store");
--- a/src/cyclamenspool/gateway/peergossip.cpp
+++ b/src/cyclamenspool/gateway/peergossip.cpp
@@ -537,6 +537,7 @@
     request.set_prefix(std::string(Catalog::prefixOf(section)));
     wire::StreamCallbacks callbacks;
     callbacks.onMessage = [this, section](const std::string &message) {
+        copyRequestLimits_[section].onReceived(std::chrono::steady_clock::now());
         const auto snapshot = internal::logIfUnreadable(decodeSnapshot(message), internal::itemsPath, message.size());
         if (snapshot && storeCalls_.onEra) {
             storeCalls_.onEra(snapshot->snapshot.position.era);
--- a/src/cyclamenspool/gateway/storechecks.cpp
+++ b/src/cyclamenspool/gateway/storechecks.cpp
@@ -1,7 +1,9 @@
 #include <cyclamenspool/gateway/storechecks.h>
 
-#include <cyclamenspool/telemetry/log.h>
+#include <cyclamenspool/gateway/storelog.h>
+#include <cyclamenspool/gateway/watchpolicy.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -38,12 +40,12 @@
 
 void StoreChecks::check()
 {
-    const bool isUnanswered = poller_.oldestAge() > internal::maxAnswerTime;
-    if (isUnanswered) {
+    const bool isLate = isUnanswered();
+    if (isLate) {
         onUnavailable("a check was not answered");
     }
     // The gateway that takes over the duty may not be answered either, and would need as long again to notice it.
-    if (catalog_.isComplete() && (isUnanswered || callbacks_.isOnDuty())) {
+    if (catalog_.isComplete() && (isLate || callbacks_.isOnDuty())) {
         poll(Catalog::Section::Servers);
     }
     checkTimer_.expires_after(callbacks_.period());
@@ -54,6 +56,18 @@
     });
 }
 
+bool StoreChecks::isReceiving(Catalog::Section section) const
+{
+    return callbacks_.isReceiving(section) || poller_.isReceiving(std::string(Catalog::prefixOf(section)));
+}
+
+bool StoreChecks::isUnanswered() const
+{
+    return poller_.oldestAge() > internal::maxAnswerTime && std::none_of(internal::sections.begin(), internal::sections.end(), [this](auto section) {
+               return isReceiving(section);
+           });
+}
+
 void StoreChecks::poll(Catalog::Section section)
 {
     const auto position = catalog_.watchPosition(section);
@@ -64,17 +78,19 @@
     callbacks.onChanges = [this, section](const platform::StoreChanges &changes) {
         onChanges(section, changes);
     };
-    callbacks.onCompacted = [this, section] {
+    const std::string prefix(Catalog::prefixOf(section));
+    callbacks.onRead = [prefix](const platform::StoreResponse &response) {
+        logSlowRead(prefix, "check", response);
+    };
+    callbacks.onListNeeded = [this, section] {
         callbacks_.relist(section);
     };
     callbacks.onFailure = [this](const std::string &reason) {
         onUnavailable(reason);
     };
-    callbacks.onMalformed = [](const std::string &key, const std::string &reason) {
-        telemetry::logRateLimited("item_passed_over", {{"key", key}, {"reason", reason}});
-    };
+    callbacks.onMalformed = logMalformedItem;
     callbacks.onEra = callbacks_.onEra;
-    poller_.poll(std::string(Catalog::prefixOf(section)), position, std::move(callbacks));
+    poller_.poll(prefix, position, maxWatchBytes(catalog_.listBytes(section)), std::move(callbacks));
 }
 
 void StoreChecks::onChanges(Catalog::Section section, const platform::StoreChanges &changes)
@@ -101,7 +117,7 @@
     }
     configurationTimer_.expires_after(internal::watchHeadStart);
     configurationTimer_.async_wait([this, isBehind](const boost::system::error_code &error) {
-        if (!error && isBehind()) {
+        if (!error && isBehind() && !isReceiving(Catalog::Section::OperatorConfig)) {
             poll(Catalog::Section::OperatorConfig);
         }
     });
--- a/src/cyclamenspool/gateway/storechecks.h
+++ b/src/cyclamenspool/gateway/storechecks.h
@@ -19,8 +19,9 @@
     std::function<core::Milliseconds()> period; /**< Returns the time between two checks. */
     std::function<bool()> isOnDuty; /**< Returns whether this gateway checks the store for its zone. */
     std::function<void(Catalog::Section, const platform::StoreChanges &)> onChanges; /**< Applies changes, none included. */
-    std::function<void(Catalog::Section)> replaceCall; /**< Replaces the call in progress of the section's own watch, if any. */
-    std::function<void(Catalog::Section)> relist; /**< Lists the section again. */
+    std::function<bool(Catalog::Section)> isReceiving; /**< Returns whether a response to the section's own call is arriving. */
+    std::function<void(Catalog::Section)> replaceCall; /**< Replaces the section's own call unless its response is arriving. */
+    std::function<void(Catalog::Section)> relist; /**< Lists the section again unless a response to its own call is arriving. */
     std::function<bool(std::uint64_t)> onEra; /**< As platform::StorePollCallbacks::onEra. */
 };
 
@@ -30,6 +31,9 @@
  * Peers cannot show such a loss if it hits the watches of all gateways. The store has one revision counter: a check reads the changes of the list of backend
  * servers, and those of the operator's documents only if the store's position is later than the one up to which they are known. While a copy of the latest
  * era is missing there is nothing to check: the section is being listed. Control thread only.
+ *
+ * Checks share the link with the section's own calls. While a large response arrives on it, a late check shows no outage, and the same changes are not
+ * read a second time.
  */
 class StoreChecks
 {
@@ -51,6 +55,8 @@
 
 private:
     void check();
+    [[nodiscard]] bool isReceiving(Catalog::Section section) const;
+    [[nodiscard]] bool isUnanswered() const;
     void poll(Catalog::Section section);
     void onChanges(Catalog::Section section, const platform::StoreChanges &changes);
     void onUnavailable(const std::string &reason);
--- a/src/cyclamenspool/gateway/watchpolicy.cpp
+++ b/src/cyclamenspool/gateway/watchpolicy.cpp
@@ -18,6 +18,7 @@
 constexpr int checkDivisor = 4; /* of the smaller bound; the rest is for an unanswered check, messages to the zone and requests on their way */
 constexpr core::Milliseconds maxCheckPeriod{500};
 constexpr double restoredListShare = 0.375; /* of the smaller bound; longer than a check and an update */
+constexpr std::uint64_t smallResponseBytes = 256UL * 1024; /* 0.2 s at 10 Mbit/s */
 
 core::Milliseconds scale(core::Milliseconds time, double factor) noexcept
 {
@@ -68,6 +69,11 @@
     return isChecker ? core::Milliseconds(0) : delay - sinceRestore;
 }
 
+std::uint64_t maxWatchBytes(std::uint64_t listBytes) noexcept
+{
+    return std::max(internal::smallResponseBytes, listBytes + listBytes / 2);
+}
+
 core::Milliseconds configurationWatchTime() noexcept
 {
     return internal::longWatchTime;
--- a/src/cyclamenspool/gateway/watchpolicy.h
+++ b/src/cyclamenspool/gateway/watchpolicy.h
@@ -2,6 +2,8 @@
 
 #include <cyclamenspool/core/now.h>
 
+#include <cstdint>
+
 namespace cyclamenspool::gateway {
 
 /** @brief Delays within which changes in the store must take effect; from the settings. */
@@ -79,4 +81,12 @@
 /** @brief Returns how long the store may hold a watch of the routing configuration without a change. */
 [[nodiscard]] core::Milliseconds configurationWatchTime() noexcept;
 
+/**
+ * @brief Returns the size of a watch's response from which on a list is read instead, in bytes: it holds more than one version of the same items.
+ *
+ * A small response is read in any case, as a further call takes longer.
+ * @param listBytes Size of the response to a list.
+ */
+[[nodiscard]] std::uint64_t maxWatchBytes(std::uint64_t listBytes) noexcept;
+
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/platform/storeclient.cpp
+++ b/src/cyclamenspool/platform/storeclient.cpp
@@ -97,6 +97,10 @@
         } catch (const RevisionCompacted &) {
             needsList_ = true;
             isCompacted = true;
+        } catch (const ResponseTooLarge &) {
+            needsList_ = true;
+            connection_.close();
+            callbacks_.onWatchGivenUp();
         } catch (const std::exception &error) {
             failure = error.what();
         }
@@ -169,7 +173,7 @@
         if (!after.empty()) {
             target += "&after=" + internal::encodeQueryValue(after);
         }
-        const auto response = co_await call(target, internal::callTimeout);
+        const auto response = co_await call("list", target, {internal::callTimeout});
         auto page = readListPage(response.content(), response.era, callbacks_.onMalformed);
         const bool isFirst = all.position.isEmpty();
         if (!isFirst && page.position.era != all.position.era) {
@@ -193,7 +197,7 @@
     const auto wait = hasFailed_ ? internal::waitAfterFailure : callbacks_.watchTime();
     const auto position = callbacks_.position();
     const auto target = watchTarget(prefix_, position, wait);
-    const auto response = co_await call(target, wait + internal::callTimeout);
+    const auto response = co_await call("watch", target, {wait + internal::callTimeout, callbacks_.maxWatchBytes()});
     const bool isOtherEra = response.era != position.era;
     if (isOtherEra && response.isCompacted()) {
         co_return;
@@ -203,14 +207,15 @@
         hasFailed_ = false;
         failuresInRow_ = 0;
         compactionsInRow_ = 0;
-        callbacks_.onChanges(page.items, page.position);
+        callbacks_.onChanges({page.items, page.position, response.headersAt});
     }
 }
 
-asio::awaitable<StoreResponse> StoreClient::call(std::string target, std::chrono::milliseconds timeout)
+asio::awaitable<StoreResponse> StoreClient::call(const char *name, std::string target, StoreCallLimits limits)
 {
     isCalling_ = true;
-    auto response = co_await connection_.get(std::move(target), timeout);
+    auto response = co_await connection_.get(std::move(target), limits);
+    callbacks_.onRead(name, response);
     if (!callbacks_.onEra(response.era)) {
         throw EraEnded();
     }
--- a/src/cyclamenspool/platform/storeconnection.cpp
+++ b/src/cyclamenspool/platform/storeconnection.cpp
@@ -7,9 +7,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenspool::platform {
@@ -23,7 +23,8 @@
 constexpr std::chrono::milliseconds connectTimeout{800};
 constexpr wire::TcpKeepAlive storeKeepAlive{std::chrono::milliseconds(2000), std::chrono::seconds(1), 2};
 constexpr std::size_t maxUnparsedBytes = 64UL * 1024; /* of a head, a chunk header or a trailer */
-constexpr std::uint64_t maxResponseBytes = 64UL * 1024 * 1024;
+constexpr std::chrono::milliseconds maxReceivePause{1000}; /* between two reads of a body that still counts as arriving */
+constexpr std::uint64_t minBytesPerMillisecond = 125; /* 1 Mbit/s; the average of a body that takes longer than the timeout */
 
 } // namespace internal
 
@@ -59,42 +60,70 @@
     wire::setTcpKeepAlive(stream_->socket(), internal::storeKeepAlive);
 }
 
-asio::awaitable<StoreResponse> StoreConnection::get(std::string target, std::chrono::milliseconds timeout)
+asio::awaitable<StoreResponse> StoreConnection::get(std::string target, StoreCallLimits limits)
 {
     try {
-        co_return co_await exchange(std::move(target), timeout);
+        co_return co_await exchange(std::move(target), limits);
     } catch (const boost::system::system_error &error) {
         throw std::runtime_error(error.code().message()); // what() would add the place in the library's source.
     }
 }
 
-asio::awaitable<StoreResponse> StoreConnection::exchange(std::string target, std::chrono::milliseconds timeout)
+asio::awaitable<StoreResponse> StoreConnection::exchange(std::string target, StoreCallLimits limits)
 {
+    receivedAt_.reset();
     waitingSince_ = std::chrono::steady_clock::now();
     if (stream_ == nullptr) {
         co_await connect();
     }
     bhttp::request<bhttp::empty_body> request(bhttp::verb::get, target, 11);
     request.set(bhttp::field::host, address_);
-    stream_->expires_after(timeout);
+    stream_->expires_after(limits.timeout);
     co_await bhttp::async_write(*stream_, request, asio::use_awaitable);
-    bhttp::response_parser<bhttp::string_body> parser;
-    parser.body_limit(internal::maxResponseBytes);
+    Parser parser;
+    parser.body_limit(boost::none);
     co_await bhttp::async_read_header(*stream_, buffer_, parser, asio::use_awaitable);
     waitingSince_.reset();
-    co_await bhttp::async_read(*stream_, buffer_, parser, asio::use_awaitable);
+    const auto headersAt = std::chrono::steady_clock::now();
+    co_await readBody(parser, limits);
     auto response = parser.release();
     // Bytes after a complete response belong to no call, so the connection is closed.
     if (!response.keep_alive() || buffer_.size() > 0) {
         stream_.reset();
     }
     StoreResponse result;
+    result.headersAt = headersAt;
     result.status = response.result_int();
     result.era = readStoreEra(response);
     result.body = std::move(response.body());
     co_return result;
 }
 
+asio::awaitable<void> StoreConnection::readBody(Parser &parser, StoreCallLimits limits)
+{
+    if (parser.content_length().value_or(0) > limits.maxBodyBytes) {
+        throw ResponseTooLarge(limits.maxBodyBytes);
+    }
+    const auto begin = std::chrono::steady_clock::now();
+    receivedAt_ = begin;
+    std::uint64_t received = 0; /* with the framing */
+    while (!parser.is_done()) {
+        const std::chrono::milliseconds earned(received / internal::minBytesPerMillisecond);
+        stream_->expires_at(std::min(*receivedAt_, begin + earned) + limits.timeout);
+        received += co_await bhttp::async_read_some(*stream_, buffer_, parser, asio::use_awaitable);
+        receivedAt_ = std::chrono::steady_clock::now();
+        if (received > limits.maxBodyBytes) {
+            throw ResponseTooLarge(limits.maxBodyBytes);
+        }
+    }
+    receivedAt_.reset();
+}
+
+bool StoreConnection::isReceiving() const
+{
+    return receivedAt_ && std::chrono::steady_clock::now() - *receivedAt_ < internal::maxReceivePause;
+}
+
 std::chrono::milliseconds StoreConnection::waitingTime() const
 {
     const auto now = std::chrono::steady_clock::now();
@@ -111,6 +140,7 @@
 void StoreConnection::close()
 {
     waitingSince_.reset();
+    receivedAt_.reset();
     stream_.reset();
 }
 
--- a/src/cyclamenspool/platform/storepoller.cpp
+++ b/src/cyclamenspool/platform/storepoller.cpp
@@ -24,7 +24,7 @@
 {
 }
 
-void StorePoller::poll(const std::string &prefix, const member::StorePosition &position, StorePollCallbacks callbacks)
+void StorePoller::poll(const std::string &prefix, const member::StorePosition &position, std::uint64_t maxBytes, StorePollCallbacks callbacks)
 {
     if (running_.size() >= internal::maxRunningPolls) {
         return;
@@ -32,6 +32,7 @@
     auto poll = std::make_shared<Poll>();
     poll->prefix = prefix;
     poll->position = position;
+    poll->maxBytes = maxBytes;
     poll->callbacks = std::move(callbacks);
     poll->connection = idle_ != nullptr ? std::move(idle_) : std::make_unique<StoreConnection>(context_, address_);
     poll->startedAt = std::chrono::steady_clock::now();
@@ -45,10 +46,11 @@
     StoreChanges changes;
     changes.asOf = poll->startedAt;
     std::string failure;
-    bool isCompacted = false;
+    bool isListNeeded = false;
     bool isOtherEra = false;
     try {
-        const auto response = co_await poll->connection->get(target, internal::pollTimeout);
+        const auto response = co_await poll->connection->get(target, {internal::pollTimeout, poll->maxBytes});
+        poll->callbacks.onRead(response);
         if (!poll->callbacks.onEra(response.era)) {
             throw EraEnded();
         }
@@ -57,7 +59,10 @@
         changes.items = page.items;
         changes.position = page.position;
     } catch (const RevisionCompacted &) {
-        isCompacted = true;
+        isListNeeded = true;
+    } catch (const ResponseTooLarge &) {
+        isListNeeded = true;
+        poll->connection->close();
     } catch (const std::exception &error) {
         failure = error.what();
     }
@@ -75,8 +80,8 @@
     if (isOtherEra) {
         co_return;
     }
-    if (isCompacted) {
-        poll->callbacks.onCompacted();
+    if (isListNeeded) {
+        poll->callbacks.onListNeeded();
     } else {
         poll->callbacks.onChanges(changes);
     }
@@ -92,6 +97,13 @@
     }
 }
 
+bool StorePoller::isReceiving(const std::string &prefix) const
+{
+    return std::any_of(running_.begin(), running_.end(), [&prefix](const PollPtr &poll) {
+        return poll->prefix == prefix && poll->connection->isReceiving();
+    });
+}
+
 std::chrono::milliseconds StorePoller::oldestAge() const
 {
     const auto now = std::chrono::steady_clock::now();
--- a/src/cyclamenspool/platform/storepoller.h
+++ b/src/cyclamenspool/platform/storepoller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamenspool/member/storereplica.h>
+#include <cyclamenspool/platform/storechanges.h>
 #include <cyclamenspool/platform/storeconnection.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -17,19 +18,13 @@
 
 namespace cyclamenspool::platform {
 
-/** @brief Changes that a poll has read. */
-struct StoreChanges {
-    std::vector<member::StoreItem> items;
-    member::StorePosition position; /**< Position of the store up to which they are complete. */
-    std::chrono::steady_clock::time_point asOf; /**< Start of the call: the changes are complete at least up to this time. */
-};
-
 /** @brief Result of a poll: one of the first three is called, unless a later poll of the same prefix has succeeded before, or the response is of a later era.
  */
 struct StorePollCallbacks {
     std::function<void(const StoreChanges &)> onChanges;
-    std::function<void()> onCompacted; /**< The changes after the position are no longer available. */
+    std::function<void()> onListNeeded; /**< The changes after the position are no longer available, or too large. */
     std::function<void(const std::string &)> onFailure; /**< Argument: reason. */
+    std::function<void(const StoreResponse &)> onRead; /**< A response was read, with any status. */
     std::function<bool(std::uint64_t)> onEra; /**< Called first with the era of any response. Returns false if the era has ended: the poll then fails. */
     std::function<void(const std::string &, const std::string &)> onMalformed; /**< An item was skipped. Arguments: key, reason. */
 };
@@ -50,9 +45,13 @@
      * @brief Starts a poll; does nothing while too many are in progress.
      * @param prefix Prefix of the keys.
      * @param position Position after which changes are requested; not empty.
+     * @param maxBytes Size from which on the response is not read.
      * @param callbacks Receiver of the result.
      */
-    void poll(const std::string &prefix, const member::StorePosition &position, StorePollCallbacks callbacks);
+    void poll(const std::string &prefix, const member::StorePosition &position, std::uint64_t maxBytes, StorePollCallbacks callbacks);
+
+    /** @brief Returns whether a response to a poll of a prefix is arriving, as StoreConnection::isReceiving(). */
+    [[nodiscard]] bool isReceiving(const std::string &prefix) const;
 
     /** @brief Returns the time since the start of the oldest poll in progress; zero if there is none. */
     [[nodiscard]] std::chrono::milliseconds oldestAge() const;
@@ -64,6 +63,7 @@
     struct Poll {
         std::string prefix;
         member::StorePosition position;
+        std::uint64_t maxBytes = 0;
         StorePollCallbacks callbacks;
         std::unique_ptr<StoreConnection> connection;
         std::chrono::steady_clock::time_point startedAt;
--- a/test/gateway/copyrequestlimit.cpp
+++ b/test/gateway/copyrequestlimit.cpp
@@ -52,3 +52,19 @@
     }
     CHECK(requests == 10);
 }
+
+// Guards against copies over a slow link that are requested faster than it carries them.
+TEST_CASE("slow link: the next copy is requested no earlier than after the time that the last one took", "[gateway][slowlink]")
+{
+    CopyRequestLimit limit;
+    limit.onRequested({0, 7}, start);
+    limit.onReceived(start + 700ms);
+    CHECK_FALSE(limit.isAllowed({0, 18}, true, start + 699ms));
+    CHECK(limit.isAllowed({0, 18}, true, start + 700ms));
+    limit.onRequested({0, 18}, start + 700ms);
+    limit.onReceived(start + 5000ms);
+    CHECK(limit.isAllowed({0, 19}, true, start + 1700ms));
+    limit.onRequested({0, 19}, start + 6000ms);
+    limit.onReceived(start + 6010ms);
+    CHECK(limit.isAllowed({0, 20}, true, start + 6300ms));
+}
--- a/test/gateway/storechecks.cpp
+++ b/test/gateway/storechecks.cpp
@@ -92,6 +92,9 @@
         return true;
     };
     callbacks.onChanges = [](Catalog::Section, const platform::StoreChanges &) {};
+    callbacks.isReceiving = [](Catalog::Section) {
+        return false;
+    };
     callbacks.replaceCall = [&replaced](Catalog::Section section) {
         ++replaced[section];
     };
@@ -131,6 +134,9 @@
     callbacks.onChanges = [&catalog](Catalog::Section section, const platform::StoreChanges &changes) {
         catalog.onStoreChanges(section, changes.items, changes.position, changes.asOf);
     };
+    callbacks.isReceiving = [](Catalog::Section) {
+        return false;
+    };
     callbacks.replaceCall = [](Catalog::Section) {};
     callbacks.relist = [](Catalog::Section) {};
     SilencedStore store(context);
--- a/test/gateway/watchpolicy.cpp
+++ b/test/gateway/watchpolicy.cpp
@@ -87,3 +87,12 @@
     CHECK(gateway::listPause(bounds, false, 0ms) > gateway::listPause(bounds, true, 0ms));
     CHECK(gateway::listPause(bounds, false, bounds.leaving) <= 0ms);
 }
+
+TEST_CASE("slow link: a watch may return one version of every item and any small response, but not two versions of a large one", "[gateway][slowlink]")
+{
+    constexpr std::uint64_t configurationBytes = 664'000;
+    CHECK(gateway::maxWatchBytes(configurationBytes) > configurationBytes);
+    CHECK(gateway::maxWatchBytes(configurationBytes) < 2 * configurationBytes);
+    CHECK(gateway::maxWatchBytes(0) == gateway::maxWatchBytes(1000));
+    CHECK(gateway::maxWatchBytes(0) > 20 * 5000);
+}
--- a/test/harness/faultproxy.cpp
+++ b/test/harness/faultproxy.cpp
@@ -27,8 +27,9 @@
 class FaultProxy::Link : public std::enable_shared_from_this<FaultProxy::Link>
 {
 public:
-    Link(asio::io_context &context, Tcp::socket caller, const std::atomic<ProxyMode> &mode)
+    Link(asio::io_context &context, Tcp::socket caller, const std::atomic<ProxyMode> &mode, Pace &pace)
         : mode_(mode)
+        , pace_(pace)
         , caller_{std::move(caller), asio::steady_timer(context), {}, ProxyMode::DropToTarget}
         , target_{Tcp::socket(context), asio::steady_timer(context), {}, ProxyMode::DropFromTarget}
     {
@@ -95,6 +96,13 @@
             });
             return;
         }
+        const auto turn = &from == &target_ ? pace_.takeTurn(count) : std::chrono::steady_clock::duration(0);
+        if (turn.count() > 0) {
+            after(from, turn, [this, &from, &to, count] {
+                write(from, to, count);
+            });
+            return;
+        }
         write(from, to, count);
     }
 
@@ -121,7 +129,7 @@
     }
 
     template<typename Action>
-    void after(Side &side, std::chrono::milliseconds time, Action action)
+    void after(Side &side, std::chrono::steady_clock::duration time, Action action)
     {
         side.timer.expires_after(time);
         side.timer.async_wait([self = shared_from_this(), action](const boost::system::error_code &error) {
@@ -132,10 +140,23 @@
     }
 
     const std::atomic<ProxyMode> &mode_;
+    Pace &pace_;
     Side caller_;
     Side target_;
 };
 
+std::chrono::steady_clock::duration FaultProxy::Pace::takeTurn(std::size_t bytes)
+{
+    const auto rate = bytesPerSecond.load();
+    if (rate == 0) {
+        return {};
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> time(static_cast<double>(bytes) / static_cast<double>(rate));
+    freeAt = std::max(freeAt, now) + std::chrono::duration_cast<std::chrono::steady_clock::duration>(time);
+    return freeAt - now;
+}
+
 FaultProxy::FaultProxy(const std::string &target)
     : address_(findFreeAddress())
     , target_(wire::parseEndpoint(target))
@@ -157,7 +178,7 @@
 {
     acceptor_.async_accept([this](const boost::system::error_code &error, Tcp::socket socket) {
         if (!error) {
-            const auto link = std::make_shared<Link>(context_, std::move(socket), mode_);
+            const auto link = std::make_shared<Link>(context_, std::move(socket), mode_, pace_);
             mode_ == ProxyMode::Refuse ? link->reset() : link->start(target_);
             std::erase_if(links_, [](const std::weak_ptr<Link> &each) {
                 return each.expired();
--- a/test/harness/faultproxy.h
+++ b/test/harness/faultproxy.h
@@ -5,6 +5,8 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <thread>
@@ -44,17 +46,32 @@
         mode_ = mode;
     }
 
+    /** @brief Limits the bytes from the target, of all connections together, as a VM's link does. @param bytesPerSecond Rate; 0: no limit. */
+    void setBandwidth(std::uint64_t bytesPerSecond) noexcept
+    {
+        pace_.bytesPerSecond = bytesPerSecond;
+    }
+
     /** @brief Resets all open connections (TCP RST). */
     void resetConnections();
 
 private:
     class Link;
 
+    /** @brief Bandwidth that the connections share. */
+    struct Pace {
+        [[nodiscard]] std::chrono::steady_clock::duration takeTurn(std::size_t bytes); /* time until the bytes have passed */
+
+        std::atomic<std::uint64_t> bytesPerSecond{0};
+        std::chrono::steady_clock::time_point freeAt{}; /* on the proxy's thread only */
+    };
+
     void accept();
 
     std::string address_;
     boost::asio::ip::tcp::endpoint target_;
     std::atomic<ProxyMode> mode_{ProxyMode::Pass};
+    Pace pace_;
     boost::asio::io_context context_{1};
     boost::asio::ip::tcp::acceptor acceptor_;
     std::vector<std::weak_ptr<Link>> links_; /* on the proxy's thread only */
--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -111,18 +111,23 @@
     }
 }
 
-void GatewayFleet::useSecondStoreAddress(std::size_t index)
+void GatewayFleet::useStoreAddress(std::size_t index, const std::string &address)
 {
     auto &gateway = gateways.at(index);
     auto settings = readSettings(gateway);
     const std::string key = "store_address: ";
-    settings.replace(settings.find(key + store.address()), key.size() + store.address().size(), key + store.secondAddress());
+    settings.replace(settings.find(key + store.address()), key.size() + store.address().size(), key + address);
     writeSettings(gateway, settings);
     gateway.process.kill();
     start(gateway);
     waitUntilReady(gateway);
 }
 
+void GatewayFleet::useSecondStoreAddress(std::size_t index)
+{
+    useStoreAddress(index, store.secondAddress());
+}
+
 void GatewayFleet::turnAway(std::size_t index)
 {
     useSecondStoreAddress(index);
@@ -150,10 +155,14 @@
 void GatewayFleet::publishRouting(int version, const std::string &service, const std::vector<std::string> &keys, std::chrono::milliseconds idleTimeout)
 {
     json::object routing{{"version", version}};
-    routing["routes"] = json::array{makeRoute("once", "non_idempotent", service),
-                                    makeRoute("again", "idempotent", service),
-                                    makeRoute("stream", "streaming", service),
-                                    makeRoute("resumed", "streaming", service)};
+    json::array routes{makeRoute("once", "non_idempotent", service),
+                       makeRoute("again", "idempotent", service),
+                       makeRoute("stream", "streaming", service),
+                       makeRoute("resumed", "streaming", service)};
+    for (int i = 0; i < idleRouteCount; ++i) {
+        routes.push_back(makeRoute("idle-" + std::to_string(i), "streaming", service));
+    }
+    routing["routes"] = std::move(routes);
     routing["services"] = json::array{json::object{{"name", service}, {"max_connections", 100}}};
     routing["limits"]
         = json::object{{"max_header_bytes", 8192}, {"max_body_bytes", 100000}, {"header_timeout_ms", 500}, {"idle_timeout_ms", idleTimeout.count()}};
--- a/test/harness/gatewayfleet.h
+++ b/test/harness/gatewayfleet.h
@@ -42,8 +42,11 @@
     /** @brief Starts a gateway's process with its present settings file; kills the one that still runs. */
     void start(Gateway &gateway);
 
-    /** @brief Restarts one gateway with the store's second address; the others keep the first one. @param index Index of the gateway. @throws
+    /** @brief Restarts one gateway with another address of the store. @param index Index of the gateway. @param address IP address and port. @throws
      * std::runtime_error If it is not ready within 10 s. */
+    void useStoreAddress(std::size_t index, const std::string &address);
+
+    /** @brief As useStoreAddress() with the store's second address. */
     void useSecondStoreAddress(std::size_t index);
 
     /** @brief As useSecondStoreAddress(); the store then answers 503 there. @param index Index of the gateway. */
@@ -79,6 +82,7 @@
      * std::runtime_error If it is not in force within 10 s. */
     static void setGracePeriod(Gateway &gateway, std::chrono::milliseconds period);
 
+    int idleRouteCount = 0; /**< Routes without requests in each configuration that publishRouting() writes, 270 bytes each. */
     FakeStore store;
     std::vector<std::unique_ptr<FakeBackendServer>> backendServers;
     std::vector<Gateway> gateways;
--- a/test/platform/storeclient.cpp
+++ b/test/platform/storeclient.cpp
@@ -110,6 +110,8 @@
     std::vector<std::string> calls_;
 };
 
+constexpr std::uint64_t maxBytes = 10000;
+
 /** @brief A gateway's copy of one section that a store client keeps up to date. */
 struct Copy {
     Copy(std::deque<Reply> replies, StorePosition start)
@@ -122,13 +124,15 @@
             position = list.position;
             lists.push_back(list);
         };
-        callbacks.onChanges = [this](const std::vector<member::StoreItem> &items, const StorePosition &end) {
-            position = end;
-            changes.insert(changes.end(), items.begin(), items.end());
+        callbacks.onChanges = [this](const platform::StoreChanges &read) {
+            position = read.position;
+            changes.insert(changes.end(), read.items.begin(), read.items.end());
         };
         callbacks.onEra = [this](std::uint64_t reported) {
             return onEra(reported);
         };
+        callbacks.onRead = [](const char *, const platform::StoreResponse &) {};
+        callbacks.onWatchGivenUp = [] {};
         callbacks.onFailure = [this](const std::string &reason) {
             failures.push_back(reason);
         };
@@ -145,6 +149,9 @@
         callbacks.watchTime = [] {
             return 100ms;
         };
+        callbacks.maxWatchBytes = [] {
+            return maxBytes;
+        };
         client = std::make_unique<platform::StoreClient>(context, store.address(), "op/", std::move(callbacks));
     }
 
@@ -273,7 +280,8 @@
     callbacks.onChanges = [&](const platform::StoreChanges &changes) {
         read.push_back(changes.position);
     };
-    callbacks.onCompacted = [&] {
+    callbacks.onRead = [](const platform::StoreResponse &) {};
+    callbacks.onListNeeded = [&] {
         ++results;
     };
     callbacks.onFailure = [&](const std::string &reason) {
@@ -284,7 +292,7 @@
     };
     platform::StorePoller poller(copy.context, copy.store.address());
     const auto poll = [&](StorePosition from) {
-        poller.poll("servers/", from, callbacks);
+        poller.poll("servers/", from, maxBytes, callbacks);
         copy.context.run_for(100ms);
     };
     poll({1, 10});
@@ -314,3 +322,44 @@
     CHECK(copy.lists.size() == 1);
     CHECK(copy.position == StorePosition(0, 12));
 }
+
+// Guards against changes that reach a gateway with a slow link later and later, as it reads each version of a large item.
+TEST_CASE("slow link: a watch that returns more than a list is given up for a list, whose size is not limited, and is no failure", "[platform][slowlink]")
+{
+    auto versions = changeOf("1", 12, "op/config");
+    auto list = listOf("1", 13, "op/config");
+    versions.body += std::string(maxBytes, ' ');
+    list.body += std::string(2 * maxBytes, ' ');
+    Copy copy({versions, list, changeOf("1", 14, "op/config")}, {1, 10});
+    copy.run();
+    REQUIRE(copy.lists.size() == 1);
+    CHECK(copy.lists.front().position == StorePosition(1, 13));
+    REQUIRE(copy.changes.size() == 1);
+    CHECK(copy.changes.front().position == StorePosition(1, 14));
+    CHECK(copy.failures.empty());
+    CHECK(copy.store.calls() == std::vector<std::string>{"w10", "r", "w13", "w14"});
+}
+
+// Guards against a check that reads each version of a large item beside the section's own call.
+TEST_CASE("slow link: a poll that returns more than a list asks for a list, and is no failure", "[platform][slowlink]")
+{
+    auto versions = changeOf("1", 12, "op/config");
+    versions.body += std::string(maxBytes, ' ');
+    Copy copy({versions}, {1, 10});
+    int needed = 0;
+    platform::StorePollCallbacks callbacks;
+    callbacks.onRead = [](const platform::StoreResponse &) {};
+    callbacks.onListNeeded = [&] {
+        ++needed;
+    };
+    callbacks.onFailure = [](const std::string &reason) {
+        FAIL(reason);
+    };
+    callbacks.onEra = [](std::uint64_t) {
+        return true;
+    };
+    platform::StorePoller poller(copy.context, copy.store.address());
+    poller.poll("op/", {1, 10}, maxBytes, callbacks);
+    copy.context.run_for(100ms);
+    CHECK(needed == 1);
+}
--- a/test/platform/storeconnection.cpp
+++ b/test/platform/storeconnection.cpp
@@ -5,11 +5,20 @@
 #include <cyclamenspool/platform/storeconnection.h>
 #include <cyclamenspool/platform/storepage.h>
 
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
+#include <cstddef>
 #include <exception>
 #include <optional>
+#include <string>
 
 using namespace cyclamenspool;
 using namespace std::chrono_literals;
@@ -29,7 +38,7 @@
     {
         std::optional<std::string> body;
         bool isEnded = false;
-        boost::asio::co_spawn(context, connection.get("/-/kv-range", 500ms), [&](const std::exception_ptr &failure, const platform::StoreResponse &received) {
+        boost::asio::co_spawn(context, connection.get("/-/kv-range", {500ms}), [&](const std::exception_ptr &failure, const platform::StoreResponse &received) {
             isEnded = true;
             // As content(), which throws for any other status.
             if (!failure && received.status == successStatus) {
@@ -99,3 +108,60 @@
     store.server.serve({"", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown", BreakOff::Fin});
     CHECK(store.get().value_or("the call failed") == "own");
 }
+
+namespace {
+
+/** @brief Store that sends a response in pieces at a fixed pace, and then nothing more. */
+struct PacedResponse {
+    std::size_t length = 0; /* as the head says */
+    std::size_t pieceBytes = 0;
+    int pieces = 0;
+    std::chrono::milliseconds gap{0};
+};
+
+/** @brief Reads a paced response. @return Size of the body; empty if the call fails. */
+std::optional<std::size_t> readPaced(const PacedResponse &response, const platform::StoreCallLimits &limits)
+{
+    boost::asio::io_context context{1};
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
+    const auto serve = [&]() -> boost::asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(boost::asio::use_awaitable);
+        boost::asio::steady_timer timer(context);
+        const auto head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(response.length) + "\r\n\r\n";
+        co_await boost::asio::async_write(socket, boost::asio::buffer(head), boost::asio::use_awaitable);
+        const std::string piece(response.pieceBytes, 'x');
+        for (int i = 0; i < response.pieces; ++i) {
+            co_await boost::asio::async_write(socket, boost::asio::buffer(piece), boost::asio::use_awaitable);
+            timer.expires_after(response.gap);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        timer.expires_after(10s);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    };
+    boost::asio::co_spawn(context, serve(), boost::asio::detached);
+    platform::StoreConnection connection(context, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+    std::optional<std::size_t> size;
+    bool isEnded = false;
+    boost::asio::co_spawn(context, connection.get("/", limits), [&](const std::exception_ptr &failure, const platform::StoreResponse &received) {
+        isEnded = true;
+        size = failure ? std::nullopt : std::optional(received.body.size());
+        context.stop();
+    });
+    context.run_for(3s);
+    CHECK(isEnded);
+    connection.close();
+    return size;
+}
+
+} // namespace
+
+// Guards against a large response that a slow link never carries within the time of a call, so that it is begun again and again.
+TEST_CASE("slow link: a store's response may take longer than the timeout while it arrives, and fails when it stalls or trickles", "[platform][slowlink]")
+{
+    constexpr platform::StoreCallLimits limits{200ms, 1'000'000};
+    constexpr std::size_t pieceBytes = 40'000;
+    CHECK(readPaced({10 * pieceBytes, pieceBytes, 10, 100ms}, limits) == 10 * pieceBytes);
+    CHECK_FALSE(readPaced({10 * pieceBytes, pieceBytes, 3, 100ms}, limits).has_value());
+    CHECK_FALSE(readPaced({1000, 1, 1000, 20ms}, limits).has_value());
+    CHECK_FALSE(readPaced({2'000'000, pieceBytes, 50, 1ms}, limits).has_value());
+}
