Gateway: after a failed write of the request the end of the connection completes no response

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once, to the call that comes first. That was the write; the read then returned the part and an end of file, which ends a body without a length. BackendCall took the failed write for harmless, as the read would fail as well.

Evidence: the request line says body_end "connection_close", so the read reported an orderly end; a server that resets without a FIN shows it each time.

Fix: a connection on which a write has failed does not end in order. Responses with a length or a last chunk are complete as before, also early ones. Client and store write the request before they read, and fail with the write.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -117,9 +117,10 @@
         return error ? 0 : internal::maxWriteBytes;
     };
     asio::async_write(socket_, asio::buffer(request_.bytes), countWritten, [self](const boost::system::error_code &error, std::size_t) {
-        // A failed write is not an error yet: the read fails as well, or it receives a response that the server sent before it had the whole request.
+        // A failed write is no error yet: the server may have responded before it had the whole request.
         self->isWriting_ = false;
         self->isRequestSent_ = !error;
+        self->hasWriteFailed_ = static_cast<bool>(error);
     });
 }
 
@@ -321,12 +322,15 @@
 void BackendCall::onReadError(const boost::system::error_code &error)
 {
     isClosedByServer_ = error == asio::error::eof || error == asio::error::connection_reset;
-    if (error == asio::error::eof && !isDiscarding_ && http::isCompleteAtConnectionEnd(*parser_)) {
+    // The kernel reports a reset once. If a write was told of it, the read finds only the end of what was received.
+    const bool isOrderlyEnd = error == asio::error::eof && !hasWriteFailed_;
+    if (isOrderlyEnd && !isDiscarding_ && http::isCompleteAtConnectionEnd(*parser_)) {
         mustClose_ = true;
         finish();
         return;
     }
-    fail("backend connection closed before the response was complete: " + error.message());
+    const std::string reason = hasWriteFailed_ ? "the request could not be written" : error.message();
+    fail("backend connection closed before the response was complete: " + reason);
 }
 
 void BackendCall::finish()
--- a/src/cyclamenspool/gateway/backendcall.h
+++ b/src/cyclamenspool/gateway/backendcall.h
@@ -142,6 +142,7 @@
     std::size_t writtenBytes_ = 0; /* of the request */
     bool isWriting_ = false;
     bool isRequestSent_ = false;
+    bool hasWriteFailed_ = false;
     bool isDelivered_ = false; /* the server had received the request when bytes of the response came */
     bool isDeliveryWatched_ = false; /* in place of the kernel's user time-out */
     bool isClosedByServer_ = false;
--- a/test/gateway/backendcall.cpp
+++ b/test/gateway/backendcall.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <harness/brokenoffserver.h>
+#include <harness/earlyanswer.h>
 
 #include <cyclamenspool/gateway/backendcall.h>
 
@@ -439,3 +440,34 @@
     CHECK(handler.body == std::string(static_cast<std::size_t>(pieces), 'x'));
     CHECK(took < noticeTime + 700ms);
 }
+
+// Guards against a reset that the failed write of the request was told of, so that the read takes the end of a part for the end of the body.
+TEST_CASE("an early response without a length whose connection is reset during the upload is incomplete", "[gateway][answerends]")
+{
+    const auto resetAfter = GENERATE(0ms, 20ms, 150ms);
+    const auto status = GENERATE(as<std::string>(), "200 OK", "500 Internal Server Error");
+    const bool hasLength = GENERATE(false, true);
+    harness::EarlyAnswerServer server({status, hasLength ? "Content-Length: 4\r\n" : "", "part", resetAfter});
+    boost::asio::io_context context{1};
+    BackendConnectionPool pool{context};
+    RecordingHandler handler;
+    BackendRequest request;
+    request.serverId = "i-1";
+    request.address = server.address();
+    request.requestId = "r1";
+    constexpr std::size_t bodyBytes = 16UL * 1024 * 1024;
+    request.bytes = "POST / HTTP/1.1\r\nHost: desk.example\r\nCyclamenspool-Request-Id: r1\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+    request.bytes.append(bodyBytes, 'x');
+    const auto call = std::make_shared<BackendCall>(pool, request, handler);
+    call->start();
+    const auto limit = std::chrono::steady_clock::now() + 2s;
+    while (handler.endCount == 0 && std::chrono::steady_clock::now() < limit) {
+        context.run_one_for(100ms);
+    }
+    call->cancel();
+    INFO("reset after " << resetAfter.count() << " ms, error " << handler.error);
+    CHECK(handler.endCount == 1);
+    // A reset may also overtake the response.
+    CHECK(handler.isComplete == (hasLength && handler.headCount == 1));
+    CHECK((resetAfter == 0ms || handler.headCount == 1));
+}
--- a/test/harness/gatewayfleet.cpp
+++ b/test/harness/gatewayfleet.cpp
@@ -165,7 +165,7 @@
     routing["routes"] = std::move(routes);
     routing["services"] = json::array{json::object{{"name", service}, {"max_connections", 100}}};
     routing["limits"]
-        = json::object{{"max_header_bytes", 8192}, {"max_body_bytes", 100000}, {"header_timeout_ms", 500}, {"idle_timeout_ms", idleTimeout.count()}};
+        = json::object{{"max_header_bytes", 8192}, {"max_body_bytes", maxBodyBytes}, {"header_timeout_ms", 500}, {"idle_timeout_ms", idleTimeout.count()}};
     json::array apiKeys;
     for (const auto &key : keys) {
         apiKeys.emplace_back(key);
--- a/test/harness/gatewayfleet.h
+++ b/test/harness/gatewayfleet.h
@@ -5,6 +5,7 @@
 #include "process.h"
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -83,6 +84,7 @@
     static void setGracePeriod(Gateway &gateway, std::chrono::milliseconds period);
 
     int idleRouteCount = 0; /**< Routes without requests in each configuration that publishRouting() writes, 270 bytes each. */
+    std::uint64_t maxBodyBytes = 100000; /**< Limit of a request's body in each configuration that publishRouting() writes. */
     FakeStore store;
     std::vector<std::unique_ptr<FakeBackendServer>> backendServers;
     std::vector<Gateway> gateways;
