Responses: a head with an invalid status or a folded line is none, wherever responses are read

Callers saw (on other systems): a status 000, and lines whose field name held a blank, as an answer, with the line passed on or with a body that was not the server's (MIXED). Here: 600 and 999 were passed on; 000, 001, 099 and 101 were skipped like interim responses; a line that begins with a blank was appended to the field before, so that a length or the chunks were lost.

Cause: the parser accepts any three digits and obsolete folding, and http/headcheck looked at the parsed fields. A name with a blank or control byte inside is the parser's error already.

Fix: http/headcheck looks at the bytes of each head before they are parsed: status 100 to 599 without 101, no folded line, no second status line. The gateway's call, the client (agent, router, command line) and the store's connection use it; http/headreader reads a head for the latter two.

--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -219,6 +219,9 @@
 void BackendCall::parse()
 {
     while (handler_ != nullptr && buffer_.size() > 0 && !parser_->is_done()) {
+        if (!checkHead()) {
+            return;
+        }
         boost::system::error_code error;
         const auto used = parser_->put(buffer_.data(), error);
         buffer_.consume(used);
@@ -258,6 +261,19 @@
     return true;
 }
 
+bool BackendCall::checkHead()
+{
+    if (parser_->is_header_done()) {
+        return true;
+    }
+    const auto head = http::completeHead({static_cast<const char *>(buffer_.data().data()), buffer_.size()});
+    const auto *fault = head.empty() ? nullptr : http::headFault(head);
+    if (fault != nullptr) {
+        fail(fault);
+    }
+    return fault == nullptr;
+}
+
 bool BackendCall::processHeaders()
 {
     if (areHeadersParsed_ || !parser_->is_header_done()) {
@@ -266,9 +282,8 @@
     areHeadersParsed_ = true;
     const auto &response = parser_->get();
     const auto head = platform::readResponseHead(response.result_int(), response.base());
-    const auto reason = response.reason();
     // Nothing of such a head can be believed, also not that it belongs to another request or is interim.
-    if (head.isContradictory || http::holdsSecondHead({reason.data(), reason.size()}, response.base())) {
+    if (head.isContradictory) {
         fail("the response's head holds parts of two responses");
         return false;
     }
--- a/src/cyclamenspool/gateway/backendcall.h
+++ b/src/cyclamenspool/gateway/backendcall.h
@@ -113,6 +113,7 @@
     void read();
     void onRead(const boost::system::error_code &error, std::size_t count);
     void parse();
+    [[nodiscard]] bool checkHead(); /* false if the call has ended */
     bool processHeaders(); /* false if the call has ended */
     [[nodiscard]] bool isWithinLimits(std::size_t parsedBytes);
     void onMessageParsed();
--- a/src/cyclamenspool/http/client.cpp
+++ b/src/cyclamenspool/http/client.cpp
@@ -1,6 +1,6 @@
 #include <cyclamenspool/http/client.h>
 
-#include <cyclamenspool/http/headcheck.h>
+#include <cyclamenspool/http/headreader.h>
 #include <cyclamenspool/wire/endpoint.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -72,20 +72,18 @@
 }
 
 /** @brief Reads the headers of a response into a parser; interim (1xx) responses before it are skipped. */
-asio::awaitable<void> readHead(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::optional<Parser> &parser, const ClientRequest &request)
+asio::awaitable<void> readFinalHead(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::optional<Parser> &parser, const ClientRequest &request)
 {
     for (int count = 0; count <= maxInterimResponses; ++count) {
         parser.emplace();
         parser->body_limit(boost::none);
-        boost::system::error_code error;
         stream.expires_after(request.timeout);
-        co_await bhttp::async_read_header(stream, buffer, *parser, asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
-            throw ClientError(request.address + ": " + error.message(), true);
-        }
-        const auto reason = parser->get().reason();
-        if (holdsSecondHead({reason.data(), reason.size()}, parser->get().base())) {
-            throw ClientError(request.address + ": the response's head holds parts of two responses", true);
+        try {
+            co_await readHead(stream, buffer, *parser);
+        } catch (const boost::system::system_error &error) {
+            throw ClientError(request.address + ": " + error.code().message(), true); // what() would add the place in the library's source.
+        } catch (const InvalidHead &error) {
+            throw ClientError(request.address + ": " + error.what(), true);
         }
         if (parser->get().result_int() >= static_cast<unsigned>(bhttp::status::ok)) {
             co_return;
@@ -135,7 +133,7 @@
     }
     beast::flat_buffer buffer(internal::maxUnparsedBytes);
     std::optional<internal::Parser> parser;
-    co_await internal::readHead(stream, buffer, parser, request);
+    co_await internal::readFinalHead(stream, buffer, parser, request);
     if (callbacks.onResponseHead) {
         callbacks.onResponseHead(internal::headOf(*parser));
     }
--- a/src/cyclamenspool/http/headcheck.cpp
+++ b/src/cyclamenspool/http/headcheck.cpp
@@ -1,6 +1,8 @@
 #include <cyclamenspool/http/headcheck.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cstddef>
 
 namespace cyclamenspool::http {
 
@@ -8,6 +10,12 @@
 
 constexpr std::string_view versionName = "HTTP/";
 constexpr std::string_view statusLineForm = "#.# ###"; /* what follows the name; # is a digit */
+constexpr std::string_view blankLine = "\r\n\r\n";
+constexpr std::size_t statusOffset = 9; /* of the code in a status line */
+constexpr std::size_t statusDigits = 3;
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
+constexpr int switchingProtocols = 101;
 
 bool isDigit(char character) noexcept
 {
@@ -21,8 +29,29 @@
            });
 }
 
+bool hasValidStatus(std::string_view head) noexcept
+{
+    int status = 0;
+    if (head.size() >= statusOffset + statusDigits) {
+        const auto *digits = head.data() + statusOffset;
+        std::from_chars(digits, digits + statusDigits, status);
+    }
+    return status >= minStatus && status <= maxStatus && status != switchingProtocols;
+}
+
+bool hasFoldedLine(std::string_view head) noexcept
+{
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace internal
 
+std::string_view completeHead(std::string_view bytes) noexcept
+{
+    const auto end = bytes.find(internal::blankLine);
+    return end == std::string_view::npos ? std::string_view() : bytes.substr(0, end + internal::blankLine.size());
+}
+
 bool holdsStatusLine(std::string_view text) noexcept
 {
     for (auto place = text.find(internal::versionName); place != std::string_view::npos; place = text.find(internal::versionName, place + 1)) {
@@ -33,12 +62,18 @@
     return false;
 }
 
-bool holdsSecondHead(std::string_view reason, const boost::beast::http::fields &fields) noexcept
+const char *headFault(std::string_view head) noexcept
 {
-    // A name holds no slash, so a status line that begins inside one is a parser's error.
-    return holdsStatusLine(reason) || std::any_of(fields.begin(), fields.end(), [](const auto &field) {
-               return holdsStatusLine({field.value().data(), field.value().size()});
-           });
+    if (!internal::hasValidStatus(head)) {
+        return "the response's status is not one from 100 to 599, or is 101 without a request for an upgrade";
+    }
+    if (internal::hasFoldedLine(head)) {
+        return "the response's head has a folded line";
+    }
+    if (holdsStatusLine(head.substr(1))) {
+        return "the response's head holds parts of two responses";
+    }
+    return nullptr;
 }
 
 } // namespace cyclamenspool::http
--- a/src/cyclamenspool/platform/storeconnection.cpp
+++ b/src/cyclamenspool/platform/storeconnection.cpp
@@ -1,5 +1,6 @@
 #include <cyclamenspool/platform/storeconnection.h>
 
+#include <cyclamenspool/http/headreader.h>
 #include <cyclamenspool/platform/storeera.h>
 #include <cyclamenspool/wire/endpoint.h>
 #include <cyclamenspool/wire/tcpkeepalive.h>
@@ -82,7 +83,7 @@
     co_await bhttp::async_write(*stream_, request, asio::use_awaitable);
     Parser parser;
     parser.body_limit(boost::none);
-    co_await bhttp::async_read_header(*stream_, buffer_, parser, asio::use_awaitable);
+    co_await http::readHead(*stream_, buffer_, parser);
     waitingSince_.reset();
     const auto headersAt = std::chrono::steady_clock::now();
     co_await readBody(parser, limits);
--- a/test/fuzz/answer.cpp
+++ b/test/fuzz/answer.cpp
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/gateway/eventboundary.h>
 #include <cyclamenspool/gateway/eventscanner.h>
+#include <cyclamenspool/http/headcheck.h>
 #include <cyclamenspool/http/messageend.h>
 #include <cyclamenspool/platform/headers.h>
 
@@ -10,8 +11,11 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <optional>
+#include <string_view>
 
 using namespace cyclamenspool;
 namespace bhttp = boost::beast::http;
@@ -68,6 +72,16 @@
     }
 }
 
+/** @brief Returns the number of lines between the status line and the blank line. */
+std::size_t fieldLineCount(std::string_view head)
+{
+    std::size_t lines = 0;
+    for (auto place = head.find("\r\n"); place != std::string_view::npos; place = head.find("\r\n", place + 2)) {
+        ++lines;
+    }
+    return lines - 2;
+}
+
 void checkResponseHead(const std::string &bytes)
 {
     bhttp::response_parser<bhttp::string_body> parser;
@@ -77,7 +91,13 @@
     if (error || !parser.is_header_done()) {
         return;
     }
+    if (http::headFault(http::completeHead(bytes)) != nullptr) {
+        return;
+    }
     const auto &response = parser.get();
+    fuzz::check(response.result_int() >= 100 && response.result_int() < 600, "the status of an accepted head is one of HTTP");
+    fuzz::check(fieldLineCount(http::completeHead(bytes)) == static_cast<std::size_t>(std::distance(response.begin(), response.end())),
+                "each line of an accepted head is one field");
     static_cast<void>(platform::readResponseHead(response.result_int(), response.base()));
     std::string forwarded = "HTTP/1.1 200 OK\r\n";
     platform::appendResponseHeaders(forwarded, response.base());
--- a/test/gateway/backendcall.cpp
+++ b/test/gateway/backendcall.cpp
@@ -441,6 +441,22 @@
     CHECK(took < noticeTime + 700ms);
 }
 
+// Guards against a head that the parser accepts and that is passed on, or whose body is another one than the server's.
+TEST_CASE("a response with an invalid status, a folded line or an invalid name fails, whatever comes before and after it", "[gateway][answerends]")
+{
+    BrokenOffCall broken;
+    const auto earlierResponse = GENERATE(as<std::string>(), "", earlier);
+    const auto interim = GENERATE(as<std::string>(), "", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n");
+    const std::string own = "HTTP/1.1 200 OK\r\nCyclamenspool-Request-Id: r1\r\nCyclamenspool-Response-Seal: s1\r\nContent-Length: 4\r\n\r\nbody";
+    for (const auto &response : harness::invalidResponses()) {
+        const auto seen = broken.callBrokenOff({earlierResponse, interim + response + own, BreakOff::Fin});
+        INFO(response);
+        CHECK(seen.endCount == 1);
+        CHECK(seen.headCount == 0);
+        CHECK_FALSE(seen.isComplete);
+    }
+}
+
 // Guards against a reset that the failed write of the request was told of, so that the read takes the end of a part for the end of the body.
 TEST_CASE("an early response without a length whose connection is reset during the upload is incomplete", "[gateway][answerends]")
 {
--- a/test/harness/brokenoffserver.cpp
+++ b/test/harness/brokenoffserver.cpp
@@ -45,6 +45,33 @@
     };
 }
 
+std::vector<std::string> invalidResponses()
+{
+    using namespace std::string_literals;
+    const std::string identity = "Cyclamenspool-Request-Id: r1\r\nCyclamenspool-Response-Seal: s\r\n";
+    const std::string length = "Content-Length: 2\r\n";
+    const std::string end = "\r\nok";
+    std::vector<std::string> responses;
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        responses.push_back("HTTP/1.1 " + status + " OK\r\n" + identity + length + end);
+    }
+    const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+    for (const std::string &blank : {" "s, "\t"s, "  \t"s}) {
+        responses.push_back(statusLine + identity + blank + length + end);
+        responses.push_back(statusLine + identity + length + blank + "folded\r\n" + end);
+        responses.push_back(statusLine + identity + blank + "\r\n" + length + end);
+        responses.push_back(statusLine + identity + blank + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        responses.push_back(statusLine + blank + "X-Note: 1\r\n" + identity + length + end);
+    }
+    for (const std::string &byte : {" "s, "\t"s, "\0"s, "\x01"s, "\x0b"s, "\x1f"s, "\x7f"s}) {
+        for (const std::string &name : {byte + "X-Note", "X-" + byte + "Note", "X-Note" + byte}) {
+            responses.push_back(statusLine + name + ": 1\r\n" + identity + length + end);
+            responses.push_back(statusLine + identity + length + name + ": 1\r\n" + end);
+        }
+    }
+    return responses;
+}
+
 BrokenOffServer::BrokenOffServer(asio::io_context &context)
     : context_(context)
     , acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
--- a/test/harness/brokenoffserver.h
+++ b/test/harness/brokenoffserver.h
@@ -39,6 +39,10 @@
  * response, and without a body by its status. */
 [[nodiscard]] std::vector<WireResponse> wireResponses();
 
+/** @brief Returns responses to the request "r1" that would be complete but for one fault in the head: a status that is none, a folded line, a name with a blank
+ * or a control byte. */
+[[nodiscard]] std::vector<std::string> invalidResponses();
+
 /** @brief Connection on which a server sends the first bytes of a response and breaks off. */
 struct BrokenOffConnection {
     std::string earlierResponse; /**< Complete response to an earlier request on the connection; empty: the request is the first. */
--- a/test/http/client.cpp
+++ b/test/http/client.cpp
@@ -115,3 +115,14 @@
     CHECK_FALSE(fetched.response);
     CHECK(written < 2 * request.maxBodyBytes);
 }
+
+// Guards against a head that the parser accepts, although it is none, from an engine, a service or another process.
+TEST_CASE("a fetched response with an invalid status, a folded line or an invalid name fails", "[http][answerends]")
+{
+    for (const auto &response : harness::invalidResponses()) {
+        const auto fetched = fetchBrokenOff({"", response, BreakOff::Fin});
+        INFO(response);
+        CHECK_FALSE(fetched.response.has_value());
+        CHECK(fetched.mayHaveBeenSent);
+    }
+}
--- a/test/platform/storeconnection.cpp
+++ b/test/platform/storeconnection.cpp
@@ -109,6 +109,19 @@
     CHECK(store.get().value_or("the call failed") == "own");
 }
 
+// Guards against a head that the parser accepts, although it is none, and a page behind it that is applied.
+TEST_CASE("a store's response with an invalid status, a folded line or an invalid name fails", "[platform][answerends]")
+{
+    const auto earlierResponse = GENERATE(as<std::string>(), "", earlier);
+    for (const auto &response : harness::invalidResponses()) {
+        BrokenOffStore store;
+        store.server.serve({earlierResponse, response, BreakOff::Fin});
+        REQUIRE((earlierResponse.empty() || store.get() == "{}"));
+        INFO(response);
+        CHECK_FALSE(store.get().has_value());
+    }
+}
+
 namespace {
 
 /** @brief Store that sends a response in pieces at a fixed pace, and then nothing more. */
--- a/test/process/gateway.cpp
+++ b/test/process/gateway.cpp
@@ -136,6 +136,26 @@
     }
 }
 
+// Guards against a head that the parser accepts and that reaches the caller, or whose body is another one than the server's.
+TEST_CASE("a response with an invalid status or a folded line never reaches the caller", "[process][gateway][answerends]")
+{
+    const std::string identity = "Cyclamenspool-Request-Id: r1\r\nCyclamenspool-Response-Seal: s\r\n";
+    const std::string response = GENERATE_COPY("HTTP/1.1 000 OK\r\n" + identity + "Content-Length: 4\r\n\r\nbody",
+                                               "HTTP/1.1 600 OK\r\n" + identity + "Content-Length: 4\r\n\r\nbody",
+                                               "HTTP/1.1 200 OK\r\n" + identity + " Content-Length: 4\r\n\r\nbodymore",
+                                               "HTTP/1.1 200 OK\r\n" + identity + "\tTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                                               "HTTP/1.1 200 OK\r\n" + identity + "Content-Length: 4\r\n \r\n\r\nbody");
+    const std::string route = GENERATE(as<std::string>(), "once", "again", "stream");
+    GatewayFleet fleet(1, 1);
+    fleet.backendServers[0]->setHandler([&response](const PlainRequest &, PlainSocket &socket) {
+        return writeAll(socket, response) && false;
+    });
+    const auto received = sendRequest(fleet.makeRequest("r1", "/" + route + "/x"));
+    CAPTURE(response, route);
+    CHECK(received.status == 502);
+    CHECK(received.header("cyclamenspool-response-seal").empty());
+}
+
 TEST_CASE("an idempotent request is retried once after a connection reset", "[process][gateway]")
 {
     GatewayFleet fleet(1, 3);
