Gateway: bodies of requests are held once, and take at most half of the process's memory

Callers saw: 37 of them with one request of 4.1 MB each took a gateway over its 260 MB.

Cause: a body was held as read and as sent until its response ended, and nothing limited all bodies together; the waiting room counts requests only.

Evidence: 7.7 MiB a request in flight, two copies; a chunk of parser memory would show as more than that. New metric cyclamenspool_request_body_bytes.

Fix: attempts share one copy, which is dropped once the request cannot be sent again. gateway/bodymemory reserves each body at its headers, or as it arrives, within half of the new setting memory_mb (limits.memory_mb of the platform), an eighth of it for small bodies; a request without room gets 503, not run, before its body is read. The fake servers of the tests now read bodies of any size, as servers do.

--- a/src/cyclamenspool/config/gatewaysettings.cpp
+++ b/src/cyclamenspool/config/gatewaysettings.cpp
@@ -26,6 +26,7 @@
         {"seed_peers", &S::seedPeers},
         {"workers", &S::workers, false, {1, 64}},
         {"descriptors", &S::maxSockets, false, {64, 1000000}},
+        {"memory_mb", &S::memoryMb, false, {0, 10000000}},
         {"processor_share", &S::processorShare, false, {0.001, 1024}},
         {"grace_s", &S::gracePeriod, false, durationSeconds},
         {"leave_ms", &S::maxLeaveDelay, false, durationMs},
--- a/src/cyclamenspool/gateway/backendcall.cpp
+++ b/src/cyclamenspool/gateway/backendcall.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 
+#include <array>
+
 namespace cyclamenspool::gateway {
 
 namespace asio = boost::asio;
@@ -116,9 +118,13 @@
         self->writtenBytes_ = count;
         return error ? 0 : internal::maxWriteBytes;
     };
-    asio::async_write(socket_, asio::buffer(request_.bytes), countWritten, [self](const boost::system::error_code &error, std::size_t) {
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(request_.bytes),
+                                                    request_.body != nullptr ? asio::buffer(request_.body->bytes) : asio::const_buffer()};
+    requestBytes_ = asio::buffer_size(buffers);
+    asio::async_write(socket_, buffers, countWritten, [self](const boost::system::error_code &error, std::size_t) {
         // A failed write is no error yet: the server may have responded before it had the whole request.
         self->isWriting_ = false;
+        self->request_.body.reset();
         self->isRequestSent_ = !error;
         self->hasWriteFailed_ = static_cast<bool>(error);
     });
@@ -126,7 +132,7 @@
 
 std::size_t BackendCall::undeliveredBytes()
 {
-    return (isWriting_ ? request_.bytes.size() - writtenBytes_ : 0) + wire::unacknowledgedBytes(socket_);
+    return (isWriting_ ? requestBytes_ - writtenBytes_ : 0) + wire::unacknowledgedBytes(socket_);
 }
 
 void BackendCall::watchDelivery()
--- a/src/cyclamenspool/gateway/backendcall.h
+++ b/src/cyclamenspool/gateway/backendcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cyclamenspool/gateway/backendconnectionpool.h>
+#include <cyclamenspool/gateway/bodymemory.h>
 #include <cyclamenspool/platform/headers.h>
 #include <cyclamenspool/wire/deliverywatch.h>
 
@@ -22,7 +23,8 @@
     std::string address;
     std::string requestId; /**< Request id. A response with another id is skipped, and the call waits for the next one; on a reused connection, one without
                               an id is invalid. */
-    std::string bytes; /**< Request line, headers and body. */
+    std::string bytes; /**< Request line, headers and blank line. */
+    RequestBodyPtr body; /**< Null: none. Released once it is written. */
     bool isHeadRequest = false; /**< Method HEAD: the response has no body. */
     std::chrono::milliseconds maxIdleTime{0}; /**< Longest idle time of a connection that may be reused; 0: always connect anew. */
 };
@@ -140,6 +142,7 @@
     bool isConnectionReused_ = false;
     std::size_t discardedBytes_ = 0; /* of responses that are interim or belong to other requests */
     bool isConnecting_ = false;
+    std::size_t requestBytes_ = 0;
     std::size_t writtenBytes_ = 0; /* of the request */
     bool isWriting_ = false;
     bool isRequestSent_ = false;
--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 namespace cyclamenspool::gateway {
@@ -20,6 +22,7 @@
 
 constexpr std::size_t readSize = 8UL * 1024;
 constexpr std::size_t maxPipelinedBytes = 64UL * 1024; /* read while an earlier request is in progress, in addition to the header limit */
+constexpr std::chrono::milliseconds assumedCallerTimeout{1000}; /* for the retry delay of a request whose headers are not decoded yet */
 constexpr std::chrono::milliseconds lingerTime{1000}; /* for the caller to close, and between checks whether it has received the response */
 constexpr std::chrono::milliseconds nextRequestTime{200}; /* for a request that follows at once on a response; mostly a round trip */
 constexpr std::chrono::milliseconds maxTimerInterval{15000}; /* longest wait of the timer before it compares the clock with timeoutAt_ */
@@ -147,6 +150,7 @@
         parser_->header_limit(limits.headerBytes);
         parser_->body_limit(limits.bodyBytes);
         areHeadersParsed_ = false;
+        bodyMemory_ = worker_.dispatcher().bodyMemory().begin();
         requestStart_ = std::chrono::steady_clock::now();
         setTimeout(requestStart_ + limits.headerTimeout);
     }
@@ -161,7 +165,7 @@
         areHeadersParsed_ = true;
         onHeaders();
     }
-    if (closeAfterWrite_) {
+    if (closeAfterWrite_ || !reserveBody()) {
         return false;
     }
     if (parser_->is_done()) {
@@ -193,6 +197,19 @@
     }
 }
 
+bool CallerSession::reserveBody()
+{
+    const auto length = areHeadersParsed_ ? parser_->content_length().value_or(0) : 0;
+    if (bodyMemory_.extend(std::max<std::uint64_t>(length, parser_->get().body().size()))) {
+        return true;
+    }
+    const auto kind = core::ErrorKind::Overloaded;
+    refuseIncomplete(kind,
+                     "the bodies of other requests take the memory for this one",
+                     chooseRetryAfter(kind, internal::assumedCallerTimeout, worker_.random(), std::chrono::milliseconds(0)));
+    return false;
+}
+
 void CallerSession::onRequest()
 {
     auto request = parser_->release();
@@ -201,19 +218,21 @@
     lastRequestId_ = platform::readRequestId(request.base());
     keepAlive_ = request.keep_alive();
     timeoutAt_ = core::MonotonicTime::max();
-    exchange_ = std::make_shared<Exchange>(worker_, *this, std::move(request), requestStart_);
+    exchange_ = std::make_shared<Exchange>(worker_, *this, std::move(request), std::move(bodyMemory_), requestStart_);
     // The exchange may end within start() and reset exchange_; this reference keeps it alive until start() returns.
     const auto exchange = exchange_;
     exchange->start();
 }
 
-void CallerSession::refuseIncomplete(core::ErrorKind kind, const std::string &detail)
+void CallerSession::refuseIncomplete(core::ErrorKind kind, const std::string &detail, std::chrono::milliseconds retryAfter)
 {
     keepAlive_ = false;
     worker_.dispatcher().countRefusal(kind);
     const auto &request = parser_->get();
     const bool isHeadRequest = request.method() == bhttp::verb::head;
-    write(formatRefusal({platform::readRequestId(request.base()), kind, detail, std::chrono::milliseconds(0), false, isHeadRequest}));
+    write(formatRefusal({platform::readRequestId(request.base()), kind, detail, retryAfter, false, isHeadRequest}));
+    std::string().swap(parser_->get().body());
+    bodyMemory_ = {};
     closeAfterWrite_ = true;
     expectProgress();
 }
--- a/src/cyclamenspool/gateway/callersession.h
+++ b/src/cyclamenspool/gateway/callersession.h
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/core/errorkind.h>
 #include <cyclamenspool/core/now.h>
+#include <cyclamenspool/gateway/bodymemory.h>
 #include <cyclamenspool/gateway/fwd.h>
 #include <cyclamenspool/gateway/worker.h>
 #include <cyclamenspool/wire/deliverywatch.h>
@@ -87,7 +88,8 @@
     bool parse(); /* true if more of the buffered bytes can be parsed now */
     void onHeaders();
     void onRequest();
-    void refuseIncomplete(core::ErrorKind kind, const std::string &detail);
+    bool reserveBody(); /* false if there is no room; the request has been refused then */
+    void refuseIncomplete(core::ErrorKind kind, const std::string &detail, std::chrono::milliseconds retryAfter = {});
     void refuseForShutdown(); /* a request that is incomplete when requests are ended */
     void startWrite();
     void writeSome();
@@ -111,6 +113,7 @@
     boost::beast::flat_buffer readBuffer_;
     std::optional<Parser> parser_;
     bool areHeadersParsed_ = false;
+    BodyMemory::Reservation bodyMemory_; /* of the request that is being read */
     core::MonotonicTime requestStart_{};
     std::string queuedBytes_;
     std::string bytesInWrite_;
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -37,6 +37,13 @@
     return route.services.front().service;
 }
 
+/** @brief Returns the memory for the bodies of requests in bytes: half of the process's; 0: no limit. */
+std::uint64_t bodyLimitOf(const config::GatewaySettings &settings) noexcept
+{
+    constexpr std::uint64_t bytesPerMb = 1'000'000;
+    return static_cast<std::uint64_t>(settings.memoryMb) * bytesPerMb / 2;
+}
+
 } // namespace internal
 
 InFlightRequest::InFlightRequest(Dispatcher &dispatcher, ServerPtr server, std::string workspace, const std::optional<scheduling::SentPrompt> &prompt)
@@ -113,12 +120,14 @@
     , splitter_(settings.peerAddress, std::max<std::size_t>(settings.seedPeers.size(), 1))
     , histories_(internal::maxHistories)
 {
+    bodyMemory_.setLimit(internal::bodyLimitOf(settings));
 }
 
 void Dispatcher::applySettings(const config::GatewaySettings &settings)
 {
     const std::lock_guard lock(mutex_);
     settings_ = settings;
+    bodyMemory_.setLimit(internal::bodyLimitOf(settings));
     const auto window = std::chrono::duration_cast<std::chrono::nanoseconds>(settings.retryWindow);
     for (auto &[service, serviceCounts] : serviceCounts_) {
         serviceCounts.requests.setWindow(window);
--- a/src/cyclamenspool/gateway/dispatcher.h
+++ b/src/cyclamenspool/gateway/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <cyclamenspool/config/gatewaysettings.h>
 #include <cyclamenspool/core/errorkind.h>
+#include <cyclamenspool/gateway/bodymemory.h>
 #include <cyclamenspool/gateway/fleet.h>
 #include <cyclamenspool/gateway/historydirectory.h>
 #include <cyclamenspool/gateway/historyprefixes.h>
@@ -317,6 +318,18 @@
     /** @brief Returns copies of the states of all backend servers. */
     [[nodiscard]] std::vector<ServerView> servers() const;
 
+    /** @brief Returns the memory of the bodies of requests. */
+    [[nodiscard]] BodyMemory &bodyMemory() noexcept
+    {
+        return bodyMemory_;
+    }
+
+    /** @copydoc bodyMemory() */
+    [[nodiscard]] const BodyMemory &bodyMemory() const noexcept
+    {
+        return bodyMemory_;
+    }
+
     /** @brief Returns the latencies by route kind and the counts by workspace. */
     [[nodiscard]] RequestMeter &meter() noexcept
     {
@@ -391,6 +404,7 @@
     [[nodiscard]] const char *quarantineReason(const Admission &admission, bool isRetry, core::MonotonicTime now); /* null: the request may be sent */
     [[nodiscard]] bool isRetryAllowed(const std::string &service, core::MonotonicTime now);
 
+    BodyMemory bodyMemory_;
     RequestMeter meter_; /* has its own lock */
     mutable std::mutex mutex_; /* guards the members below; innermost */
     config::GatewaySettings settings_;
--- a/src/cyclamenspool/gateway/exchange.cpp
+++ b/src/cyclamenspool/gateway/exchange.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cyclamenspool::gateway {
 
@@ -49,10 +50,11 @@
 
 } // namespace internal
 
-Exchange::Exchange(Worker &worker, CallerSession &session, CallerRequest request, core::MonotonicTime arrivedAt)
+Exchange::Exchange(Worker &worker, CallerSession &session, CallerRequest request, BodyMemory::Reservation bodyMemory, core::MonotonicTime arrivedAt)
     : worker_(worker)
     , session_(&session)
     , request_(std::move(request))
+    , body_(std::make_shared<const RequestBody>(RequestBody{std::exchange(request_.body(), {}), std::move(bodyMemory)}))
     , arrivedAt_(arrivedAt)
     , deadlineTimer_(worker.context())
     , stallTimer_(worker.context())
@@ -106,7 +108,7 @@
     if (startPlace_ != nullptr || !worker_.startQueue().isHolding() || worker_.isRefusingRequests()) {
         return false;
     }
-    std::size_t bytes = request_.body().size();
+    std::size_t bytes = body_->bytes.size();
     for (const auto &field : request_) {
         bytes += field.name_string().size() + field.value().size();
     }
@@ -192,7 +194,7 @@
     const auto target = request_.target();
     admission_ = worker_.dispatcher().admit(requestHead_, {target.data(), target.size()});
     const auto method = request_.method_string();
-    const RequestIdentity identity{{method.data(), method.size()}, requestHead_.host, {target.data(), target.size()}, requestHead_.apiKey, request_.body()};
+    const RequestIdentity identity{{method.data(), method.size()}, requestHead_.host, {target.data(), target.size()}, requestHead_.apiKey, body_->bytes};
     admission_->quarantineKeys.push_back(fingerprintOf(identity));
     const auto &route = *admission_->route;
     const auto limit = requestHead_.callerTimeout ? std::min(*requestHead_.callerTimeout, route.timeout) : route.timeout;
@@ -276,7 +278,8 @@
     out.requestId = requestHead_.id;
     out.isHeadRequest = request_.method() == bhttp::verb::head;
     out.maxIdleTime = maxIdleTime();
-    out.bytes.reserve(1024 + request_.body().size());
+    constexpr std::size_t usualHeadBytes = 1024;
+    out.bytes.reserve(usualHeadBytes);
     out.bytes.append(request_.method_string().data(), request_.method_string().size());
     out.bytes += ' ';
     out.bytes.append(request_.target().data(), request_.target().size());
@@ -291,18 +294,26 @@
     added.lastEventId = eventScanner_.lastEventId();
     added.historySource = historySource_;
     platform::appendForwardedHeaders(out.bytes, request_.base(), added);
-    const bool hasBody = !request_.body().empty() || request_.has_content_length() || request_.chunked();
+    const bool hasBody = !body_->bytes.empty() || request_.has_content_length() || request_.chunked();
     if (hasBody) {
-        out.bytes += "Content-Length: " + std::to_string(request_.body().size()) + "\r\n";
+        out.bytes += "Content-Length: " + std::to_string(body_->bytes.size()) + "\r\n";
     }
     out.bytes += "\r\n";
-    out.bytes += request_.body();
+    out.body = body_;
     ++sentAttempts_;
     lastSentAt_ = std::chrono::steady_clock::now();
     call_ = std::make_shared<BackendCall>(worker_.connectionPool(), std::move(out), *this);
     call_->start();
 }
 
+void Exchange::releaseBodyIfUnneeded()
+{
+    const auto &route = *admission_->route;
+    if (!route.isRetryable() || sentAttempts_ >= route.maxAttempts) {
+        body_.reset();
+    }
+}
+
 void Exchange::finishAttempt(Outcome outcome)
 {
     call_.reset();
--- a/src/cyclamenspool/gateway/exchange.h
+++ b/src/cyclamenspool/gateway/exchange.h
@@ -32,9 +32,10 @@
      * @param worker Worker that owns the connection.
      * @param session Caller's connection; not used after the response has ended or after onCallerDisconnected().
      * @param request Complete request.
+     * @param bodyMemory Memory of its body.
      * @param arrivedAt Arrival of the request's first byte; the deadline counts from here.
      */
-    Exchange(Worker &worker, CallerSession &session, CallerRequest request, core::MonotonicTime arrivedAt);
+    Exchange(Worker &worker, CallerSession &session, CallerRequest request, BodyMemory::Reservation bodyMemory, core::MonotonicTime arrivedAt);
     ~Exchange() override;
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
@@ -80,6 +81,7 @@
     void sendRequest(const world::BackendServer &server);
     void retryOrFail(core::ErrorKind kind, const std::string &reason, bool isRetryAllowed);
     void finishAttempt(Outcome outcome);
+    void releaseBodyIfUnneeded();
     void recordServerLoss();
     void recordAnswer();
     bool askForRest(); /* at another backend server, after an end that proves nothing; false if none can be asked */
@@ -119,7 +121,8 @@
 
     Worker &worker_;
     CallerSession *session_; /* null once the response has ended or the caller has disconnected */
-    CallerRequest request_;
+    CallerRequest request_; /* without its body */
+    RequestBodyPtr body_; /* null once the request cannot be sent again */
     core::MonotonicTime arrivedAt_;
     core::MonotonicTime deadline_{};
     platform::RequestHead requestHead_;
--- a/src/cyclamenspool/gateway/exchangeanswers.cpp
+++ b/src/cyclamenspool/gateway/exchangeanswers.cpp
@@ -102,6 +102,7 @@
     if (isResumed) {
         return;
     }
+    releaseBodyIfUnneeded();
     responseStatus_ = status;
     headersReceivedAt_ = std::chrono::steady_clock::now();
     responseHead_ = internal::statusLine(status);
--- a/src/cyclamenspool/gateway/operatorpage.cpp
+++ b/src/cyclamenspool/gateway/operatorpage.cpp
@@ -40,6 +40,11 @@
     out << "cyclamenspool_peak_memory_bytes " << usage.ru_maxrss * bytesPerKibibyte << '\n';
 }
 
+void writeBodies(std::ostream &out, const BodyMemory &memory)
+{
+    out << "cyclamenspool_request_body_bytes " << memory.reservedBytes() << '\n';
+}
+
 void writeCounts(std::ostream &out, const DispatchCounts &counts)
 {
     out << "cyclamenspool_admitted_total " << counts.placed << '\n';
@@ -167,6 +172,7 @@
     }
     internal::writeProcess(out);
     internal::writeCounts(out, input.dispatcher.counts());
+    internal::writeBodies(out, input.dispatcher.bodyMemory());
     internal::writeQueues(out, input.dispatcher);
     internal::writeFirstEvents(out, input.dispatcher.firstEvents());
     internal::writeQuarantine(out, input.dispatcher.quarantine());
--- a/test/harness/platformfakes.cpp
+++ b/test/harness/platformfakes.cpp
@@ -8,6 +8,7 @@
 #include <boost/archive/iterators/transform_width.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
@@ -149,10 +150,11 @@
     boost::beast::flat_buffer buffer;
     bool isOpen = true;
     while (isOpen && !stopping_) {
-        PlainRequest request;
+        boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+        parser.body_limit(boost::none);
         boost::system::error_code error;
-        boost::beast::http::read(socket, buffer, request, error);
-        isOpen = !error && handler_(request, socket);
+        boost::beast::http::read(socket, buffer, parser, error);
+        isOpen = !error && handler_(parser.get(), socket);
     }
     boost::system::error_code ignored;
     socket.shutdown(PlainSocket::shutdown_both, ignored);
