--- a/src/cyclamenspool/gateway/callersession.cpp
+++ b/src/cyclamenspool/gateway/callersession.cpp
@@ -191,6 +191,9 @@
         refuseIncomplete(core::ErrorKind::BadRequest, "header Transfer-Encoding must be chunked");
         return;
     }
+    if (!reserveBody()) {
+        return;
+    }
     const bool expectsContinue = boost::beast::iequals(request[bhttp::field::expect], "100-continue");
     if (expectsContinue && !parser_->is_done()) {
         write("HTTP/1.1 100 Continue\r\n\r\n");
