Gateway: the memory for bodies comes from the VM unless the settings name it

With the new line of the template a gateway did not start where the platform has no value for limits.memory_mb: the setting then is no number.

--- a/src/cyclamenspool/config/gatewaysettings.h
+++ b/src/cyclamenspool/config/gatewaysettings.h
@@ -18,7 +18,7 @@
     std::vector<std::string> seedPeers; /**< Peer addresses of other gateways contacted at start-up. */
     int workers = 1; /**< Number of worker threads. */
     int maxSockets = 1024; /**< Maximum number of sockets that the process may hold. */
-    int memoryMb = 0; /**< Memory of the process in MB, above which the platform kills it; half of it is for bodies of requests. 0: unknown, no limit. */
+    int memoryMb = 0; /**< Memory of the process in MB, above which it is killed; half of it is for bodies of requests. 0: the VM's memory. */
     double processorShare = 1.0; /**< Share of a CPU core that the process may use; 1.0 is one core. */
     std::chrono::duration<double> gracePeriod{8.0}; /**< Time from SIGTERM to SIGKILL. */
     std::chrono::milliseconds maxLeaveDelay{2000}; /**< Maximum time until a leaving backend server gets no new requests. */
--- a/src/cyclamenspool/gateway/bodymemory.cpp
+++ b/src/cyclamenspool/gateway/bodymemory.cpp
@@ -1,5 +1,7 @@
 #include <cyclamenspool/gateway/bodymemory.h>
 
+#include <sys/sysinfo.h>
+
 namespace cyclamenspool::gateway {
 
 namespace internal {
@@ -54,4 +56,11 @@
     return true;
 }
 
+std::uint64_t vmMemory() noexcept
+{
+    struct sysinfo info {
+    };
+    return ::sysinfo(&info) == 0 ? static_cast<std::uint64_t>(info.totalram) * info.mem_unit : 0;
+}
+
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/bodymemory.h
+++ b/src/cyclamenspool/gateway/bodymemory.h
@@ -74,6 +74,9 @@
     BodyMemory::Reservation reservation;
 };
 
+/** @brief Returns the memory of the VM in bytes, as the kernel reports it; 0 if it is unknown. */
+[[nodiscard]] std::uint64_t vmMemory() noexcept;
+
 using RequestBodyPtr = std::shared_ptr<const RequestBody>;
 
 } // namespace cyclamenspool::gateway
--- a/src/cyclamenspool/gateway/dispatcher.cpp
+++ b/src/cyclamenspool/gateway/dispatcher.cpp
@@ -41,7 +41,8 @@
 std::uint64_t bodyLimitOf(const config::GatewaySettings &settings) noexcept
 {
     constexpr std::uint64_t bytesPerMb = 1'000'000;
-    return static_cast<std::uint64_t>(settings.memoryMb) * bytesPerMb / 2;
+    const auto memory = settings.memoryMb > 0 ? static_cast<std::uint64_t>(settings.memoryMb) * bytesPerMb : vmMemory();
+    return memory / 2;
 }
 
 } // namespace internal
--- a/test/gateway/bodymemory.cpp
+++ b/test/gateway/bodymemory.cpp
@@ -65,3 +65,8 @@
     CHECK(reservation.extend(1000 * limit));
     CHECK(memory.reservedBytes() == 1000 * limit);
 }
+
+TEST_CASE("the VM's memory is known", "[gateway][bodies]")
+{
+    CHECK(cyclamenspool::gateway::vmMemory() > limit);
+}
